--- /dev/null
+++ b/core/src/constants.rs
@@ -0,0 +1,232 @@
+//! Every constant of the scheduler, with its unit and its reason.
+//!
+//! Deployment facts (rates, lease times, zones) come from the settings file and
+//! are never repeated here.
+
+/// Milliseconds in a second, to keep conversions readable.
+pub const SECOND_MS: u64 = 1_000;
+
+/// Life of the leader's state lease, in ms. Short, because nobody places work
+/// between a leader's end and the lease's; long enough for three touches.
+pub const LEADER_LEASE_MS: u64 = 2_500;
+
+/// Interval between touches of the leader's lease, in ms: a third of its life.
+pub const LEADER_TOUCH_MS: u64 = 700;
+
+/// How long one touch may stay unanswered, in ms. The state service now and then
+/// takes a few hundred ms; beyond this another touch is the better bet.
+pub const LEADER_TOUCH_TIMEOUT_MS: u64 = 1_000;
+
+/// Worst drift between two steady clocks, in parts per million (protocol: 0.05 %).
+pub const CLOCK_DRIFT_PPM: u64 = 500;
+
+/// Safety margin, in ms, wherever a lease's end is computed rather than observed.
+pub const LEASE_MARGIN_MS: u64 = 500;
+
+/// Margin, in ms, kept between a cancellation's bound and the latest moment at
+/// which a leader without the state service lets workers' leases run out.
+pub const CANCEL_MARGIN_MS: u64 = 2_000;
+
+/// Largest random wait, in ms, before claiming a free leadership, so that
+/// followers do not all spend a write on the same claim.
+pub const CLAIM_JITTER_MS: u64 = 60;
+
+/// Wait, in ms, between attempts to learn who leads while the state service fails.
+pub const FOLLOW_RETRY_MS: u64 = 300;
+
+/// How long a node that handed leadership over leaves it to others, in ms.
+pub const ABSTAIN_MS: u64 = 20_000;
+
+/// Longest hold, in ms, of a watch on the state service; bounds how long a watch
+/// lost to a silent cut can hide changes.
+pub const WATCH_HOLD_MS: u64 = 4_000;
+
+/// Time beyond its hold, in ms, after which a watch counts as lost.
+pub const WATCH_SLACK_MS: u64 = 1_500;
+
+/// Timeout, in ms, of a request to the state service on a user's behalf. The
+/// user gives up after 2 s (poll) or 5 s (submission): a refusal must come sooner.
+pub const USER_STATE_TIMEOUT_MS: u64 = 1_500;
+
+/// Timeout, in ms, of the leader's own transactions and reads.
+pub const STATE_TIMEOUT_MS: u64 = 2_000;
+
+/// Timeout, in ms, of a call to the cloud. Its answers take some 150 ms.
+pub const CLOUD_TIMEOUT_MS: u64 = 4_000;
+
+/// Timeout, in ms, of a direct command to a worker.
+pub const DO_TIMEOUT_MS: u64 = 2_000;
+
+/// Timeout, in ms, of `/inspect` on a silent machine, the last question before
+/// it is given back.
+pub const INSPECT_TIMEOUT_MS: u64 = 1_200;
+
+/// Retry-After, in s, told to users when the service cannot decide yet.
+pub const RETRY_AFTER_S: u64 = 1;
+
+/// Share of the state service's request rate that the leader allows itself.
+pub const LEADER_STATE_SHARE: f64 = 0.5;
+
+/// Share of the state service's request rate that each follower allows itself.
+pub const FOLLOWER_STATE_SHARE: f64 = 0.22;
+
+/// Share of the state service's change rate that the leader's batches may use;
+/// the rest is for users' submissions and cancellations on any node.
+pub const LEADER_WRITE_SHARE: f64 = 0.7;
+
+/// Share of the cloud's request rate that the leader uses; other nodes ask for
+/// machine types only.
+pub const CLOUD_SHARE: f64 = 0.6;
+
+/// Part of a bucket that polls must leave for submissions and cancellations.
+pub const POLL_RESERVE: f64 = 0.25;
+
+/// Wait, in ms, before a leader's failed write is tried again.
+pub const WRITE_RETRY_MS: u64 = 200;
+
+/// Bytes of one transaction's body that the leader fills at most (protocol: 64 KiB).
+pub const TXN_BYTES: usize = 56 * 1024;
+
+/// Number of items asked for in one page of a state listing.
+pub const PAGE_ITEMS: u32 = 500;
+
+/// Tasks per chunk of a job's record of completed tasks. As a bitmap a chunk
+/// takes 1 KiB, far below any `value_kb` that the platform sets.
+pub const DONE_CHUNK: u32 = 8_192;
+
+/// Most tasks of one job (protocol).
+pub const MAX_TASKS: u64 = 100_000;
+
+/// Longest request body, in bytes (protocol).
+pub const MAX_BODY: usize = 64 * 1024;
+
+/// Longest name (class, team, image, machine type) in a submission, in bytes.
+pub const MAX_NAME: usize = 128;
+
+/// Longest run time, deadline or interval accepted, in s: a year and more.
+pub const MAX_DURATION_S: f64 = 1e8;
+
+/// Largest amount of a resource that a task may ask for.
+pub const MAX_AMOUNT: f64 = 1e7;
+
+/// Ended jobs whose final state a node remembers without asking again.
+pub const ENDED_CACHE: usize = 20_000;
+
+/// Users' requests that may wait for the state service at one node; more are
+/// answered 503 at once, which bounds memory.
+pub const MAX_WAITING_REQUESTS: usize = 2_000;
+
+/// Interval of the heartbeat between nodes, in ms.
+pub const HEARTBEAT_MS: u64 = 500;
+
+/// Age, in ms, beyond which a sibling's heartbeat says nothing any more.
+pub const HEARTBEAT_FRESH_MS: u64 = 2_000;
+
+/// How long, in ms, the state service must fail a node before it asks the load
+/// balancer, through `/healthz`, to send users to a sibling.
+pub const STATE_BAD_MS: u64 = 1_500;
+
+/// Time without a report, in ms beyond the longest regular interval, after which
+/// a machine is asked directly.
+pub const SILENT_SLACK_MS: u64 = 1_200;
+
+/// Share of the machines heard recently that, silent at once, make a leader
+/// doubt itself rather than them.
+pub const SUSPECT_SELF_SHARE: f64 = 0.5;
+
+/// How long a leader waits, in ms, while doubting itself, before it hands over to
+/// a sibling that hears workers.
+pub const SUSPECT_SELF_MS: u64 = 1_500;
+
+/// How recently, in ms, a node must have been addressed by a worker to say that
+/// it hears it. Workers turned away come back about once a second.
+pub const HEARS_WORKER_MS: u64 = 5_000;
+
+/// Interval of the cloud listing, in ms: several times its usual lag, as reports
+/// tell most of it sooner.
+pub const LIST_INTERVAL_MS: u64 = 6_000;
+
+/// Interval at which the machine types (and current spot prices) are read, in ms.
+pub const FLAVORS_INTERVAL_MS: u64 = 60_000;
+
+/// Wait, in ms, before the cloud is asked again after it failed or refused.
+pub const CLOUD_RETRY_MS: u64 = 1_000;
+
+/// Wait, in ms, before a machine type, zone and kind that the cloud refused for
+/// want of capacity is asked for again.
+pub const REFUSED_MS: u64 = 8_000;
+
+/// Machines one rental request may ask for (protocol).
+pub const RENT_MAX: u32 = 50;
+
+/// Machines one return request may name (protocol).
+pub const RETURN_MAX: usize = 100;
+
+/// Multiple of the observed boot time after which a machine that never reported
+/// is given back: a few never come up, some take several times as long.
+pub const BOOT_GIVE_UP: f64 = 4.0;
+
+/// Boot time assumed, in s, before any machine of a type has been seen to boot.
+pub const BOOT_UNKNOWN_S: f64 = 60.0;
+
+/// Weight of a new observation in the average boot time.
+pub const BOOT_SMOOTHING: f64 = 0.2;
+
+/// Time to give a machine back, in ms, before it has been observed.
+pub const GIVE_BACK_MS: u64 = 1_000;
+
+/// The paper's factor: queued walltime is divided by this many waste times.
+pub const WASTE_FACTOR: f64 = 2.0;
+
+/// Most machines rented at a time, unless the operator says otherwise.
+pub const FLEET_MAX: u32 = 500;
+
+/// Interval of the fleet loop, in ms. The paper sleeps 10 to 15 s to spare its
+/// queue command; ours reads memory, and people wait for what it rents.
+pub const FLEET_LOOP_MS: u64 = 500;
+
+/// How long a machine must be idle, in ms, before it is surplus.
+pub const IDLE_RETURN_MS: u64 = 25_000;
+
+/// Interval, in ms, between scheduling passes when nothing changed: wakes
+/// backed-off jobs and moves stops along.
+pub const PASS_INTERVAL_MS: u64 = 1_000;
+
+/// Shortest time, in ms, between two scheduling passes: changes gather in a batch.
+pub const PASS_SPACING_MS: u64 = 20;
+
+/// Starts that one pass plans at most, so that a pass stays short on a small
+/// share of a core; the next pass goes on.
+pub const STARTS_PER_PASS: usize = 150;
+
+/// Failures of a machine, by different jobs, after which it is drained.
+pub const FAULTY_AFTER: usize = 2;
+
+/// Machines on which a job must have failed before the job is held back.
+pub const BAD_JOB_AFTER: usize = 2;
+
+/// First wait, in ms, of a job that fails everywhere; doubles with each failure.
+pub const BAD_JOB_WAIT_MS: u64 = 4_000;
+
+/// Longest wait, in ms, of a job that fails everywhere.
+pub const BAD_JOB_WAIT_MAX_MS: u64 = 120_000;
+
+/// Wait, in ms, before a machine that refused a start as full gets another.
+pub const FULL_WAIT_MS: u64 = 2_000;
+
+/// Time, in ms, after which an unanswered stop is repeated.
+pub const STOP_REPEAT_MS: u64 = 3_000;
+
+/// Extra seconds granted to a save beyond what its owner says it needs.
+pub const STOP_GRACE_EXTRA_S: f64 = 2.0;
+
+/// Bits of an attempt number below the token: attempts a leader may hand out in
+/// one term, so that numbers never repeat across leaders without being stored.
+pub const ATTEMPT_BITS: u32 = 24;
+
+/// Time, in ms, for which a returned machine's name is remembered, to tell a
+/// lagging listing or a late report from a machine that is really there.
+pub const GONE_MEMORY_MS: u64 = 300_000;
+
+/// Interval, in ms, of the forecast against objectives and deadlines.
+pub const FORECAST_MS: u64 = 2_000;
--- /dev/null
+++ b/core/src/gangs.rs
@@ -0,0 +1,44 @@
+//! Gangs: one attempt number for all tasks, a replacement only before the start,
+//! an orderly stop of all, and no new attempt while any task of the old may be
+//! anywhere.
+
+use crate::wire::Cause;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GangAttempt {
+    pub number: u64,
+    /// A task of it was seen running: from then on a lost task breaks it.
+    pub started: bool,
+    /// It will not complete; its tasks are stopped and a new attempt follows.
+    pub broken: bool,
+}
+
+impl GangAttempt {
+    pub fn new(number: u64) -> GangAttempt {
+        GangAttempt {
+            number,
+            started: false,
+            broken: false,
+        }
+    }
+
+    /// A task of this attempt is gone without an exit.
+    pub fn lost(&mut self) {
+        // Before the start the others wait, and a replacement completes the gang.
+        self.broken |= self.started;
+    }
+
+    /// A task of this attempt has ended otherwise than done.
+    pub fn ended(&mut self, why: Cause) {
+        match why {
+            // Refused at the door: another machine may take it.
+            Cause::NoRoom | Cause::Busy => self.lost(),
+            _ => self.broken = true,
+        }
+    }
+
+    /// Whether missing tasks may join it.
+    pub fn open(&self) -> bool {
+        !self.started && !self.broken
+    }
+}
--- /dev/null
+++ b/core/src/io.rs
@@ -0,0 +1,235 @@
+//! What the core asks of the outside: answers to requests, calls to other
+//! systems, frames to siblings. Nothing here does any input or output.
+
+use crate::budget::Bucket;
+use crate::constants::{CLOUD_SHARE, FOLLOWER_STATE_SHARE, LEADER_STATE_SHARE, LEADER_WRITE_SHARE};
+use crate::leader::TermCall;
+use crate::leadership::Step;
+use crate::model::Millis;
+use crate::settings::Deployment;
+use crate::users::UserCall;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Destination {
+    State,
+    Cloud,
+    Worker(String),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Method {
+    Get,
+    Post,
+    Delete,
+}
+
+impl Method {
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Method::Get => "GET",
+            Method::Post => "POST",
+            Method::Delete => "DELETE",
+        }
+    }
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    Answer {
+        status: u16,
+        body: Vec<u8>,
+    },
+    /// No connection came about: it was certainly not carried out.
+    NotSent,
+    /// It may have been carried out, or may still be.
+    NoAnswer,
+}
+
+impl Outcome {
+    pub fn status(&self) -> Option<u16> {
+        match self {
+            Outcome::Answer { status, .. } => Some(*status),
+            _ => None,
+        }
+    }
+
+    /// The body of an answer with one of these statuses, if it can be read.
+    pub fn read<T: DeserializeOwned>(&self, statuses: &[u16]) -> Option<T> {
+        match self {
+            Outcome::Answer { status, body } if statuses.contains(status) => serde_json::from_slice(body)
+                .inspect_err(|error| log::info!("an answer with status {status} is unreadable: {error}"))
+                .ok(),
+            _ => None,
+        }
+    }
+
+    /// It was certainly not carried out, so that it may simply be sent again.
+    pub fn refused(&self) -> bool {
+        matches!(
+            self,
+            Outcome::NotSent
+                | Outcome::Answer {
+                    status: 429 | 503,
+                    ..
+                }
+        )
+    }
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    Reply {
+        request: RequestId,
+        status: u16,
+        retry_after_s: Option<u64>,
+        body: Vec<u8>,
+    },
+    Call {
+        call: CallId,
+        to: Destination,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    },
+    Frame {
+        peer: usize,
+        bytes: Vec<u8>,
+    },
+}
+
+/// Who waits for a call's outcome.
+#[derive(Debug)]
+pub enum Purpose {
+    Leadership(Step),
+    Term(TermCall),
+    User(RequestId, UserCall),
+    Types,
+    StoredTypes,
+}
+
+/// Time, randomness, budgets and effects of the command being handled.
+#[derive(Debug)]
+pub struct Io {
+    pub now: Millis,
+    /// Time of day in ms since 1970.
+    pub wall_ms: u64,
+    pub rng: SmallRng,
+    pub state: Bucket,
+    pub writes: Bucket,
+    pub cloud: Bucket,
+    pub effects: Vec<Effect>,
+    state_rate: f64,
+    next_call: u64,
+    calls: HashMap<CallId, Purpose>,
+}
+
+impl Io {
+    pub fn new(deployment: &Deployment, seed: u64, now: Millis, wall_ms: u64) -> Io {
+        let rate = deployment.state.rps * FOLLOWER_STATE_SHARE;
+        let writes = deployment.state.write_rps * LEADER_WRITE_SHARE;
+        let cloud = deployment.cloud.rps * CLOUD_SHARE;
+        Io {
+            now,
+            wall_ms,
+            rng: SmallRng::seed_from_u64(seed),
+            state: Bucket::new(rate, rate, now),
+            writes: Bucket::new(writes, writes, now),
+            cloud: Bucket::new(cloud, cloud.max(1.0), now),
+            effects: Vec::new(),
+            state_rate: deployment.state.rps,
+            next_call: 1,
+            calls: HashMap::new(),
+        }
+    }
+
+    pub fn set_leading(&mut self, leading: bool) {
+        let share = if leading {
+            LEADER_STATE_SHARE
+        } else {
+            FOLLOWER_STATE_SHARE
+        };
+        self.state.set_rate(self.state_rate * share, self.now);
+    }
+
+    pub fn call(
+        &mut self,
+        to: Destination,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+        purpose: Purpose,
+    ) -> CallId {
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        self.calls.insert(call, purpose);
+        self.effects.push(Effect::Call {
+            call,
+            to,
+            method,
+            path,
+            body,
+            timeout_ms,
+        });
+        call
+    }
+
+    /// A call to the state service, charged to its budget.
+    pub fn state_call(
+        &mut self,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+        purpose: Purpose,
+    ) -> CallId {
+        self.state.force(1.0, self.now);
+        self.call(Destination::State, method, path, body, timeout_ms, purpose)
+    }
+
+    pub fn settle(&mut self, call: CallId) -> Option<Purpose> {
+        self.calls.remove(&call)
+    }
+
+    pub fn reply(&mut self, request: RequestId, status: u16, body: &impl Serialize) {
+        let body = json(body);
+        self.effects.push(Effect::Reply {
+            request,
+            status,
+            retry_after_s: None,
+            body,
+        });
+    }
+
+    pub fn reply_later(&mut self, request: RequestId, retry_after_s: u64, problem: &str) {
+        let body = json(&crate::wire::ErrorAnswer { error: problem });
+        self.effects.push(Effect::Reply {
+            request,
+            status: 503,
+            retry_after_s: Some(retry_after_s),
+            body,
+        });
+    }
+
+    pub fn reply_error(&mut self, request: RequestId, status: u16, problem: &str) {
+        self.reply(request, status, &crate::wire::ErrorAnswer { error: problem });
+    }
+}
+
+/// Plain data as JSON. It fails only on non-string map keys, which none has.
+pub fn json(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_default()
+}
--- /dev/null
+++ b/core/src/leadership.rs
@@ -0,0 +1,394 @@
+//! Who leads: the holder of the key `leader`, which hangs on a short lease of the
+//! state service. The key's version is the token; it only ever rises.
+
+use crate::constants::*;
+use crate::io::{Io, Method, Outcome, Purpose, json};
+use crate::model::Millis;
+use crate::records::{LEADER, LeaderRecord, Record};
+use crate::settings::Deployment;
+use crate::wire::{self, Change, Condition, Event, Transaction, paths};
+use rand::RngExt;
+
+#[derive(Debug)]
+pub enum Step {
+    Read,
+    Watch,
+    Lease { sent: Millis },
+    Claim { lease: u64, sent: Millis },
+    Touch { lease: u64, sent: Millis },
+    Release,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Known {
+    pub node: String,
+    pub token: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Lead {
+    token: u64,
+    lease: u64,
+    /// Sending time of the last touch that was answered.
+    touched: Millis,
+    next_touch: Millis,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum News {
+    Elected { token: u64 },
+    Deposed,
+}
+
+#[derive(Debug)]
+pub struct Leadership {
+    node: String,
+    incarnation: u64,
+    lead: Option<Lead>,
+    known: Option<Known>,
+    /// Revision up to which `known` is known.
+    revision: u64,
+    busy: bool,
+    next: Next,
+    at: Millis,
+    abstain_until: Millis,
+    keep_alive_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    Read,
+    Watch,
+    Lease,
+}
+
+impl Leadership {
+    pub fn new(node: &str, incarnation: u64, deployment: &Deployment) -> Leadership {
+        Leadership {
+            node: node.to_owned(),
+            incarnation,
+            lead: None,
+            known: None,
+            revision: 0,
+            busy: false,
+            next: Next::Read,
+            at: 0,
+            abstain_until: 0,
+            keep_alive_ms: keep_alive_ms(deployment),
+        }
+    }
+
+    pub fn token(&self) -> Option<u64> {
+        self.lead.as_ref().map(|lead| lead.token)
+    }
+
+    pub fn lease(&self) -> Option<u64> {
+        self.lead.as_ref().map(|lead| lead.lease)
+    }
+
+    /// The leader that others should be sent to, if it is not this node.
+    pub fn other(&self) -> Option<&str> {
+        self.known
+            .as_ref()
+            .map(|known| known.node.as_str())
+            .filter(|node| *node != self.node)
+    }
+
+    /// The lease has surely not run out yet.
+    pub fn certain(&self, now: Millis) -> bool {
+        let life = LEADER_LEASE_MS - LEADER_LEASE_MS * CLOCK_DRIFT_PPM / 1_000_000;
+        self.lead.as_ref().is_some_and(|lead| now < lead.touched + life)
+    }
+
+    fn record(&self) -> LeaderRecord {
+        LeaderRecord {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// The change that renews the leader's key, and with it the token.
+    pub fn renewal(&self) -> Option<Change> {
+        self.lead.as_ref().map(|lead| Change::Put {
+            key: LEADER.to_owned(),
+            value: self.record().to_value(),
+            lease: Some(lead.lease),
+        })
+    }
+
+    /// Whether the key, as read, is this leader's own.
+    pub fn is_mine(&self, item: Option<&wire::StoredItem>) -> bool {
+        self.lead.is_some()
+            && item.is_some_and(|item| {
+                LeaderRecord::from_value(&item.value).is_ok_and(|record| record == self.record())
+            })
+    }
+
+    pub fn renewed(&mut self, token: u64) {
+        if let Some(lead) = &mut self.lead {
+            lead.token = lead.token.max(token);
+        }
+    }
+
+    /// Issues what is due.
+    pub fn poll(&mut self, io: &mut Io) -> Option<News> {
+        if let Some(lead) = &mut self.lead {
+            // Without the state service a leader cannot tell an outage, in which
+            // it still leads, from being alone refused. It goes on answering
+            // workers for as long as no cancellation can thereby be missed.
+            if io.now >= lead.touched + self.keep_alive_ms {
+                return Some(self.step_down("no word from the state service"));
+            }
+            if io.now >= lead.next_touch {
+                lead.next_touch = io.now + LEADER_TOUCH_MS;
+                let step = Step::Touch {
+                    lease: lead.lease,
+                    sent: io.now,
+                };
+                io.state_call(
+                    Method::Post,
+                    paths::touch(lead.lease),
+                    json(&wire::LeaseRequest {
+                        ttl_ms: LEADER_LEASE_MS,
+                    }),
+                    LEADER_TOUCH_TIMEOUT_MS,
+                    Purpose::Leadership(step),
+                );
+            }
+            return None;
+        }
+        if self.busy || io.now < self.at {
+            return None;
+        }
+        self.busy = true;
+        match self.next {
+            Next::Read => {
+                io.state_call(
+                    Method::Get,
+                    paths::key(LEADER),
+                    Vec::new(),
+                    STATE_TIMEOUT_MS,
+                    Purpose::Leadership(Step::Read),
+                );
+            }
+            Next::Watch => {
+                let path = paths::watch(LEADER, self.revision, WATCH_HOLD_MS);
+                io.state_call(
+                    Method::Get,
+                    path,
+                    Vec::new(),
+                    WATCH_HOLD_MS + WATCH_SLACK_MS,
+                    Purpose::Leadership(Step::Watch),
+                );
+            }
+            Next::Lease => {
+                let body = json(&wire::LeaseRequest {
+                    ttl_ms: LEADER_LEASE_MS,
+                });
+                io.state_call(
+                    Method::Post,
+                    paths::LEASES.to_owned(),
+                    body,
+                    LEADER_TOUCH_TIMEOUT_MS,
+                    Purpose::Leadership(Step::Lease { sent: io.now }),
+                );
+            }
+        }
+        None
+    }
+
+    pub fn answered(&mut self, step: Step, outcome: &Outcome, io: &mut Io) -> Option<News> {
+        match step {
+            Step::Touch { lease, sent } => return self.touched(lease, sent, outcome),
+            Step::Release => return None,
+            _ => self.busy = false,
+        }
+        match step {
+            Step::Read => self.read(outcome, io),
+            Step::Watch => self.watched(outcome, io),
+            Step::Lease { sent } => match outcome.read::<wire::LeaseAnswer>(&[200]) {
+                Some(answer) => self.claim(answer.lease, sent, io),
+                None => self.retry(io),
+            },
+            Step::Claim { lease, sent } => return self.claimed(lease, sent, outcome, io),
+            Step::Touch { .. } | Step::Release => (),
+        }
+        None
+    }
+
+    fn retry(&mut self, io: &mut Io) {
+        self.next = Next::Read;
+        self.at = io.now + FOLLOW_RETRY_MS + io.rng.random_range(0..FOLLOW_RETRY_MS);
+    }
+
+    fn read(&mut self, outcome: &Outcome, io: &mut Io) {
+        if let Some(item) = outcome.read::<wire::StoredItem>(&[200]) {
+            self.revision = item.version;
+            self.learn(&item.value, item.version);
+            self.next = Next::Watch;
+            self.at = io.now;
+        } else if let Some(absent) = outcome.read::<wire::TransactionAnswer>(&[404]) {
+            self.revision = absent.revision;
+            self.vacant(io);
+        } else {
+            self.retry(io);
+        }
+    }
+
+    fn learn(&mut self, value: &serde_json::Value, token: u64) {
+        match LeaderRecord::from_value(value) {
+            // A claim of this node that was carried out without an answer, or of
+            // its former life: nobody acts on it, so it runs out.
+            Ok(record) if record.node == self.node => self.known = None,
+            Ok(record) => {
+                self.known = Some(Known {
+                    node: record.node,
+                    token,
+                })
+            }
+            Err(error) => log::error!("the leader's record: {error}"),
+        }
+    }
+
+    /// Nobody leads.
+    fn vacant(&mut self, io: &mut Io) {
+        self.known = None;
+        if io.now < self.abstain_until {
+            self.next = Next::Watch;
+            self.at = io.now;
+        } else {
+            self.next = Next::Lease;
+            self.at = io.now + io.rng.random_range(0..=CLAIM_JITTER_MS);
+        }
+    }
+
+    fn watched(&mut self, outcome: &Outcome, io: &mut Io) {
+        let Some(changes) = outcome.read::<wire::Changes>(&[200]) else {
+            self.retry(io);
+            if outcome.status() == Some(410) {
+                self.at = io.now;
+            }
+            return;
+        };
+        self.revision = self.revision.max(changes.revision);
+        self.at = io.now;
+        let mut vacant = false;
+        for event in &changes.events {
+            match event {
+                Event::Put { key, value, version } if key == LEADER => {
+                    self.learn(value, *version);
+                    vacant = false;
+                }
+                Event::Delete { key } if key == LEADER => vacant = true,
+                _ => (),
+            }
+        }
+        if vacant {
+            self.vacant(io);
+        } else if self.known.is_none() {
+            // After abstaining, or a claim of its own that runs out.
+            self.next = Next::Read;
+            self.at = io.now + FOLLOW_RETRY_MS;
+        }
+    }
+
+    fn claim(&mut self, lease: u64, sent: Millis, io: &mut Io) {
+        let body = Transaction {
+            conditions: vec![Condition {
+                key: LEADER.to_owned(),
+                version: 0,
+            }],
+            changes: vec![Change::Put {
+                key: LEADER.to_owned(),
+                value: self.record().to_value(),
+                lease: Some(lease),
+            }],
+        };
+        self.busy = true;
+        io.state_call(
+            Method::Post,
+            paths::TRANSACTION.to_owned(),
+            json(&body),
+            LEADER_TOUCH_TIMEOUT_MS,
+            Purpose::Leadership(Step::Claim { lease, sent }),
+        );
+    }
+
+    fn claimed(&mut self, lease: u64, sent: Millis, outcome: &Outcome, io: &mut Io) -> Option<News> {
+        let Some(answer) = outcome.read::<wire::TransactionAnswer>(&[200]) else {
+            self.next = Next::Read;
+            self.at = if outcome.status() == Some(409) {
+                io.now
+            } else {
+                io.now + FOLLOW_RETRY_MS
+            };
+            return None;
+        };
+        let token = answer.revision;
+        log::info!("this node leads, token {token}");
+        self.known = Some(Known {
+            node: self.node.clone(),
+            token,
+        });
+        // The lease's life counts from before it was given.
+        self.lead = Some(Lead {
+            token,
+            lease,
+            touched: sent,
+            next_touch: io.now,
+        });
+        Some(News::Elected { token })
+    }
+
+    fn touched(&mut self, lease: u64, sent: Millis, outcome: &Outcome) -> Option<News> {
+        let lead = self.lead.as_mut().filter(|lead| lead.lease == lease)?;
+        match outcome.status() {
+            Some(200) => {
+                lead.touched = lead.touched.max(sent);
+                None
+            }
+            Some(404) => Some(self.step_down("its lease is over")),
+            // The next touch is due in less than a third of the lease anyway.
+            _ => None,
+        }
+    }
+
+    /// Another node holds a higher token, or a transaction said so.
+    pub fn deposed(&mut self, why: &str) -> Option<News> {
+        self.lead.is_some().then(|| self.step_down(why))
+    }
+
+    fn step_down(&mut self, why: &str) -> News {
+        let token = self.token().unwrap_or(0);
+        log::info!("this node no longer leads (token {token}): {why}");
+        self.lead = None;
+        self.known = None;
+        self.busy = false;
+        self.next = Next::Read;
+        self.at = 0;
+        News::Deposed
+    }
+
+    /// Gives leadership up for others to take, and leaves it to them for a while.
+    pub fn hand_over(&mut self, why: &str, io: &mut Io) -> Option<News> {
+        let lease = self.lease()?;
+        io.state_call(
+            Method::Delete,
+            paths::lease(lease),
+            Vec::new(),
+            STATE_TIMEOUT_MS,
+            Purpose::Leadership(Step::Release),
+        );
+        self.abstain_until = io.now + ABSTAIN_MS;
+        Some(self.step_down(why))
+    }
+}
+
+/// How long after its last touch a leader may answer workers with its token. A
+/// worker's lease then runs out early enough for any cancellation that this
+/// leader may have missed; and the next leader counts on nothing longer.
+pub fn keep_alive_ms(deployment: &Deployment) -> u64 {
+    let workers = &deployment.workers;
+    let ms = ((workers.cancel_s - workers.lease_s) * SECOND_MS as f64) as i64 - CANCEL_MARGIN_MS as i64;
+    ms.max(LEADER_LEASE_MS as i64) as u64
+}
--- /dev/null
+++ b/core/src/ledger.rs
@@ -0,0 +1,521 @@
+//! What may be on which machine: the safety heart.
+//!
+//! An attempt enters the ledger before its start is recorded and leaves it only on
+//! evidence: a newer report of its machine under the present token that lacks it,
+//! the cloud's word that the machine is gone, a later session, or a lease that has
+//! provably run out. Until then it counts for quota, zones and uniqueness.
+
+use crate::constants::{SECOND_MS, STOP_REPEAT_MS};
+use crate::model::{JobId, MachineId, Millis, Resources, TaskId};
+use crate::records::{MachineRecord, StartRecord};
+use crate::wire::{Cause, Order, Report, TaskReport, TaskState, Verb};
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// A direct command that nobody answered: it may be carried out minutes later,
+/// while session and token still match.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pin {
+    pub session: u64,
+    pub token: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Stop {
+    pub grace_s: f64,
+    pub asked_at: Millis,
+    pub ordered_at: Option<Millis>,
+}
+
+/// One attempt at a task, as far as it may be on this machine.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    pub task: TaskId,
+    pub number: u64,
+    pub team: Arc<str>,
+    pub needs: Resources,
+    pub image: Option<Arc<str>>,
+    /// Its start is recorded in the state service; only then is it sent.
+    pub durable: bool,
+    /// Read from a former leader's record: it may have been sent by that one.
+    pub inherited: bool,
+    /// The report in whose answer the start was sent.
+    pub sent: Option<(u64, u64)>,
+    /// A direct command with its start is under way.
+    pub in_flight: bool,
+    pub pin: Option<Pin>,
+    pub seen: Option<TaskState>,
+    pub why: Option<Cause>,
+    pub running_since: Option<Millis>,
+    pub planned_at: Millis,
+    pub stop: Option<Stop>,
+    /// Its end is dealt with (a result durably), so the worker may forget it.
+    pub closed: bool,
+}
+
+impl Attempt {
+    pub fn planned(
+        task: TaskId,
+        number: u64,
+        team: Arc<str>,
+        needs: Resources,
+        image: Arc<str>,
+        now: Millis,
+    ) -> Attempt {
+        Attempt {
+            task,
+            number,
+            team,
+            needs,
+            image: Some(image),
+            durable: false,
+            inherited: false,
+            sent: None,
+            in_flight: false,
+            pin: None,
+            seen: None,
+            why: None,
+            running_since: None,
+            planned_at: now,
+            stop: None,
+            closed: false,
+        }
+    }
+
+    pub fn exited(&self) -> bool {
+        self.seen == Some(TaskState::Exited)
+    }
+
+    /// It may be on the machine, now or by a command still under way.
+    pub fn may_be_there(&self) -> bool {
+        !self.exited() || self.pin.is_some()
+    }
+
+    /// No message that could start it has ever left.
+    pub fn never_sent(&self) -> bool {
+        !self.inherited && self.sent.is_none() && !self.in_flight && self.pin.is_none() && self.seen.is_none()
+    }
+
+    fn matches(&self, task: &TaskId, number: u64) -> bool {
+        self.number == number && self.task == *task
+    }
+}
+
+/// What a report changed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    Running(TaskId, u64),
+    Exited {
+        task: TaskId,
+        number: u64,
+        why: Cause,
+        ran: bool,
+    },
+    /// No longer there, and not exited: lost with a session, or never arrived.
+    Vanished {
+        task: TaskId,
+        number: u64,
+        ran: bool,
+    },
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub id: MachineId,
+    pub addr: Option<String>,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub attempts: Vec<Attempt>,
+    pub session: u64,
+    pub seq: u64,
+    /// Highest token that it is known to have seen.
+    pub token_seen: u64,
+    /// It has reported under a token of this term.
+    pub synced: bool,
+    /// Last message from it.
+    pub heard: Option<Millis>,
+    /// Last 200 to one of its reports.
+    pub answered: Option<Millis>,
+    pub first_known: Millis,
+    /// How long before `first_known` it had been rented, in ms.
+    pub age_at_first_known: u64,
+    pub notice_until: Option<Millis>,
+    /// Version of its record; 0 while there is none.
+    pub version: u64,
+    /// The record lacks something that must be there before anything is sent.
+    pub dirty: bool,
+    pub direct_in_flight: bool,
+    /// The next direct command is sent even without orders: it fences former
+    /// leaders and brings a report.
+    pub greet: bool,
+    pub greeted_at: Option<Millis>,
+    pub inspecting: bool,
+    pub inspect_failed: bool,
+    /// It is to be given back, or the request has been sent and may be carried out.
+    pub returning: bool,
+    pub return_in_flight: bool,
+    /// A return went unanswered: it may be carried out at any time.
+    pub return_unanswered: bool,
+    pub idle_since: Option<Millis>,
+    pub errors: BTreeSet<JobId>,
+    pub full_until: Millis,
+    /// Images it is thought to hold, the latest used last.
+    pub images: VecDeque<(Arc<str>, f64)>,
+}
+
+impl Machine {
+    pub fn new(id: MachineId, machine_type: String, zone: String, spot: bool, now: Millis) -> Machine {
+        Machine {
+            id,
+            addr: None,
+            machine_type,
+            zone,
+            spot,
+            attempts: Vec::new(),
+            session: 0,
+            seq: 0,
+            token_seen: 0,
+            synced: false,
+            heard: None,
+            answered: None,
+            first_known: now,
+            age_at_first_known: 0,
+            notice_until: None,
+            version: 0,
+            dirty: true,
+            direct_in_flight: false,
+            greet: false,
+            greeted_at: None,
+            inspecting: false,
+            inspect_failed: false,
+            returning: false,
+            return_in_flight: false,
+            return_unanswered: false,
+            idle_since: None,
+            errors: BTreeSet::new(),
+            full_until: 0,
+            images: VecDeque::new(),
+        }
+    }
+
+    pub fn from_record(id: MachineId, record: &MachineRecord, version: u64, now: Millis) -> Machine {
+        let mut machine = Machine::new(
+            id,
+            record.machine_type.clone(),
+            record.zone.clone(),
+            record.spot,
+            now,
+        );
+        machine.addr = record.addr.clone();
+        machine.version = version;
+        machine.dirty = false;
+        machine.returning = record.returning;
+        machine.greet = true;
+        machine.attempts = record
+            .starts
+            .iter()
+            .map(|start| Attempt {
+                durable: true,
+                inherited: true,
+                image: None,
+                ..Attempt::planned(
+                    TaskId {
+                        job: start.job.clone(),
+                        index: start.index,
+                    },
+                    start.attempt,
+                    Arc::from(start.team.as_str()),
+                    start.needs,
+                    Arc::from(""),
+                    now,
+                )
+            })
+            .collect();
+        machine
+    }
+
+    /// The record: everything that may be there, planned starts included.
+    pub fn record(&self) -> MachineRecord {
+        MachineRecord {
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            addr: self.addr.clone(),
+            returning: self.returning,
+            starts: self
+                .attempts
+                .iter()
+                .filter(|attempt| attempt.may_be_there())
+                .map(|attempt| StartRecord {
+                    job: attempt.task.job.clone(),
+                    index: attempt.task.index,
+                    attempt: attempt.number,
+                    team: attempt.team.to_string(),
+                    needs: attempt.needs,
+                })
+                .collect(),
+        }
+    }
+
+    /// It has reported at least once, to this leader or (by its record's
+    /// attempts) to a former one.
+    pub fn is_up(&self) -> bool {
+        self.heard.is_some()
+    }
+
+    pub fn used(&self) -> Resources {
+        let mut used = Resources::default();
+        for attempt in self.attempts.iter().filter(|attempt| attempt.may_be_there()) {
+            used += attempt.needs;
+        }
+        used
+    }
+
+    /// Nothing is or may be there, and no result waits to be recorded.
+    pub fn is_empty(&self) -> bool {
+        self.attempts
+            .iter()
+            .all(|attempt| attempt.exited() && attempt.closed && attempt.pin.is_none())
+    }
+
+    pub fn attempt_mut(&mut self, task: &TaskId, number: u64) -> Option<&mut Attempt> {
+        self.attempts
+            .iter_mut()
+            .find(|attempt| attempt.matches(task, number))
+    }
+
+    /// Notes an image as the latest used and forgets the oldest beyond the cache.
+    pub fn touch_image(&mut self, image: &Arc<str>, gb: f64, cache_gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push_back((image.clone(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > cache_gb {
+            self.images.pop_front();
+        }
+    }
+
+    /// Takes a worker's report, unless an earlier or the same one. `first_token`
+    /// is the first token of this leader's term: from it on, the worker drops
+    /// whatever a former leader still has under way to it.
+    pub fn absorb(&mut self, report: &Report, first_token: u64, now: Millis) -> Option<Vec<Change>> {
+        if (report.session, report.seq) <= (self.session, self.seq) {
+            return None;
+        }
+        self.session = report.session;
+        self.seq = report.seq;
+        self.token_seen = self.token_seen.max(report.token);
+        self.heard = Some(now);
+        self.inspect_failed = false;
+        let fenced = report.token >= first_token;
+        self.synced |= fenced;
+        self.addr = Some(report.addr.clone());
+        self.notice_until = report
+            .notice_s
+            .filter(|left| left.is_finite())
+            .map(|left| now + (left.max(0.0) * SECOND_MS as f64) as u64);
+
+        let mut changes = Vec::new();
+        let mut listed: Vec<(TaskId, &TaskReport)> = report
+            .tasks
+            .iter()
+            .filter_map(|task| Some((TaskId::parse(&task.task)?, task)))
+            .collect();
+        let (session, seq) = (report.session, report.seq);
+        self.attempts.retain_mut(|attempt| {
+            if let Some(pin) = attempt.pin {
+                // A later session or a higher token refuses the old command.
+                if session > pin.session || report.token > pin.token {
+                    attempt.pin = None;
+                }
+            }
+            let at = listed
+                .iter()
+                .position(|(task, reported)| attempt.matches(task, reported.attempt));
+            match at {
+                Some(at) => {
+                    let (_, reported) = listed.swap_remove(at);
+                    attempt.observe(reported, now, &mut changes);
+                    true
+                }
+                None => attempt.missing(session, seq, fenced, &mut changes),
+            }
+        });
+        // Tasks that no record speaks of: their starts were never this ledger's,
+        // so they can only be stopped. They count until they are gone.
+        for (task, reported) in listed {
+            let mut stranger = Attempt::planned(
+                task,
+                reported.attempt,
+                Arc::from(""),
+                Resources::default(),
+                Arc::from(""),
+                now,
+            );
+            stranger.image = None;
+            stranger.durable = true;
+            stranger.closed = reported.state == TaskState::Exited;
+            stranger.stop = Some(Stop {
+                grace_s: 0.0,
+                asked_at: now,
+                ordered_at: None,
+            });
+            stranger.observe(reported, now, &mut Vec::new());
+            self.attempts.push(stranger);
+        }
+        Some(changes)
+    }
+
+    /// Commands that follow from the ledger. `answering` is the report that they
+    /// answer; `None` for a direct command, which carries no `forget`, so that
+    /// nothing late can make a worker forget what a late start would then repeat.
+    pub fn orders(&mut self, answering: Option<(u64, u64)>, starts: bool, now: Millis) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for attempt in &mut self.attempts {
+            let order = |verb, grace_s| Order {
+                verb,
+                task: attempt.task.to_string(),
+                attempt: attempt.number,
+                grace_s,
+            };
+            if attempt.exited() {
+                if attempt.closed && attempt.pin.is_none() && answering.is_some() {
+                    orders.push(order(Verb::Forget, None));
+                }
+            } else if let Some(stop) = &mut attempt.stop {
+                let due = stop.ordered_at.is_none_or(|at| now >= at + STOP_REPEAT_MS);
+                if attempt.seen.is_some() && due {
+                    // A save that takes longer than was granted is ended.
+                    let overdue =
+                        now >= stop.asked_at + (stop.grace_s * SECOND_MS as f64) as u64 + STOP_REPEAT_MS;
+                    let grace_s = if stop.ordered_at.is_some() && overdue {
+                        0.0
+                    } else {
+                        stop.grace_s
+                    };
+                    orders.push(order(Verb::Stop, Some(grace_s)));
+                    stop.ordered_at = Some(now);
+                }
+            } else if starts
+                && attempt.durable
+                && attempt.seen.is_none()
+                && !attempt.in_flight
+                && !attempt.inherited
+                && attempt.sent.is_none()
+            {
+                orders.push(order(Verb::Start, None));
+                match answering {
+                    Some(at) => attempt.sent = Some(at),
+                    None => attempt.in_flight = true,
+                }
+            }
+        }
+        orders
+    }
+
+    /// Whether a direct command is worth sending.
+    pub fn wants_direct(&self, starts: bool, now: Millis) -> bool {
+        self.greet
+            || self.attempts.iter().any(|attempt| match &attempt.stop {
+                Some(stop) => {
+                    !attempt.exited()
+                        && attempt.seen.is_some()
+                        && stop.ordered_at.is_none_or(|at| now >= at + STOP_REPEAT_MS)
+                }
+                None => {
+                    starts
+                        && attempt.durable
+                        && attempt.seen.is_none()
+                        && !attempt.in_flight
+                        && !attempt.inherited
+                        && attempt.sent.is_none()
+                        && attempt.pin.is_none()
+                }
+            })
+    }
+
+    /// The direct command got an answer, or failed in a way that says it was not
+    /// carried out; its starts are no longer under way.
+    pub fn direct_settled(&mut self, executed: bool) {
+        let at = (self.session, self.seq);
+        for attempt in self.attempts.iter_mut().filter(|attempt| attempt.in_flight) {
+            attempt.in_flight = false;
+            if executed && attempt.seen.is_none() {
+                attempt.sent = Some(at);
+            }
+        }
+    }
+
+    /// The direct command got no answer: what it started is pinned here.
+    pub fn direct_unanswered(&mut self, token: u64, session: u64) {
+        for attempt in self.attempts.iter_mut().filter(|attempt| attempt.in_flight) {
+            attempt.in_flight = false;
+            attempt.pin = Some(Pin { session, token });
+        }
+    }
+
+    /// The machine, or all that was on it, is provably gone.
+    pub fn clear(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.attempts)
+            .into_iter()
+            .filter(|attempt| !attempt.exited())
+            .map(|attempt| Change::Vanished {
+                ran: attempt.running_since.is_some(),
+                task: attempt.task,
+                number: attempt.number,
+            })
+            .collect()
+    }
+}
+
+impl Attempt {
+    fn observe(&mut self, reported: &TaskReport, now: Millis, changes: &mut Vec<Change>) {
+        self.sent = None;
+        self.inherited = false;
+        let before = self.seen.replace(reported.state);
+        match reported.state {
+            TaskState::Running if self.running_since.is_none() => {
+                self.running_since = Some(now);
+                changes.push(Change::Running(self.task.clone(), self.number));
+            }
+            TaskState::Exited if before != Some(TaskState::Exited) => {
+                let why = reported.why.unwrap_or(Cause::Other);
+                self.why = Some(why);
+                changes.push(Change::Exited {
+                    task: self.task.clone(),
+                    number: self.number,
+                    why,
+                    ran: self.running_since.is_some(),
+                });
+            }
+            _ => (),
+        }
+    }
+
+    /// A newer report lacks this attempt: may it still be there? Returns whether
+    /// it stays in the ledger.
+    fn missing(&mut self, session: u64, seq: u64, fenced: bool, changes: &mut Vec<Change>) -> bool {
+        if self.in_flight || self.pin.is_some() || (self.inherited && !fenced) {
+            return true;
+        }
+        if self.exited() {
+            return false;
+        }
+        if self.seen.is_none() && !self.inherited {
+            match self.sent {
+                // Sent in the answer to an earlier report, and the worker is done
+                // with that answer: it never got there. It may be sent again.
+                Some(at) if at < (session, seq) => self.sent = None,
+                _ => (),
+            }
+            if self.stop.is_none() || self.sent.is_some() {
+                return true;
+            }
+        }
+        changes.push(Change::Vanished {
+            task: self.task.clone(),
+            number: self.number,
+            ran: self.running_since.is_some(),
+        });
+        false
+    }
+}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,23 @@
+//! The scheduler of indigopath, without input or output: time, randomness and
+//! commands go in, effects come out.
+#![forbid(unsafe_code)]
+
+pub mod budget;
+pub mod constants;
+pub mod fleet;
+pub mod forecast;
+pub mod gangs;
+pub mod intake;
+pub mod io;
+pub mod leader;
+pub mod leadership;
+pub mod ledger;
+pub mod model;
+pub mod node;
+pub mod peers;
+pub mod placement;
+pub mod records;
+pub mod settings;
+pub mod users;
+pub mod wire;
+mod writer;
--- /dev/null
+++ b/core/src/model.rs
@@ -0,0 +1,255 @@
+//! Jobs, tasks, teams and machines in the field's usual terms.
+
+use crate::settings::Team;
+use crate::wire::{MachineType, Priority, Shape};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::ops::{AddAssign, SubAssign};
+use std::sync::Arc;
+
+/// Steady time in milliseconds, from any fixed start.
+pub type Millis = u64;
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct JobId(pub Arc<str>);
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MachineId(pub Arc<str>);
+
+impl fmt::Display for MachineId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// One task of a job.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl TaskId {
+    pub fn parse(text: &str) -> Option<TaskId> {
+        let (job, index) = text.rsplit_once('/')?;
+        Some(TaskId {
+            job: JobId(Arc::from(job)),
+            index: index.parse().ok()?,
+        })
+    }
+}
+
+/// Amounts that a task takes or a machine has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Resources {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Tolerance for sums of decimal amounts.
+const EPSILON: f64 = 1e-6;
+
+impl Resources {
+    pub fn fits_in(&self, room: &Resources) -> bool {
+        self.cpus <= room.cpus + EPSILON
+            && self.gpus <= room.gpus + EPSILON
+            && self.memory_gb <= room.memory_gb + EPSILON
+    }
+
+    pub fn times(&self, n: f64) -> Resources {
+        Resources {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            memory_gb: self.memory_gb * n,
+        }
+    }
+
+    /// How many such tasks an empty `room` takes.
+    pub fn count_in(&self, room: &Resources) -> f64 {
+        let per = |need: f64, have: f64| {
+            if need > 0.0 {
+                (have + EPSILON) / need
+            } else {
+                f64::INFINITY
+            }
+        };
+        per(self.cpus, room.cpus)
+            .min(per(self.gpus, room.gpus))
+            .min(per(self.memory_gb, room.memory_gb))
+            .floor()
+    }
+
+    /// The largest share that this takes of any of `whole`'s amounts.
+    pub fn share_of(&self, whole: &Resources) -> f64 {
+        let share = |part: f64, whole: f64| if part > 0.0 { part / whole } else { 0.0 };
+        share(self.cpus, whole.cpus)
+            .max(share(self.gpus, whole.gpus))
+            .max(share(self.memory_gb, whole.memory_gb))
+    }
+}
+
+impl AddAssign for Resources {
+    fn add_assign(&mut self, other: Resources) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+}
+
+impl SubAssign for Resources {
+    fn sub_assign(&mut self, other: Resources) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+}
+
+impl MachineType {
+    pub fn resources(&self) -> Resources {
+        Resources {
+            cpus: self.cpus,
+            gpus: self.gpus,
+            memory_gb: self.memory_gb,
+        }
+    }
+}
+
+impl Team {
+    /// Whether `used` stays within the team's limit; 0 means no limit.
+    pub fn allows(&self, used: &Resources) -> bool {
+        (self.cpus_max == 0.0 || used.cpus <= self.cpus_max + EPSILON)
+            && (self.gpus_max == 0.0 || used.gpus <= self.gpus_max + EPSILON)
+    }
+
+    /// Whether `used` stays within the team's guarantee. A team without any has
+    /// none; where only one amount is guaranteed, the other does not count.
+    pub fn guarantees(&self, used: &Resources) -> bool {
+        (self.cpus > 0.0 || self.gpus > 0.0)
+            && (self.cpus == 0.0 || used.cpus <= self.cpus + EPSILON)
+            && (self.gpus == 0.0 || used.gpus <= self.gpus + EPSILON)
+    }
+}
+
+/// A job as accepted. This is also its record in the state service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub id: JobId,
+    pub class: String,
+    pub team: String,
+    pub shape: Shape,
+    pub priority: Priority,
+    pub tasks: u32,
+    pub needs: Resources,
+    pub image: Arc<str>,
+    pub image_gb: f64,
+    /// Allowed machine types; `None` for any.
+    pub types: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub estimate_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    pub deadline_s: Option<f64>,
+    /// Time of day of the submission at the accepting node, in ms since 1970.
+    pub submitted_ms: u64,
+}
+
+impl JobSpec {
+    /// Whether a task of this job may be on such a machine at all, whatever else
+    /// is there. The one predicate behind intake, placement and renting.
+    pub fn eligible(&self, machine_type: &MachineType, zone: &str, spot: bool) -> bool {
+        self.allows(&machine_type.name, zone, spot) && self.needs.fits_in(&machine_type.resources())
+    }
+
+    /// Whether the submission allows the type, the zone and the kind of machine.
+    pub fn allows(&self, machine_type: &str, zone: &str, spot: bool) -> bool {
+        (!spot || self.spot)
+            && self.zone.as_deref().is_none_or(|only| only == zone)
+            && self
+                .types
+                .as_ref()
+                .is_none_or(|types| types.iter().any(|name| name == machine_type))
+    }
+
+    /// Most tasks that may be in one zone.
+    pub fn zone_cap(&self) -> u32 {
+        if self.spread {
+            self.tasks.div_ceil(2)
+        } else {
+            self.tasks
+        }
+    }
+
+    pub fn saves(&self) -> bool {
+        self.checkpoint_s > 0.0
+    }
+}
+
+/// Work on a live job, as its leader knows it.
+#[derive(Debug)]
+pub struct Job {
+    pub spec: JobSpec,
+    /// Version of the job's record: a start is recorded only while it holds.
+    pub version: u64,
+    pub done: BTreeSet<u32>,
+    /// Tasks neither done nor possibly on a machine.
+    pub waiting: BTreeSet<u32>,
+    /// Machines on which tasks of this job failed, since one last ran well.
+    pub failed_on: BTreeSet<MachineId>,
+    pub failures: u32,
+    /// Not placed before then.
+    pub held_until: Millis,
+    /// Attempt of the gang that is being placed or runs.
+    pub gang: Option<crate::gangs::GangAttempt>,
+    pub warned: bool,
+    /// When this leader learnt of the job, for its order among equals.
+    pub age_ms_at_load: u64,
+    pub loaded_at: Millis,
+}
+
+impl Job {
+    pub fn new(spec: JobSpec, version: u64, now: Millis, wall_ms: u64) -> Job {
+        let waiting = (0..spec.tasks).collect();
+        let age_ms_at_load = wall_ms.saturating_sub(spec.submitted_ms);
+        Job {
+            spec,
+            version,
+            done: BTreeSet::new(),
+            waiting,
+            failed_on: BTreeSet::new(),
+            failures: 0,
+            held_until: 0,
+            gang: None,
+            warned: false,
+            age_ms_at_load,
+            loaded_at: now,
+        }
+    }
+
+    /// Time since the submission.
+    pub fn age_ms(&self, now: Millis) -> u64 {
+        self.age_ms_at_load + now.saturating_sub(self.loaded_at)
+    }
+
+    pub fn complete(&self) -> bool {
+        self.spec.shape != Shape::Service && self.done.len() as u32 == self.spec.tasks
+    }
+}
--- /dev/null
+++ b/core/src/node.rs
@@ -0,0 +1,522 @@
+//! One controller: the single owner of all state. Commands go in, effects come
+//! out; sockets and timers are somebody else's.
+
+use crate::constants::*;
+use crate::intake;
+use crate::io::{CallId, Destination, Effect, Io, Method, Outcome, Purpose, RequestId};
+use crate::leader::{Siblings, Term};
+use crate::leadership::{Leadership, News};
+use crate::model::{JobId, Millis};
+use crate::peers::{Frame, Heartbeat};
+use crate::placement::Types;
+use crate::records::{self, EndedRecord, Ending, Record};
+use crate::settings::Settings;
+use crate::users::{self, Counts, Done, Route, Users, Wish};
+use crate::wire::{self, MachineType, Redirect, Report, StoredItem, paths};
+use rand::RngExt;
+use std::collections::HashMap;
+
+/// Something that happened outside.
+#[derive(Debug, Clone)]
+pub enum Command {
+    Request {
+        request: RequestId,
+        method: String,
+        path: String,
+        body: Vec<u8>,
+    },
+    Answer {
+        call: CallId,
+        outcome: Outcome,
+    },
+    /// A frame from a sibling; its heartbeat says which.
+    Frame(Frame),
+    /// A connection to a sibling has just come about.
+    PeerUp {
+        peer: usize,
+    },
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Sibling {
+    beat: Option<Heartbeat>,
+    at: Millis,
+}
+
+#[derive(Debug)]
+pub struct Node {
+    settings: Settings,
+    io: Io,
+    leadership: Leadership,
+    term: Option<Term>,
+    users: Users,
+    types: Types,
+    type_list: Vec<MachineType>,
+    types_at: Millis,
+    types_busy: bool,
+    siblings: Vec<Sibling>,
+    /// All members' names in order; a heartbeat names its sender by position.
+    members: Vec<String>,
+    beat_at: Millis,
+    /// Counts of jobs as the leader last told them.
+    told: Counts,
+    /// Counts as this leader last told its siblings.
+    sent: Counts,
+    /// Workers that addressed this node, and when.
+    workers: HashMap<String, Millis>,
+    state_ok_at: Millis,
+    state_failed_at: Option<Millis>,
+}
+
+impl Node {
+    pub fn new(settings: Settings, seed: u64, now: Millis, wall_ms: u64) -> Node {
+        let mut io = Io::new(&settings.deployment, seed, now, wall_ms);
+        let incarnation = io.rng.random();
+        let mut members: Vec<String> = settings.peers.iter().map(|peer| peer.node.clone()).collect();
+        members.push(settings.node.clone());
+        members.sort();
+        Node {
+            members,
+            leadership: Leadership::new(&settings.node, incarnation, &settings.deployment),
+            siblings: vec![Sibling::default(); settings.peers.len()],
+            settings,
+            io,
+            term: None,
+            users: Users::default(),
+            types: Types::new(),
+            type_list: Vec::new(),
+            types_at: 0,
+            types_busy: false,
+            beat_at: 0,
+            told: Counts::new(),
+            sent: Counts::new(),
+            workers: HashMap::new(),
+            state_ok_at: now,
+            state_failed_at: None,
+        }
+    }
+
+    /// The token while this node leads, for the log.
+    pub fn token(&self) -> Option<u64> {
+        self.leadership.token()
+    }
+
+    pub fn clock(&mut self, now: Millis, wall_ms: u64) {
+        self.io.now = self.io.now.max(now);
+        self.io.wall_ms = wall_ms;
+    }
+
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.io.effects)
+    }
+
+    pub fn handle(&mut self, command: Command) {
+        match command {
+            Command::Request {
+                request,
+                method,
+                path,
+                body,
+            } => self.request(request, &method, &path, &body),
+            Command::Answer { call, outcome } => self.answer(call, &outcome),
+            Command::Frame(frame) => self.frame(frame),
+            Command::PeerUp { peer } => self.tell_all(peer),
+        }
+    }
+
+    /// Does what is due after a batch of commands, or at a tick.
+    pub fn settle(&mut self) {
+        if let Some(news) = self.leadership.poll(&mut self.io) {
+            self.news(news);
+        }
+        self.poll_types();
+        let siblings = self.hearing();
+        if let Some(term) = &mut self.term {
+            let news = term.settle(
+                &mut self.leadership,
+                &self.types,
+                &self.settings,
+                siblings,
+                &mut self.io,
+            );
+            for job in std::mem::take(&mut term.writer.finished) {
+                self.users.remember(
+                    job,
+                    EndedRecord {
+                        end: Ending::Done,
+                        tasks: 0,
+                    },
+                );
+            }
+            if let Some(news) = news {
+                self.news(news);
+            }
+        }
+        if self.io.now >= self.beat_at {
+            self.beat_at = self.io.now + HEARTBEAT_MS;
+            self.beat();
+        }
+    }
+
+    fn news(&mut self, news: News) {
+        match news {
+            News::Elected { token } => {
+                self.io.set_leading(true);
+                self.term = Some(Term::new(token, self.io.now));
+            }
+            News::Deposed => {
+                self.io.set_leading(false);
+                self.term = None;
+                self.sent.clear();
+            }
+        }
+        self.beat_at = self.io.now;
+    }
+
+    // ---- requests ------------------------------------------------------------
+
+    fn request(&mut self, request: RequestId, method: &str, path: &str, body: &[u8]) {
+        match users::route(method, path) {
+            Route::Refuse(status) => {
+                let problem = if status == 405 {
+                    "method not allowed"
+                } else {
+                    "no such path"
+                };
+                self.io.reply_error(request, status, problem);
+            }
+            Route::Health => self.health(request),
+            Route::Report => self.report(request, body),
+            Route::Submit => self.submit(request, body),
+            Route::Poll(job) => self.users.begin(request, job, Wish::Poll, &mut self.io),
+            Route::Cancel(job) => self.users.begin(request, job, Wish::Cancel, &mut self.io),
+        }
+    }
+
+    fn submit(&mut self, request: RequestId, body: &[u8]) {
+        let types = (!self.type_list.is_empty()).then_some(self.type_list.as_slice());
+        match intake::accept(body, &self.settings.deployment, types, self.io.wall_ms) {
+            Ok(spec) => {
+                let job = spec.id.clone();
+                self.users
+                    .begin(request, job, Wish::Submit(Box::new(spec)), &mut self.io);
+            }
+            Err((Some(job), refusal)) => self
+                .users
+                .begin(request, job, Wish::Refused(refusal), &mut self.io),
+            Err((None, refusal)) => users::reply_refusal(request, &refusal, &mut self.io),
+        }
+    }
+
+    /// Not healthy while the state service fails this node but not its siblings:
+    /// they can serve the users that it can only send away.
+    fn health(&mut self, request: RequestId) {
+        let failing = self
+            .state_failed_at
+            .is_some_and(|since| self.io.now >= since + STATE_BAD_MS);
+        let others_fine = self.fresh().any(|beat| beat.state_ok);
+        if failing && others_fine {
+            self.io.reply_error(request, 503, "no state service here");
+        } else if self.type_list.is_empty() {
+            self.io.reply_error(request, 503, "starting");
+        } else {
+            self.io.reply(request, 200, &serde_json::json!({ "ok": true }));
+        }
+    }
+
+    fn report(&mut self, request: RequestId, body: &[u8]) {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(error) => {
+                log::info!("a report is malformed: {error}");
+                self.io.reply_error(request, 400, "malformed report");
+                return;
+            }
+        };
+        self.workers.insert(report.machine.clone(), self.io.now);
+        if let Some(term) = &mut self.term {
+            let certain = self.leadership.certain(self.io.now);
+            match term.report(request, &report, certain, &mut self.io) {
+                Ok(()) => return,
+                Err(overtaken) => {
+                    if let Some(news) = self.leadership.deposed(&overtaken.to_string()) {
+                        self.news(news);
+                    }
+                }
+            }
+        }
+        let redirect = Redirect {
+            report_to: self.leader(),
+        };
+        let body = crate::io::json(&redirect);
+        self.io.effects.push(Effect::Reply {
+            request,
+            status: 421,
+            retry_after_s: None,
+            body,
+        });
+    }
+
+    /// The node that leads, as far as this one knows.
+    fn leader(&self) -> Option<&str> {
+        // A fresh heartbeat is sooner than the watch.
+        let beat = self.siblings.iter().enumerate().filter_map(|(peer, sibling)| {
+            let beat = sibling
+                .beat
+                .filter(|beat| beat.leads && self.io.now < sibling.at + HEARTBEAT_FRESH_MS)?;
+            Some((beat.token, self.settings.peers[peer].node.as_str()))
+        });
+        beat.max()
+            .map(|(_, node)| node)
+            .or_else(|| self.leadership.other())
+    }
+
+    // ---- answers -------------------------------------------------------------
+
+    fn answer(&mut self, call: CallId, outcome: &Outcome) {
+        let Some(purpose) = self.io.settle(call) else {
+            return;
+        };
+        self.note_state(&purpose, outcome);
+        let news = match purpose {
+            Purpose::Leadership(step) => self.leadership.answered(step, outcome, &mut self.io),
+            Purpose::Term(call) => match &mut self.term {
+                Some(term) if term.first_token == call.term => {
+                    term.answered(call.kind, outcome, &mut self.leadership, &mut self.io)
+                }
+                _ => None,
+            },
+            Purpose::User(request, call) => {
+                let counts = self.term.as_ref().map_or(&self.told, |term| &term.counts);
+                let done = self.users.answered(request, call, outcome, counts, &mut self.io);
+                self.user_done(done);
+                None
+            }
+            Purpose::Types => {
+                self.types_busy = false;
+                match outcome.read::<wire::Flavors>(&[200]) {
+                    Some(flavors) => {
+                        self.types_at = self.io.now + FLAVORS_INTERVAL_MS;
+                        self.learn_types(flavors);
+                    }
+                    None => {
+                        self.types_at = self.io.now + CLOUD_RETRY_MS;
+                        if self.type_list.is_empty() {
+                            self.types_busy = true;
+                            self.io.state_call(
+                                Method::Get,
+                                paths::key(records::TYPES),
+                                Vec::new(),
+                                STATE_TIMEOUT_MS,
+                                Purpose::StoredTypes,
+                            );
+                        }
+                    }
+                }
+                None
+            }
+            Purpose::StoredTypes => {
+                self.types_busy = false;
+                let stored = outcome
+                    .read::<StoredItem>(&[200])
+                    .and_then(|item| wire::Flavors::from_value(&item.value).ok());
+                if let Some(flavors) = stored {
+                    self.learn_types(flavors);
+                }
+                None
+            }
+        };
+        if let Some(news) = news {
+            self.news(news);
+        }
+    }
+
+    /// Whether the state service serves this node.
+    fn note_state(&mut self, purpose: &Purpose, outcome: &Outcome) {
+        let state = matches!(
+            purpose,
+            Purpose::Leadership(_) | Purpose::User(..) | Purpose::StoredTypes
+        );
+        if !state {
+            return;
+        }
+        match outcome {
+            Outcome::Answer { status: 503, .. } | Outcome::NotSent | Outcome::NoAnswer => {
+                self.state_failed_at.get_or_insert(self.io.now);
+            }
+            Outcome::Answer { .. } => {
+                self.state_ok_at = self.io.now;
+                self.state_failed_at = None;
+            }
+        }
+    }
+
+    fn user_done(&mut self, done: Option<Done>) {
+        let job = match done {
+            Some(Done::Accepted { spec, version }) => {
+                let job = spec.id.clone();
+                match &mut self.term {
+                    Some(term) => {
+                        term.job_accepted(*spec, version, &self.io);
+                        return;
+                    }
+                    None => job,
+                }
+            }
+            Some(Done::Cancelled(job)) => match &mut self.term {
+                Some(term) => {
+                    term.job_over(&job, self.io.now);
+                    return;
+                }
+                None => job,
+            },
+            None => return,
+        };
+        self.send_all(&Frame::Changed { job });
+    }
+
+    fn poll_types(&mut self) {
+        if self.types_busy || self.io.now < self.types_at {
+            return;
+        }
+        self.types_busy = true;
+        self.io.cloud.force(1.0, self.io.now);
+        self.io.call(
+            Destination::Cloud,
+            Method::Get,
+            paths::FLAVORS.to_owned(),
+            Vec::new(),
+            CLOUD_TIMEOUT_MS,
+            Purpose::Types,
+        );
+    }
+
+    fn learn_types(&mut self, flavors: wire::Flavors) {
+        let types: Vec<MachineType> = flavors.types.into_iter().filter(sane).collect();
+        if types.is_empty() {
+            log::error!("the cloud names no usable machine type");
+            return;
+        }
+        self.types = types
+            .iter()
+            .map(|machine_type| (machine_type.name.clone(), machine_type.clone()))
+            .collect();
+        self.type_list = types;
+    }
+
+    // ---- siblings ------------------------------------------------------------
+
+    fn fresh(&self) -> impl Iterator<Item = Heartbeat> + '_ {
+        self.siblings
+            .iter()
+            .filter(|sibling| self.io.now < sibling.at + HEARTBEAT_FRESH_MS)
+            .filter_map(|sibling| sibling.beat)
+    }
+
+    fn hearing(&self) -> Siblings {
+        Siblings {
+            fresh: self.fresh().count(),
+            hears: self.fresh().map(|beat| beat.hears).max().unwrap_or(0),
+        }
+    }
+
+    fn send_all(&mut self, frame: &Frame) {
+        let bytes = frame.encode();
+        for peer in 0..self.siblings.len() {
+            self.io.effects.push(Effect::Frame {
+                peer,
+                bytes: bytes.clone(),
+            });
+        }
+    }
+
+    fn beat(&mut self) {
+        let now = self.io.now;
+        self.workers.retain(|_, at| now < *at + HEARS_WORKER_MS);
+        let beat = Heartbeat {
+            index: self
+                .members
+                .iter()
+                .position(|name| *name == self.settings.node)
+                .unwrap_or(0) as u16,
+            token: self.leadership.token().unwrap_or(0),
+            leads: self.term.is_some(),
+            state_ok: self.state_failed_at.is_none() && now < self.state_ok_at + 2 * WATCH_HOLD_MS,
+            hears: self.workers.len() as u32,
+        };
+        self.send_all(&Frame::Heartbeat(beat));
+        let Some(term) = &self.term else { return };
+        let news: Vec<(JobId, u32, u32)> = term
+            .counts
+            .iter()
+            .filter(|(job, counts)| self.sent.get(job) != Some(counts))
+            .map(|(job, (done, running))| (job.clone(), *done, *running))
+            .collect();
+        self.sent = term.counts.clone();
+        for (job, done, running) in news {
+            self.send_all(&Frame::Counts { job, done, running });
+        }
+    }
+
+    /// A sibling that has just connected knows no counts yet.
+    fn tell_all(&mut self, peer: usize) {
+        let Some(term) = &self.term else { return };
+        for (job, (done, running)) in &term.counts {
+            let bytes = Frame::Counts {
+                job: job.clone(),
+                done: *done,
+                running: *running,
+            }
+            .encode();
+            self.io.effects.push(Effect::Frame { peer, bytes });
+        }
+    }
+
+    fn frame(&mut self, frame: Frame) {
+        match frame {
+            Frame::Heartbeat(beat) => {
+                let name = self.members.get(usize::from(beat.index));
+                let peer = self
+                    .settings
+                    .peers
+                    .iter()
+                    .position(|peer| Some(&peer.node) == name);
+                if let Some(sibling) = peer.and_then(|peer| self.siblings.get_mut(peer)) {
+                    *sibling = Sibling {
+                        beat: Some(beat),
+                        at: self.io.now,
+                    };
+                }
+                if beat.leads
+                    && self.leadership.token().is_some_and(|own| beat.token > own)
+                    && let Some(news) = self.leadership.deposed("a sibling leads with a higher token")
+                {
+                    self.news(news);
+                }
+            }
+            Frame::Counts { job, done, running } => {
+                if self.told.len() >= ENDED_CACHE {
+                    self.told.clear();
+                }
+                self.told.insert(job, (done, running));
+            }
+            // The watch tells the leader as well, only later.
+            Frame::Changed { .. } => (),
+        }
+    }
+}
+
+/// A machine type with which placement can reckon.
+fn sane(machine_type: &MachineType) -> bool {
+    let amounts = [
+        machine_type.cpus,
+        machine_type.gpus,
+        machine_type.memory_gb,
+        machine_type.cache_gb,
+        machine_type.fetch_gb_per_s,
+        machine_type.price,
+        machine_type.spot_price,
+        machine_type.boot_s,
+    ];
+    amounts.iter().all(|amount| amount.is_finite() && *amount >= 0.0)
+}
--- /dev/null
+++ b/core/src/peers.rs
@@ -0,0 +1,233 @@
+//! Frames between controllers: fixed layouts, little-endian, read in place.
+//!
+//! Nothing that the rules rest on travels here. Heartbeats tell who leads and who
+//! hears what; counts are for display; hints only save time.
+
+use crate::model::JobId;
+use std::sync::Arc;
+use zerocopy::byteorder::little_endian::{U16, U32, U64};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
+
+/// First bytes of every frame: "IP" and the layout's version.
+const MAGIC: u32 = 0x4950_0001;
+
+/// Bytes of a job id in a frame; ids are shorter (see `intake::parse_id`).
+const ID_BYTES: usize = 24;
+
+/// Largest frame accepted, in bytes.
+pub const MAX_FRAME: usize = 256;
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct Header {
+    magic: U32,
+    kind: U16,
+    /// Bytes of the body that follows.
+    length: U16,
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct HeartbeatBody {
+    token: U64,
+    hears: U32,
+    state_ok: u8,
+    leads: u8,
+    index: U16,
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct JobBody {
+    id: [u8; ID_BYTES],
+    done: U32,
+    running: U32,
+}
+
+const HEADER: usize = size_of::<Header>();
+const KIND_HEARTBEAT: u16 = 1;
+const KIND_COUNTS: u16 = 2;
+const KIND_CHANGED: u16 = 3;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Frame {
+    Heartbeat(Heartbeat),
+    /// How many tasks of a job are done and running, from its leader.
+    Counts {
+        job: JobId,
+        done: u32,
+        running: u32,
+    },
+    /// A user's request changed this job: the leader may look at once.
+    Changed {
+        job: JobId,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Position of the sender's name among all members' names in order.
+    pub index: u16,
+    /// The sender's token while it leads, or the highest it knows.
+    pub token: u64,
+    pub leads: bool,
+    /// Its last call to the state service was answered.
+    pub state_ok: bool,
+    /// Workers that addressed it lately.
+    pub hears: u32,
+}
+
+fn id_bytes(job: &JobId) -> [u8; ID_BYTES] {
+    let mut bytes = [0; ID_BYTES];
+    for (to, from) in bytes.iter_mut().zip(job.0.bytes()) {
+        *to = from;
+    }
+    bytes
+}
+
+fn id_from(bytes: &[u8; ID_BYTES]) -> Option<JobId> {
+    let length = bytes.iter().position(|byte| *byte == 0).unwrap_or(ID_BYTES);
+    let text = std::str::from_utf8(&bytes[..length]).ok()?;
+    crate::intake::parse_id(text).filter(|id| id == &JobId(Arc::from(text)))
+}
+
+impl Frame {
+    pub fn encode(&self) -> Vec<u8> {
+        match self {
+            Frame::Heartbeat(beat) => frame(
+                KIND_HEARTBEAT,
+                &HeartbeatBody {
+                    token: beat.token.into(),
+                    hears: beat.hears.into(),
+                    state_ok: beat.state_ok.into(),
+                    leads: beat.leads.into(),
+                    index: beat.index.into(),
+                },
+            ),
+            Frame::Counts { job, done, running } => frame(
+                KIND_COUNTS,
+                &JobBody {
+                    id: id_bytes(job),
+                    done: (*done).into(),
+                    running: (*running).into(),
+                },
+            ),
+            Frame::Changed { job } => frame(
+                KIND_CHANGED,
+                &JobBody {
+                    id: id_bytes(job),
+                    done: 0.into(),
+                    running: 0.into(),
+                },
+            ),
+        }
+    }
+
+    /// Takes one frame off the front of `bytes`. `Ok(None)`: more is needed. An
+    /// unreadable frame is an error, after which the stream cannot be followed.
+    pub fn decode(bytes: &[u8]) -> Result<Option<(Option<Frame>, usize)>, BadFrame> {
+        let Ok((header, rest)) = Header::read_from_prefix(bytes) else {
+            return Ok(None);
+        };
+        let length = usize::from(header.length.get());
+        if header.magic.get() != MAGIC || HEADER + length > MAX_FRAME {
+            return Err(BadFrame);
+        }
+        let Some(body) = rest.get(..length) else {
+            return Ok(None);
+        };
+        let frame = match header.kind.get() {
+            KIND_HEARTBEAT => {
+                let body = HeartbeatBody::read_from_bytes(body).map_err(|_| BadFrame)?;
+                Some(Frame::Heartbeat(Heartbeat {
+                    index: body.index.get(),
+                    token: body.token.get(),
+                    leads: body.leads != 0,
+                    state_ok: body.state_ok != 0,
+                    hears: body.hears.get(),
+                }))
+            }
+            KIND_COUNTS => {
+                let body = JobBody::read_from_bytes(body).map_err(|_| BadFrame)?;
+                let job = id_from(&body.id).ok_or(BadFrame)?;
+                Some(Frame::Counts {
+                    job,
+                    done: body.done.get(),
+                    running: body.running.get(),
+                })
+            }
+            KIND_CHANGED => {
+                let body = JobBody::read_from_bytes(body).map_err(|_| BadFrame)?;
+                Some(Frame::Changed {
+                    job: id_from(&body.id).ok_or(BadFrame)?,
+                })
+            }
+            // A later version's frame: skipped.
+            _ => None,
+        };
+        Ok(Some((frame, HEADER + length)))
+    }
+}
+
+/// A frame that no sibling of this version sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("malformed frame")]
+pub struct BadFrame;
+
+fn frame(kind: u16, body: &(impl IntoBytes + Immutable)) -> Vec<u8> {
+    let body = body.as_bytes();
+    let header = Header {
+        magic: MAGIC.into(),
+        kind: kind.into(),
+        length: (body.len() as u16).into(),
+    };
+    [header.as_bytes(), body].concat()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn frames_survive_encoding() {
+        let job = crate::intake::parse_id("wk-000412").unwrap();
+        let beat = Heartbeat {
+            index: 2,
+            token: 41,
+            leads: true,
+            state_ok: false,
+            hears: 7,
+        };
+        for frame in [
+            Frame::Heartbeat(beat),
+            Frame::Counts {
+                job: job.clone(),
+                done: 3,
+                running: 13,
+            },
+            Frame::Changed { job },
+        ] {
+            let bytes = frame.encode();
+            for cut in 0..bytes.len() {
+                assert_eq!(Frame::decode(&bytes[..cut]), Ok(None));
+            }
+            assert_eq!(Frame::decode(&bytes), Ok(Some((Some(frame), bytes.len()))));
+        }
+    }
+
+    proptest! {
+        #[test]
+        fn no_bytes_panic(bytes in proptest::collection::vec(any::<u8>(), 0..80)) {
+            let _ = Frame::decode(&bytes);
+        }
+
+        #[test]
+        fn a_flipped_byte_never_panics(at in 0usize..40, value in any::<u8>()) {
+            let job = crate::intake::parse_id("wk-000412").unwrap();
+            let mut bytes = Frame::Changed { job }.encode();
+            if let Some(byte) = bytes.get_mut(at) { *byte = value; }
+            let _ = Frame::decode(&bytes);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/settings.rs
@@ -0,0 +1,234 @@
+//! The platform's settings file: parsed here, checked here, read by everyone.
+//! Fields that this version does not know are ignored, as the platform asks.
+
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+use thiserror::Error;
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    #[serde(rename = "member")]
+    pub node: String,
+    #[serde(rename = "area")]
+    pub zone: String,
+    #[serde(rename = "bind")]
+    pub listen: SocketAddrV4,
+    #[serde(rename = "cluster_listen")]
+    pub peer_listen: SocketAddrV4,
+    #[serde(rename = "siblings", default)]
+    pub peers: Vec<Peer>,
+    pub services: Services,
+    pub deployment: Deployment,
+    /// The operators' own settings; not part of the platform's file.
+    #[serde(skip)]
+    pub operator: Operator,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    #[serde(rename = "member")]
+    pub node: String,
+    pub addr: SocketAddrV4,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddrV4,
+    pub state: SocketAddrV4,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    #[serde(rename = "resources")]
+    pub limits: NodeLimits,
+    #[serde(rename = "skew_ms", default)]
+    pub clock_off_ms: f64,
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// What is expected of a class of jobs, on starting or on finishing.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct NodeLimits {
+    #[serde(rename = "ram_mb", default = "default_ram_mb")]
+    pub memory_mb: f64,
+    #[serde(rename = "max_sockets", default = "default_sockets")]
+    pub max_connections: usize,
+}
+
+/// Assumed where the platform names no memory limit, in MB.
+fn default_ram_mb() -> f64 {
+    200.0
+}
+
+/// Assumed where the platform names no socket limit.
+fn default_sockets() -> usize {
+    1_000
+}
+
+/// What operators may set themselves, beyond the platform's file.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// Most machines rented at a time.
+    pub fleet_max: u32,
+    /// Seconds a machine must be idle before it is given back.
+    pub idle_return_s: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            fleet_max: crate::constants::FLEET_MAX,
+            idle_return_s: crate::constants::IDLE_RETURN_MS as f64 / crate::constants::SECOND_MS as f64,
+        }
+    }
+}
+
+/// A setting that cannot be used, with the field's name.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    #[error("not valid settings: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("{field}: {problem}")]
+    Field { field: String, problem: String },
+}
+
+fn bad(field: impl Into<String>, problem: impl Into<String>) -> SettingsError {
+    SettingsError::Field {
+        field: field.into(),
+        problem: problem.into(),
+    }
+}
+
+fn positive(field: &str, value: f64) -> Result<(), SettingsError> {
+    if value.is_finite() && value > 0.0 {
+        Ok(())
+    } else {
+        Err(bad(field, format!("must be a positive number, not {value}")))
+    }
+}
+
+fn not_negative(field: impl Into<String>, value: f64) -> Result<(), SettingsError> {
+    if value.is_finite() && value >= 0.0 {
+        Ok(())
+    } else {
+        Err(bad(field, format!("must not be negative, is {value}")))
+    }
+}
+
+impl Settings {
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let settings: Settings = serde_json::from_str(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        if self.node.is_empty() {
+            return Err(bad("member", "must not be empty"));
+        }
+        if self.peers.iter().any(|peer| peer.node == self.node) {
+            return Err(bad("siblings", "must not contain this node itself"));
+        }
+        let deployment = &self.deployment;
+        if deployment.zones.is_empty() {
+            return Err(bad("deployment.zones", "must not be empty"));
+        }
+        for team in &deployment.teams {
+            for (name, value) in [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ] {
+                not_negative(format!("deployment.teams.{}.{name}", team.name), value)?;
+            }
+        }
+        let workers = &deployment.workers;
+        positive("deployment.workers.report_s", workers.report_s)?;
+        positive("deployment.workers.lease_s", workers.lease_s)?;
+        positive("deployment.workers.gang_wait_s", workers.gang_wait_s)?;
+        positive("deployment.workers.gang_peer_s", workers.gang_peer_s)?;
+        positive("deployment.workers.cancel_s", workers.cancel_s)?;
+        positive("deployment.state.rps", deployment.state.rps)?;
+        positive("deployment.state.write_rps", deployment.state.write_rps)?;
+        positive("deployment.state.value_kb", deployment.state.value_kb)?;
+        if deployment.state.txn_ops < 4 {
+            return Err(bad("deployment.state.txn_ops", "must be at least 4"));
+        }
+        positive("deployment.cloud.rps", deployment.cloud.rps)?;
+        not_negative("deployment.cloud.list_lag_s", deployment.cloud.list_lag_s)?;
+        not_negative("deployment.skew_ms", deployment.clock_off_ms)?;
+        positive("deployment.resources.ram_mb", deployment.limits.memory_mb)?;
+        if deployment.limits.max_connections < 16 {
+            return Err(bad("deployment.resources.max_sockets", "must be at least 16"));
+        }
+        Ok(())
+    }
+
+    /// Puts the operators' settings in place of the defaults.
+    pub fn with_operator(mut self, operator: Operator) -> Result<Settings, SettingsError> {
+        not_negative("idle_return_s", operator.idle_return_s)?;
+        if operator.fleet_max == 0 {
+            return Err(bad("fleet_max", "must be at least 1"));
+        }
+        self.operator = operator;
+        Ok(self)
+    }
+
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.deployment.teams.iter().find(|team| team.name == name)
+    }
+}
--- /dev/null
+++ b/core/src/users.rs
@@ -0,0 +1,366 @@
+//! Users' requests: submit, poll, withdraw. Any node serves them, from the state
+//! service alone, so that no node ever gives an older answer than another has.
+
+use crate::constants::*;
+use crate::intake::{self, Refusal};
+use crate::io::{Io, Method, Outcome, Purpose, RequestId, json};
+use crate::model::{JobId, JobSpec, Millis};
+use crate::records::{self, EndedRecord, Ending, Record};
+use crate::wire::{
+    Change, Condition, JobAnswer, JobStatus, StoredItem, Transaction, TransactionAnswer, paths,
+};
+use std::collections::{HashMap, VecDeque};
+
+/// What a user wants.
+#[derive(Debug, Clone)]
+pub enum Wish {
+    Submit(Box<JobSpec>),
+    /// A submission that cannot be accepted, unless its id has been before.
+    Refused(Refusal),
+    Poll,
+    Cancel,
+}
+
+/// Which answer of the state service is awaited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UserCall {
+    Create,
+    ReadLive,
+    ReadEnded,
+    Move,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    job: JobId,
+    wish: Wish,
+    since: Millis,
+    /// Rounds of reading again because another node changed the job meanwhile.
+    rounds: u32,
+}
+
+/// What the node should know of a request that was carried out.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Done {
+    Accepted { spec: Box<JobSpec>, version: u64 },
+    Cancelled(JobId),
+}
+
+/// Tasks done and running, for display.
+pub type Counts = HashMap<JobId, (u32, u32)>;
+
+#[derive(Debug, Default)]
+pub struct Users {
+    waiting: HashMap<RequestId, Waiting>,
+    ended: HashMap<JobId, EndedRecord>,
+    ended_order: VecDeque<JobId>,
+}
+
+/// Most rounds of reading a job again before its user is asked to come back.
+const MAX_ROUNDS: u32 = 4;
+
+impl Users {
+    pub fn begin(&mut self, request: RequestId, job: JobId, wish: Wish, io: &mut Io) {
+        if let Some(ended) = self.ended.get(&job).copied() {
+            answer_ended(request, &job, ended, io);
+            return;
+        }
+        let reserve = if matches!(wish, Wish::Poll) {
+            POLL_RESERVE
+        } else {
+            0.0
+        };
+        if self.waiting.len() >= MAX_WAITING_REQUESTS || !io.state.take(1.0, reserve, io.now) {
+            io.reply_later(request, RETRY_AFTER_S, "too many requests, come back later");
+            return;
+        }
+        let first = if matches!(wish, Wish::Submit(_)) {
+            UserCall::Create
+        } else {
+            UserCall::ReadLive
+        };
+        self.waiting.insert(
+            request,
+            Waiting {
+                job,
+                wish,
+                since: io.now,
+                rounds: 0,
+            },
+        );
+        self.step(request, first, 0, io);
+    }
+
+    /// Sends the next call for a request.
+    fn step(&mut self, request: RequestId, call: UserCall, version: u64, io: &mut Io) {
+        let Some(waiting) = self.waiting.get(&request) else {
+            return;
+        };
+        let job = &waiting.job.0;
+        let left = (waiting.since + USER_STATE_TIMEOUT_MS)
+            .saturating_sub(io.now)
+            .max(1);
+        let (method, path, body) = match call {
+            UserCall::ReadLive => (Method::Get, paths::key(&records::job_key(job)), Vec::new()),
+            UserCall::ReadEnded => (Method::Get, paths::key(&records::ended_key(job)), Vec::new()),
+            UserCall::Create => {
+                let Wish::Submit(spec) = &waiting.wish else { return };
+                let body = Transaction {
+                    conditions: vec![
+                        Condition {
+                            key: records::job_key(job),
+                            version: 0,
+                        },
+                        Condition {
+                            key: records::ended_key(job),
+                            version: 0,
+                        },
+                    ],
+                    changes: vec![Change::Put {
+                        key: records::job_key(job),
+                        value: spec.to_value(),
+                        lease: None,
+                    }],
+                };
+                (Method::Post, paths::TRANSACTION.to_owned(), json(&body))
+            }
+            UserCall::Move => {
+                let record = EndedRecord {
+                    end: Ending::Cancelled,
+                    tasks: 0,
+                };
+                let body = Transaction {
+                    conditions: vec![Condition {
+                        key: records::job_key(job),
+                        version,
+                    }],
+                    changes: vec![
+                        Change::Delete {
+                            key: records::job_key(job),
+                        },
+                        Change::Put {
+                            key: records::ended_key(job),
+                            value: record.to_value(),
+                            lease: None,
+                        },
+                    ],
+                };
+                (Method::Post, paths::TRANSACTION.to_owned(), json(&body))
+            }
+        };
+        io.call(
+            crate::io::Destination::State,
+            method,
+            path,
+            body,
+            left,
+            Purpose::User(request, call),
+        );
+    }
+
+    fn next(&mut self, request: RequestId, call: UserCall, version: u64, io: &mut Io) {
+        io.state.force(1.0, io.now);
+        self.step(request, call, version, io);
+    }
+
+    pub fn answered(
+        &mut self,
+        request: RequestId,
+        call: UserCall,
+        outcome: &Outcome,
+        counts: &Counts,
+        io: &mut Io,
+    ) -> Option<Done> {
+        let waiting = self.waiting.get_mut(&request)?;
+        let job = waiting.job.clone();
+        match (call, outcome.status()) {
+            (UserCall::Create, Some(200)) => {
+                let version = outcome
+                    .read::<TransactionAnswer>(&[200])
+                    .map_or(0, |answer| answer.revision);
+                let waiting = self.waiting.remove(&request)?;
+                io.reply(
+                    request,
+                    201,
+                    &JobAnswer {
+                        id: &job.0,
+                        status: JobStatus::Pending,
+                        done: None,
+                        running: None,
+                    },
+                );
+                let Wish::Submit(spec) = waiting.wish else {
+                    return None;
+                };
+                log::debug!("job={job} accepted");
+                return Some(Done::Accepted { spec, version });
+            }
+            (UserCall::Create, Some(409)) => self.next(request, UserCall::ReadLive, 0, io),
+            (UserCall::ReadLive, Some(200)) => {
+                let Some(item) = outcome.read::<StoredItem>(&[200]) else {
+                    self.give_up(request, io);
+                    return None;
+                };
+                if matches!(waiting.wish, Wish::Cancel) {
+                    self.next(request, UserCall::Move, item.version, io);
+                } else {
+                    self.waiting.remove(&request);
+                    answer_live(request, &job, counts, io);
+                }
+            }
+            (UserCall::ReadLive, Some(404)) => self.next(request, UserCall::ReadEnded, 0, io),
+            (UserCall::ReadEnded, Some(200)) => {
+                let ended = outcome
+                    .read::<StoredItem>(&[200])
+                    .and_then(|item| EndedRecord::from_value(&item.value).ok());
+                match ended {
+                    Some(ended) => {
+                        self.waiting.remove(&request);
+                        self.remember(job.clone(), ended);
+                        answer_ended(request, &job, ended, io);
+                    }
+                    None => self.give_up(request, io),
+                }
+            }
+            (UserCall::ReadEnded, Some(404)) => {
+                // Neither live nor ended: never accepted, unless it was accepted
+                // between the two readings, which only its submitter could tell.
+                match &waiting.wish {
+                    Wish::Refused(refusal) => {
+                        reply_refusal(request, refusal, io);
+                        self.waiting.remove(&request);
+                    }
+                    Wish::Submit(_) => self.give_up(request, io),
+                    Wish::Poll | Wish::Cancel => {
+                        self.waiting.remove(&request);
+                        io.reply_error(request, 404, "no such job");
+                    }
+                }
+            }
+            (UserCall::Move, Some(200)) => {
+                self.waiting.remove(&request);
+                let ended = EndedRecord {
+                    end: Ending::Cancelled,
+                    tasks: 0,
+                };
+                self.remember(job.clone(), ended);
+                answer_ended(request, &job, ended, io);
+                log::debug!("job={job} cancelled");
+                return Some(Done::Cancelled(job));
+            }
+            (UserCall::Move, Some(409)) if waiting.rounds < MAX_ROUNDS => {
+                waiting.rounds += 1;
+                self.next(request, UserCall::ReadLive, 0, io);
+            }
+            _ => self.give_up(request, io),
+        }
+        None
+    }
+
+    /// The state service gave no usable answer in time.
+    fn give_up(&mut self, request: RequestId, io: &mut Io) {
+        self.waiting.remove(&request);
+        io.reply_later(request, RETRY_AFTER_S, "the state service does not answer");
+    }
+
+    /// Final states never change, so they may be kept.
+    pub fn remember(&mut self, job: JobId, ended: EndedRecord) {
+        if self.ended.insert(job.clone(), ended).is_none() {
+            self.ended_order.push_back(job);
+        }
+        while self.ended_order.len() > ENDED_CACHE {
+            if let Some(oldest) = self.ended_order.pop_front() {
+                self.ended.remove(&oldest);
+            }
+        }
+    }
+}
+
+/// Answers a submission that was not accepted.
+pub fn reply_refusal(request: RequestId, refusal: &Refusal, io: &mut Io) {
+    match refusal {
+        Refusal::Invalid(problem) => io.reply_error(request, 400, problem),
+        Refusal::Impossible(problem) => io.reply_error(request, 422, problem),
+        Refusal::Undecided(problem) => io.reply_later(request, RETRY_AFTER_S, problem),
+    }
+}
+
+fn answer_live(request: RequestId, job: &JobId, counts: &Counts, io: &mut Io) {
+    let (done, running) = counts.get(job).copied().unwrap_or((0, 0));
+    let status = if running > 0 {
+        JobStatus::Running
+    } else {
+        JobStatus::Pending
+    };
+    io.reply(
+        request,
+        200,
+        &JobAnswer {
+            id: &job.0,
+            status,
+            done: Some(done.into()),
+            running: Some(running.into()),
+        },
+    );
+}
+
+fn answer_ended(request: RequestId, job: &JobId, ended: EndedRecord, io: &mut Io) {
+    let (status, done) = match ended.end {
+        Ending::Done => (JobStatus::Done, Some(ended.tasks.into())),
+        Ending::Cancelled => (JobStatus::Cancelled, None),
+    };
+    io.reply(
+        request,
+        200,
+        &JobAnswer {
+            id: &job.0,
+            status,
+            done,
+            running: Some(0),
+        },
+    );
+}
+
+/// Which request a path and method make, or the status that refuses it.
+pub enum Route {
+    Submit,
+    Poll(JobId),
+    Cancel(JobId),
+    Report,
+    Health,
+    Refuse(u16),
+}
+
+pub fn route(method: &str, path: &str) -> Route {
+    let path = path.split('?').next().unwrap_or(path);
+    let allow = |wanted: &str, route: Route| {
+        if method == wanted {
+            route
+        } else {
+            Route::Refuse(405)
+        }
+    };
+    match path {
+        paths::HEALTH => return allow("GET", Route::Health),
+        paths::REPORT => return allow("POST", Route::Report),
+        paths::JOBS => return allow("POST", Route::Submit),
+        _ => (),
+    }
+    let Some(rest) = path
+        .strip_prefix(paths::JOBS)
+        .and_then(|rest| rest.strip_prefix('/'))
+    else {
+        return Route::Refuse(404);
+    };
+    match rest.split_once('/') {
+        None => match intake::parse_id(rest) {
+            Some(job) => allow("GET", Route::Poll(job)),
+            None => Route::Refuse(404),
+        },
+        Some((id, paths::CANCEL)) => match intake::parse_id(id) {
+            Some(job) => allow("POST", Route::Cancel(job)),
+            None => Route::Refuse(404),
+        },
+        Some(_) => Route::Refuse(404),
+    }
+}
--- /dev/null
+++ b/core/src/wire.rs
@@ -0,0 +1,457 @@
+//! The platform's interfaces. Its field names (Picks, Baton, Rigs, …) appear here
+//! only; the rest of the program uses the field's usual terms.
+
+use serde::{Deserialize, Serialize};
+
+/// Prefix of every job's id.
+pub const JOB_PREFIX: &str = "wk-";
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shape {
+    #[serde(rename = "sweep")]
+    Array,
+    #[serde(rename = "gang")]
+    Gang,
+    #[serde(rename = "daemon")]
+    Service,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Priority {
+    #[serde(rename = "critical")]
+    Production,
+    #[serde(rename = "urgent")]
+    High,
+    #[serde(rename = "standard")]
+    Normal,
+    #[serde(rename = "low")]
+    Low,
+}
+
+/// A submission as users send it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct JobBody {
+    #[serde(rename = "Id")]
+    pub id: String,
+    #[serde(rename = "Lane")]
+    pub class: String,
+    #[serde(rename = "Crew")]
+    pub team: String,
+    #[serde(rename = "Shape")]
+    pub shape: Shape,
+    #[serde(rename = "Urgency")]
+    pub priority: Priority,
+    #[serde(rename = "Picks")]
+    pub tasks: u64,
+    #[serde(rename = "Cpus")]
+    pub cpus: f64,
+    #[serde(rename = "Gpus")]
+    pub gpus: f64,
+    #[serde(rename = "MemGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "Kit")]
+    pub image: String,
+    #[serde(rename = "PullGb")]
+    pub image_gb: f64,
+    #[serde(rename = "Rigs")]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "Yard")]
+    pub zone: Option<String>,
+    #[serde(rename = "OneZone")]
+    pub one_zone: bool,
+    #[serde(rename = "Apart")]
+    pub spread: bool,
+    #[serde(rename = "Loaners")]
+    pub spot: bool,
+    #[serde(rename = "RuntimeS")]
+    pub estimate_s: f64,
+    #[serde(rename = "StashEveryS")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "StashS")]
+    pub save_s: f64,
+    #[serde(rename = "DueS")]
+    pub deadline_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobStatus {
+    Pending,
+    Running,
+    Done,
+    Cancelled,
+}
+
+/// What a user is told about a job.
+#[derive(Debug, Serialize)]
+pub struct JobAnswer<'a> {
+    #[serde(rename = "Id")]
+    pub id: &'a str,
+    #[serde(rename = "Status")]
+    pub status: JobStatus,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub done: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub running: Option<u64>,
+}
+
+#[derive(Debug, Serialize)]
+pub struct ErrorAnswer<'a> {
+    pub error: &'a str,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskState {
+    #[serde(rename = "pulling")]
+    Fetching,
+    #[serde(rename = "waiting")]
+    Waiting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "saving")]
+    Saving,
+    #[serde(rename = "exited")]
+    Exited,
+}
+
+/// Why a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Cause {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "halted")]
+    Stopped,
+    #[serde(rename = "mates_gone")]
+    Peers,
+    #[serde(rename = "incomplete")]
+    Alone,
+    #[serde(rename = "error")]
+    Error,
+    #[serde(rename = "full")]
+    NoRoom,
+    #[serde(rename = "in_use")]
+    Busy,
+    #[serde(rename = "no_such")]
+    Unknown,
+    /// A cause this version does not know: the task has ended all the same.
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TaskReport {
+    #[serde(rename = "Pick")]
+    pub task: String,
+    #[serde(rename = "Try")]
+    pub attempt: u64,
+    #[serde(rename = "Status")]
+    pub state: TaskState,
+    #[serde(rename = "Cause", default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<Cause>,
+    #[serde(rename = "Kept", default)]
+    pub saved: Option<bool>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Report {
+    #[serde(rename = "Host")]
+    pub machine: String,
+    #[serde(rename = "Endpoint")]
+    pub addr: String,
+    #[serde(rename = "Rig")]
+    pub machine_type: String,
+    #[serde(rename = "Yard")]
+    pub zone: String,
+    #[serde(rename = "Loaners", default)]
+    pub spot: bool,
+    #[serde(rename = "Shift")]
+    pub session: u64,
+    #[serde(rename = "Tick")]
+    pub seq: u64,
+    #[serde(rename = "Baton")]
+    pub token: u64,
+    #[serde(rename = "WarningS", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "Picks", default)]
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verb {
+    #[serde(rename = "run")]
+    Start,
+    #[serde(rename = "stop")]
+    Stop,
+    #[serde(rename = "forget")]
+    Forget,
+}
+
+/// A command to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    #[serde(rename = "Verb")]
+    pub verb: Verb,
+    #[serde(rename = "Pick")]
+    pub task: String,
+    #[serde(rename = "Try")]
+    pub attempt: u64,
+    #[serde(rename = "WindDownS", skip_serializing_if = "Option::is_none", default)]
+    pub grace_s: Option<f64>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    #[serde(rename = "Baton")]
+    pub token: u64,
+    #[serde(rename = "Orders")]
+    pub orders: Vec<Order>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct DirectOrders {
+    #[serde(rename = "Baton")]
+    pub token: u64,
+    #[serde(rename = "Shift")]
+    pub session: u64,
+    #[serde(rename = "Orders")]
+    pub orders: Vec<Order>,
+}
+
+/// Sends a worker to the leader.
+#[derive(Debug, Serialize)]
+pub struct Redirect<'a> {
+    #[serde(rename = "Foreman", skip_serializing_if = "Option::is_none")]
+    pub report_to: Option<&'a str>,
+}
+
+/// A machine type as the cloud offers it; also kept in the state service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    #[serde(rename = "Label")]
+    pub name: String,
+    #[serde(rename = "Cpus")]
+    pub cpus: f64,
+    #[serde(rename = "Gpus")]
+    pub gpus: f64,
+    #[serde(rename = "MemGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "CacheGb")]
+    pub cache_gb: f64,
+    #[serde(rename = "FetchGbPerS")]
+    pub fetch_gb_per_s: f64,
+    #[serde(rename = "Rate")]
+    pub price: f64,
+    #[serde(rename = "LowPrice")]
+    pub spot_price: f64,
+    #[serde(rename = "StartupS")]
+    pub boot_s: f64,
+    #[serde(rename = "Yards")]
+    pub zones: Vec<String>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Flavors {
+    #[serde(rename = "Rigs")]
+    pub types: Vec<MachineType>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RentalRequest {
+    #[serde(rename = "Hire")]
+    pub request: String,
+    #[serde(rename = "Rig")]
+    pub machine_type: String,
+    #[serde(rename = "Yard")]
+    pub zone: String,
+    #[serde(rename = "Loaners")]
+    pub spot: bool,
+    #[serde(rename = "Count")]
+    pub count: u32,
+}
+
+/// Names of machines: the answer to a rental, the body of a return.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineNames {
+    #[serde(rename = "Hosts")]
+    pub machines: Vec<String>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListedStatus {
+    #[serde(rename = "booting")]
+    Booting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "failed")]
+    Failed,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ListedMachine {
+    #[serde(rename = "Id")]
+    pub id: String,
+    #[serde(rename = "Endpoint", default)]
+    pub addr: Option<String>,
+    #[serde(rename = "Rig")]
+    pub machine_type: String,
+    #[serde(rename = "Yard")]
+    pub zone: String,
+    #[serde(rename = "Loaners", default)]
+    pub spot: bool,
+    #[serde(rename = "Status")]
+    pub status: ListedStatus,
+    #[serde(rename = "HeldS", default)]
+    pub age_s: f64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Listing {
+    #[serde(rename = "Hosts")]
+    pub machines: Vec<ListedMachine>,
+    #[serde(rename = "HasNext", default)]
+    pub more: bool,
+}
+
+/// One key of the state service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StoredItem {
+    #[serde(rename = "Path")]
+    pub key: String,
+    #[serde(rename = "V")]
+    pub value: serde_json::Value,
+    #[serde(rename = "Stamp")]
+    pub version: u64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StoredPage {
+    #[serde(rename = "Pairs")]
+    pub items: Vec<StoredItem>,
+    #[serde(rename = "HasNext", default)]
+    pub more: bool,
+    #[serde(rename = "Ledger")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Condition {
+    #[serde(rename = "Path")]
+    pub key: String,
+    #[serde(rename = "Stamp")]
+    pub version: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    Put {
+        #[serde(rename = "Put")]
+        key: String,
+        #[serde(rename = "V")]
+        value: serde_json::Value,
+        #[serde(rename = "Permit", skip_serializing_if = "Option::is_none", default)]
+        lease: Option<u64>,
+    },
+    Delete {
+        #[serde(rename = "Delete")]
+        key: String,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Transaction {
+    #[serde(rename = "If")]
+    pub conditions: Vec<Condition>,
+    #[serde(rename = "Then")]
+    pub changes: Vec<Change>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TransactionAnswer {
+    #[serde(rename = "Ledger")]
+    pub revision: u64,
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    #[serde(rename = "LifeMs")]
+    pub ttl_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct LeaseAnswer {
+    #[serde(rename = "Permit")]
+    pub lease: u64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Event {
+    Put {
+        #[serde(rename = "Put")]
+        key: String,
+        #[serde(rename = "V")]
+        value: serde_json::Value,
+        #[serde(rename = "Stamp")]
+        version: u64,
+    },
+    Delete {
+        #[serde(rename = "Delete")]
+        key: String,
+    },
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Changes {
+    #[serde(rename = "Ledger")]
+    pub revision: u64,
+    #[serde(rename = "News", default)]
+    pub events: Vec<Event>,
+}
+
+/// Paths of the outside interfaces.
+pub mod paths {
+    pub const JOBS: &str = "/v1/jobs";
+    pub const CANCEL: &str = "withdraw";
+    pub const REPORT: &str = "/v1/report";
+    pub const HEALTH: &str = "/healthz";
+    pub const DIRECT: &str = "/do";
+    pub const INSPECT: &str = "/inspect";
+    pub const FLAVORS: &str = "/flavors";
+    pub const RENTALS: &str = "/rentals";
+    pub const RETURN: &str = "/rentals/return";
+    pub const TRANSACTION: &str = "/multi";
+    pub const LEASES: &str = "/holds";
+
+    pub fn key(key: &str) -> String {
+        format!("/store/{key}")
+    }
+
+    pub fn page(prefix: &str, after: Option<&str>, limit: u32) -> String {
+        match after {
+            Some(after) => format!("/store?Under={prefix}&From={after}&Limit={limit}"),
+            None => format!("/store?Under={prefix}&Limit={limit}"),
+        }
+    }
+
+    pub fn watch(prefix: &str, after: u64, hold_ms: u64) -> String {
+        format!("/changes?Under={prefix}&From={after}&HoldMs={hold_ms}")
+    }
+
+    pub fn touch(lease: u64) -> String {
+        format!("/holds/{lease}/touch")
+    }
+
+    pub fn lease(lease: u64) -> String {
+        format!("/holds/{lease}")
+    }
+
+    pub fn listing(after: Option<&str>) -> String {
+        match after {
+            Some(after) => format!("/rentals?From={after}&Limit=500"),
+            None => "/rentals?Limit=500".to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/indigopath/src/event_loop.rs
@@ -0,0 +1,702 @@
+//! The event loop: sockets and timers round the core. One thread owns everything;
+//! what the sockets bring is queued, and the core works through it in batches.
+
+use crate::http;
+use indigopath_core::io::{CallId, Destination, Effect, Outcome, RequestId};
+use indigopath_core::node::{Command, Node};
+use indigopath_core::peers::{Frame, MAX_FRAME};
+use indigopath_core::settings::Settings;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use slab::Slab;
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Longest wait for events, in ms: the grain of the core's timers.
+const TICK_MS: u64 = 20;
+
+/// Events taken from the system at once.
+const EVENTS: usize = 256;
+
+/// How long a client may take to send a whole request, in ms.
+const REQUEST_MS: u64 = 10_000;
+
+/// How long a client may keep an unused connection, in ms. Users poll every 5 s
+/// and workers report every few seconds, so an unused one is forgotten.
+const IDLE_MS: u64 = 120_000;
+
+/// How long an unused connection to another system is kept, in ms.
+const SPARE_MS: u64 = 20_000;
+
+/// Interval of the search for connections that are overdue, in ms.
+const SWEEP_MS: u64 = 100;
+
+/// Wait before a sibling is connected to again, in ms.
+const RECONNECT_MS: u64 = 500;
+
+/// Most bytes that wait for a sibling; beyond that, frames are dropped.
+const PEER_BACKLOG: usize = 64 * 1024;
+
+/// Sockets kept free of clients, for calls, workers, siblings and the files that
+/// a process has open anyway.
+const RESERVED_SOCKETS: usize = 300;
+
+/// Bytes read from a socket at once.
+const READ_CHUNK: usize = 16 * 1024;
+
+const CLIENTS: Token = Token(0);
+const SIBLINGS: Token = Token(1);
+const FIRST: usize = 2;
+
+/// What a connection is for.
+enum Role {
+    /// Somebody asks this node.
+    Client {
+        waiting: Option<RequestId>,
+        keep_alive: bool,
+        closing: bool,
+    },
+    /// This node asks another system.
+    Call {
+        to: Destination,
+        call: Option<CallId>,
+        deadline: u64,
+        sent: bool,
+    },
+    /// A sibling sends frames.
+    FromPeer,
+    /// This node sends frames to a sibling.
+    ToPeer { peer: usize },
+}
+
+struct Connection {
+    stream: TcpStream,
+    role: Role,
+    connected: bool,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    /// Since when it has been in its present state.
+    since: u64,
+    interest: Interest,
+}
+
+/// What became of a connection after an event.
+enum Fate {
+    Keep,
+    Close,
+}
+
+pub struct EventLoop {
+    poll: Poll,
+    clients: TcpListener,
+    siblings: TcpListener,
+    connections: Slab<Connection>,
+    client_count: usize,
+    most_clients: usize,
+    requests: HashMap<RequestId, usize>,
+    next_request: u64,
+    spare: HashMap<Destination, Vec<usize>>,
+    state: SocketAddrV4,
+    cloud: SocketAddrV4,
+    peers: Vec<Peer>,
+    queue: Vec<Command>,
+    node: Node,
+    started: Instant,
+    swept: u64,
+}
+
+struct Peer {
+    addr: SocketAddrV4,
+    connection: Option<usize>,
+    retry_at: u64,
+}
+
+impl EventLoop {
+    pub fn new(settings: Settings) -> io::Result<EventLoop> {
+        let poll = Poll::new()?;
+        let mut clients = TcpListener::bind(SocketAddr::V4(settings.listen))?;
+        let mut siblings = TcpListener::bind(SocketAddr::V4(settings.peer_listen))?;
+        poll.registry()
+            .register(&mut clients, CLIENTS, Interest::READABLE)?;
+        poll.registry()
+            .register(&mut siblings, SIBLINGS, Interest::READABLE)?;
+        let started = Instant::now();
+        let peers = settings
+            .peers
+            .iter()
+            .map(|peer| Peer {
+                addr: peer.addr,
+                connection: None,
+                retry_at: 0,
+            })
+            .collect();
+        let sockets = settings.deployment.limits.max_connections;
+        Ok(EventLoop {
+            poll,
+            clients,
+            siblings,
+            connections: Slab::new(),
+            client_count: 0,
+            most_clients: sockets.saturating_sub(RESERVED_SOCKETS).max(sockets / 2),
+            requests: HashMap::new(),
+            next_request: 1,
+            spare: HashMap::new(),
+            state: settings.services.state,
+            cloud: settings.services.cloud,
+            peers,
+            queue: Vec::new(),
+            node: Node::new(settings, rand::random(), 0, wall_ms()),
+            started,
+            swept: 0,
+        })
+    }
+
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(EVENTS);
+        loop {
+            self.turn();
+            match self.poll.poll(&mut events, Some(Duration::from_millis(TICK_MS))) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                other => other?,
+            }
+            for event in events.iter() {
+                match event.token() {
+                    CLIENTS => self.accept(true),
+                    SIBLINGS => self.accept(false),
+                    Token(token) => self.ready(token - FIRST, event.is_readable(), event.is_writable()),
+                }
+            }
+        }
+    }
+
+    /// One batch: the queued commands, what is due, and what follows from both.
+    fn turn(&mut self) {
+        let now = self.now();
+        self.connect_peers(now);
+        if now >= self.swept + SWEEP_MS {
+            self.swept = now;
+            self.sweep(now);
+        }
+        self.node.clock(now, wall_ms());
+        // Effects may queue further commands: a call that cannot even be sent.
+        loop {
+            for command in std::mem::take(&mut self.queue) {
+                self.node.handle(command);
+            }
+            self.node.settle();
+            crate::TOKEN.store(self.node.token().unwrap_or(0), Ordering::Relaxed);
+            for effect in self.node.take_effects() {
+                self.carry_out(effect, now);
+            }
+            if self.queue.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect, now: u64) {
+        match effect {
+            Effect::Reply {
+                request,
+                status,
+                retry_after_s,
+                body,
+            } => {
+                let Some(key) = self.requests.remove(&request) else {
+                    return;
+                };
+                let Some(connection) = self.connections.get_mut(key) else {
+                    return;
+                };
+                if let Role::Client {
+                    waiting,
+                    keep_alive,
+                    closing,
+                } = &mut connection.role
+                {
+                    *waiting = None;
+                    *closing = !*keep_alive;
+                    http::write_answer(&mut connection.output, status, retry_after_s, *keep_alive, &body);
+                }
+                connection.since = now;
+                self.serve(key);
+            }
+            Effect::Call {
+                call,
+                to,
+                method,
+                path,
+                body,
+                timeout_ms,
+            } => {
+                let Some(addr) = self.address(&to) else {
+                    self.queue.push(Command::Answer {
+                        call,
+                        outcome: Outcome::NotSent,
+                    });
+                    return;
+                };
+                let bytes = http::write_request(method.as_str(), &path, &addr.to_string(), &body);
+                match self.call_connection(&to, addr, now) {
+                    Ok(key) => {
+                        let connection = &mut self.connections[key];
+                        connection.output = bytes;
+                        connection.since = now;
+                        connection.role = Role::Call {
+                            to,
+                            call: Some(call),
+                            deadline: now + timeout_ms,
+                            sent: false,
+                        };
+                        if connection.connected {
+                            self.serve(key);
+                        }
+                    }
+                    Err(error) => {
+                        log::debug!("no connection to {addr}: {error}");
+                        self.queue.push(Command::Answer {
+                            call,
+                            outcome: Outcome::NotSent,
+                        });
+                    }
+                }
+            }
+            Effect::Frame { peer, bytes } => {
+                let Some(key) = self.peers.get(peer).and_then(|peer| peer.connection) else {
+                    return;
+                };
+                let connection = &mut self.connections[key];
+                if connection.output.len() + bytes.len() <= PEER_BACKLOG {
+                    connection.output.extend_from_slice(&bytes);
+                    if connection.connected {
+                        self.serve(key);
+                    }
+                }
+            }
+        }
+    }
+
+    fn address(&self, to: &Destination) -> Option<SocketAddrV4> {
+        match to {
+            Destination::State => Some(self.state),
+            Destination::Cloud => Some(self.cloud),
+            Destination::Worker(addr) => addr.parse().ok(),
+        }
+    }
+
+    // ---- connections ---------------------------------------------------------
+
+    fn call_connection(&mut self, to: &Destination, addr: SocketAddrV4, now: u64) -> io::Result<usize> {
+        while let Some(key) = self.spare.get_mut(to).and_then(Vec::pop) {
+            if self.connections.contains(key) {
+                return Ok(key);
+            }
+        }
+        let stream = TcpStream::connect(SocketAddr::V4(addr))?;
+        let role = Role::Call {
+            to: to.clone(),
+            call: None,
+            deadline: now,
+            sent: false,
+        };
+        self.register(stream, role, Interest::READABLE | Interest::WRITABLE, false)
+    }
+
+    fn register(
+        &mut self,
+        mut stream: TcpStream,
+        role: Role,
+        interest: Interest,
+        connected: bool,
+    ) -> io::Result<usize> {
+        let since = self.now();
+        let entry = self.connections.vacant_entry();
+        let key = entry.key();
+        self.poll
+            .registry()
+            .register(&mut stream, Token(key + FIRST), interest)?;
+        let _ = stream.set_nodelay(true);
+        entry.insert(Connection {
+            stream,
+            role,
+            connected,
+            input: Vec::new(),
+            output: Vec::new(),
+            since,
+            interest,
+        });
+        Ok(key)
+    }
+
+    fn connect_peers(&mut self, now: u64) {
+        for index in 0..self.peers.len() {
+            let peer = &self.peers[index];
+            if peer.connection.is_some() || now < peer.retry_at {
+                continue;
+            }
+            let addr = SocketAddr::V4(peer.addr);
+            self.peers[index].retry_at = now + RECONNECT_MS;
+            let connected = TcpStream::connect(addr).and_then(|stream| {
+                self.register(
+                    stream,
+                    Role::ToPeer { peer: index },
+                    Interest::READABLE | Interest::WRITABLE,
+                    false,
+                )
+            });
+            match connected {
+                Ok(key) => self.peers[index].connection = Some(key),
+                Err(error) => log::debug!("no connection to sibling {addr}: {error}"),
+            }
+        }
+    }
+
+    fn accept(&mut self, clients: bool) {
+        loop {
+            let listener = if clients { &self.clients } else { &self.siblings };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => {
+                    log::info!("a connection could not be accepted: {error}");
+                    return;
+                }
+            };
+            let role = if clients {
+                if self.client_count >= self.most_clients {
+                    // Refused at once: the load balancer moves on to another node.
+                    log::info!("too many connections: one is refused");
+                    continue;
+                }
+                self.client_count += 1;
+                Role::Client {
+                    waiting: None,
+                    keep_alive: true,
+                    closing: false,
+                }
+            } else {
+                Role::FromPeer
+            };
+            if let Err(error) = self.register(stream, role, Interest::READABLE, true) {
+                log::info!("a connection could not be watched: {error}");
+                self.client_count -= usize::from(clients);
+            }
+        }
+    }
+
+    /// Closes what takes too long, and spare connections nobody needs.
+    fn sweep(&mut self, now: u64) {
+        let overdue: Vec<usize> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| match &connection.role {
+                Role::Client { waiting: Some(_), .. } => false,
+                Role::Client { waiting: None, .. } => {
+                    let busy = !connection.input.is_empty() || !connection.output.is_empty();
+                    now >= connection.since + if busy { REQUEST_MS } else { IDLE_MS }
+                }
+                Role::Call {
+                    call: Some(_),
+                    deadline,
+                    ..
+                } => now >= *deadline,
+                Role::Call { call: None, .. } => now >= connection.since + SPARE_MS,
+                Role::FromPeer => now >= connection.since + SPARE_MS,
+                Role::ToPeer { .. } => {
+                    (!connection.connected || !connection.output.is_empty())
+                        && now >= connection.since + REQUEST_MS / 4
+                }
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in overdue {
+            self.close(key);
+        }
+    }
+
+    fn close(&mut self, key: usize) {
+        let Some(mut connection) = self.connections.try_remove(key) else {
+            return;
+        };
+        let _ = self.poll.registry().deregister(&mut connection.stream);
+        match connection.role {
+            Role::Client { waiting, .. } => {
+                self.client_count -= 1;
+                if let Some(request) = waiting {
+                    self.requests.remove(&request);
+                }
+            }
+            Role::Call {
+                call: Some(call),
+                sent,
+                ..
+            } => {
+                // Unless a byte of it has left, it was certainly not carried out.
+                let outcome = if sent { Outcome::NoAnswer } else { Outcome::NotSent };
+                self.queue.push(Command::Answer { call, outcome });
+            }
+            Role::Call { call: None, to, .. } => {
+                if let Some(spare) = self.spare.get_mut(&to) {
+                    spare.retain(|other| *other != key);
+                }
+            }
+            Role::FromPeer => (),
+            Role::ToPeer { peer } => self.peers[peer].connection = None,
+        }
+    }
+
+    // ---- reading and writing -------------------------------------------------
+
+    fn ready(&mut self, key: usize, readable: bool, writable: bool) {
+        let Some(connection) = self.connections.get_mut(key) else {
+            return;
+        };
+        if writable && !connection.connected {
+            match connection.stream.take_error() {
+                Ok(None) if connection.stream.peer_addr().is_ok() => {
+                    connection.connected = true;
+                    connection.since = self.started.elapsed().as_millis() as u64;
+                    if let Role::ToPeer { peer } = connection.role {
+                        self.queue.push(Command::PeerUp { peer });
+                    }
+                }
+                Ok(None) => (),
+                _ => {
+                    self.close(key);
+                    return;
+                }
+            }
+        }
+        if readable && matches!(self.read(key), Fate::Close) {
+            self.close(key);
+            return;
+        }
+        if writable {
+            self.serve(key);
+        }
+    }
+
+    /// Writes what waits; closes what is to be closed after it.
+    fn serve(&mut self, key: usize) {
+        match self.write(key) {
+            Fate::Keep => (),
+            Fate::Close => self.close(key),
+        }
+    }
+
+    fn write(&mut self, key: usize) -> Fate {
+        let now = self.now();
+        let Some(connection) = self.connections.get_mut(key) else {
+            return Fate::Keep;
+        };
+        if !connection.connected {
+            return Fate::Keep;
+        }
+        let mut written = 0;
+        while written < connection.output.len() {
+            match connection.stream.write(&connection.output[written..]) {
+                Ok(0) => return Fate::Close,
+                Ok(count) => {
+                    written += count;
+                    connection.since = now;
+                    if let Role::Call { sent, .. } = &mut connection.role {
+                        *sent = true;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => (),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => return Fate::Close,
+            }
+        }
+        connection.output.drain(..written);
+        let done = connection.output.is_empty();
+        if done && matches!(connection.role, Role::Client { closing: true, .. }) {
+            return Fate::Close;
+        }
+        let interest = if done {
+            Interest::READABLE
+        } else {
+            Interest::READABLE | Interest::WRITABLE
+        };
+        if interest != connection.interest {
+            connection.interest = interest;
+            if self
+                .poll
+                .registry()
+                .reregister(&mut connection.stream, Token(key + FIRST), interest)
+                .is_err()
+            {
+                return Fate::Close;
+            }
+        }
+        Fate::Keep
+    }
+
+    fn read(&mut self, key: usize) -> Fate {
+        let mut chunk = [0; READ_CHUNK];
+        let mut closed = false;
+        {
+            let Some(connection) = self.connections.get_mut(key) else {
+                return Fate::Keep;
+            };
+            loop {
+                match connection.stream.read(&mut chunk) {
+                    Ok(0) => {
+                        closed = true;
+                        break;
+                    }
+                    Ok(count) => {
+                        if connection.input.is_empty() {
+                            connection.since = self.started.elapsed().as_millis() as u64;
+                        }
+                        connection.input.extend_from_slice(&chunk[..count]);
+                    }
+                    Err(error) if error.kind() == io::ErrorKind::Interrupted => (),
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                    Err(_) => return Fate::Close,
+                }
+            }
+        }
+        let fate = match &self.connections[key].role {
+            Role::Client { .. } => self.read_request(key),
+            Role::Call { .. } => self.read_answer(key, closed),
+            Role::FromPeer => self.read_frames(key),
+            Role::ToPeer { .. } => Fate::Keep,
+        };
+        if closed { Fate::Close } else { fate }
+    }
+
+    fn read_request(&mut self, key: usize) -> Fate {
+        let connection = &mut self.connections[key];
+        let Role::Client {
+            waiting,
+            keep_alive,
+            closing,
+        } = &mut connection.role
+        else {
+            return Fate::Keep;
+        };
+        if waiting.is_some() || *closing {
+            // Requests are not sent pipelined; whoever does gets no second buffer.
+            return if connection.input.len() > READ_CHUNK {
+                Fate::Close
+            } else {
+                Fate::Keep
+            };
+        }
+        match http::parse_request(&connection.input) {
+            Ok(None) => Fate::Keep,
+            Ok(Some(request)) => {
+                connection.input.drain(..request.length);
+                let id = RequestId(self.next_request);
+                self.next_request += 1;
+                *waiting = Some(id);
+                *keep_alive = request.keep_alive;
+                self.requests.insert(id, key);
+                self.queue.push(Command::Request {
+                    request: id,
+                    method: request.method,
+                    path: request.path,
+                    body: request.body,
+                });
+                Fate::Keep
+            }
+            Err(broken) => {
+                *closing = true;
+                connection.input.clear();
+                let body = format!("{{\"error\":\"{broken}\"}}");
+                http::write_answer(
+                    &mut connection.output,
+                    broken.status(),
+                    None,
+                    false,
+                    body.as_bytes(),
+                );
+                self.write(key)
+            }
+        }
+    }
+
+    fn read_answer(&mut self, key: usize, closed: bool) -> Fate {
+        let now = self.now();
+        let connection = &mut self.connections[key];
+        let Role::Call { to, call, .. } = &mut connection.role else {
+            return Fate::Keep;
+        };
+        let Some(id) = *call else {
+            // Nothing was asked.
+            return if connection.input.is_empty() {
+                Fate::Keep
+            } else {
+                Fate::Close
+            };
+        };
+        match http::parse_answer(&connection.input, closed) {
+            Ok(None) => Fate::Keep,
+            Ok(Some(answer)) => {
+                connection.input.drain(..answer.length);
+                *call = None;
+                connection.since = now;
+                let to = to.clone();
+                let reusable = answer.keep_alive
+                    && !closed
+                    && connection.input.is_empty()
+                    && connection.output.is_empty();
+                let outcome = Outcome::Answer {
+                    status: answer.status,
+                    body: answer.body,
+                };
+                self.queue.push(Command::Answer { call: id, outcome });
+                if reusable {
+                    self.spare.entry(to).or_default().push(key);
+                    Fate::Keep
+                } else {
+                    Fate::Close
+                }
+            }
+            Err(broken) => {
+                log::info!("an answer from {to:?} is unusable: {broken}");
+                Fate::Close
+            }
+        }
+    }
+
+    fn read_frames(&mut self, key: usize) -> Fate {
+        let connection = &mut self.connections[key];
+        let mut at = 0;
+        let fate = loop {
+            match Frame::decode(&connection.input[at..]) {
+                Ok(Some((frame, length))) => {
+                    at += length;
+                    self.queue.extend(frame.map(Command::Frame));
+                }
+                Ok(None) => break Fate::Keep,
+                Err(error) => {
+                    log::info!("a sibling's connection is closed: {error}");
+                    break Fate::Close;
+                }
+            }
+        };
+        connection.input.drain(..at);
+        connection.since = self.started.elapsed().as_millis() as u64;
+        if connection.input.len() > MAX_FRAME {
+            Fate::Close
+        } else {
+            fate
+        }
+    }
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
