Boot times come only from machines this leader rented

Cause: machines found running counted as booted in 0.0 s, so the average fell to nothing and every regular boot looked overdue and was given back at once.

--- a/core/src/leader.rs
+++ b/core/src/leader.rs
@@ -463,12 +463,14 @@
                 io.now,
             )
         });
-        let booted = machine.heard.is_none() && machine.version == 0 && machine.age_at_first_known == 0;
+        let rented_at = machine.rented_at.filter(|_| machine.heard.is_none());
         let Some(changes) = machine.absorb(report, self.first_token, io.now) else {
             return false;
         };
-        if booted && report.session == 1 && machine.first_known < io.now {
-            let took_s = (io.now - machine.first_known) as f64 / SECOND_MS as f64;
+        if let Some(rented_at) = rented_at {
+            // Only what this leader rented itself tells how long a boot takes:
+            // machines found running have no start to count from.
+            let took_s = (io.now - rented_at) as f64 / SECOND_MS as f64;
             let average = self.boot_s.entry(machine.machine_type.clone()).or_insert(took_s);
             *average += BOOT_SMOOTHING * (took_s - *average);
             log::info!("machine={id} is up after {took_s:.1} s");
@@ -665,7 +667,7 @@
             if let Some(news) = self.check_self(leadership, siblings, io) {
                 return Some(news);
             }
-            self.give_back(settings, siblings, io);
+            self.give_back(types, settings, siblings, io);
         }
         self.poll_listing(io);
         if certain && !types.is_empty() {
@@ -1481,13 +1483,15 @@
                 let id = MachineId(Arc::from(name.as_str()));
                 if !self.gone.contains_key(&id) {
                     self.machines.entry(id.clone()).or_insert_with(|| {
-                        Machine::new(
+                        let mut machine = Machine::new(
                             id,
                             request.machine_type.clone(),
                             request.zone.clone(),
                             request.spot,
                             io.now,
-                        )
+                        );
+                        machine.rented_at = Some(io.now);
+                        machine
                     });
                 }
             }
@@ -1542,7 +1546,7 @@
 
     // ---- giving back ---------------------------------------------------------
 
-    fn give_back(&mut self, settings: &Settings, siblings: Siblings, io: &mut Io) {
+    fn give_back(&mut self, types: &Types, settings: &Settings, siblings: Siblings, io: &mut Io) {
         if io.now < self.cloud_at {
             return;
         }
@@ -1560,11 +1564,14 @@
             if machine.return_in_flight || names.len() >= RETURN_MAX {
                 continue;
             }
+            // Quick boots that were seen do not make a regular one late.
+            let nominal_s = types
+                .get(&machine.machine_type)
+                .map_or(BOOT_UNKNOWN_S, |machine_type| machine_type.boot_s);
             let boot_s = self
                 .boot_s
                 .get(&machine.machine_type)
-                .copied()
-                .unwrap_or(BOOT_UNKNOWN_S);
+                .map_or(nominal_s, |seen| seen.max(nominal_s));
             let known_ms = machine.age_at_first_known + io.now.saturating_sub(machine.first_known);
             let never_up = !machine.is_up()
                 && machine.attempts.is_empty()
@@ -1589,12 +1596,18 @@
             } else {
                 continue;
             };
-            log::info!("machine={} is given back: {why}", machine.id);
-            names.push(machine.id.clone());
+            names.push((machine.id.clone(), why));
         }
         if names.is_empty() || !io.cloud.take(1.0, 0.0, io.now) {
             return;
         }
+        let names: Vec<MachineId> = names
+            .into_iter()
+            .map(|(name, why)| {
+                log::info!("machine={name} is given back: {why}");
+                name
+            })
+            .collect();
         for name in &names {
             if let Some(machine) = self.machines.get_mut(name) {
                 machine.returning = true;
@@ -1696,10 +1709,14 @@
                     listed.spot,
                     io.now,
                 );
-                machine.age_at_first_known = (listed.age_s.max(0.0) * SECOND_MS as f64) as u64;
                 machine.greet = listed.status == wire::ListedStatus::Running;
                 machine
             });
+            let age_ms = (listed.age_s.max(0.0) * SECOND_MS as f64) as u64;
+            if age_ms > machine.age_at_first_known + io.now.saturating_sub(machine.first_known) {
+                machine.first_known = io.now;
+                machine.age_at_first_known = age_ms;
+            }
             if machine.addr.is_none() {
                 machine.addr = listed.addr;
             }
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -140,6 +140,8 @@
     pub first_known: Millis,
     /// How long before `first_known` it had been rented, in ms.
     pub age_at_first_known: u64,
+    /// When this leader rented it, which tells how long its boot takes.
+    pub rented_at: Option<Millis>,
     pub notice_until: Option<Millis>,
     /// Version of its record; 0 while there is none.
     pub version: u64,
@@ -181,6 +183,7 @@
             answered: None,
             first_known: now,
             age_at_first_known: 0,
+            rented_at: None,
             notice_until: None,
             version: 0,
             dirty: true,
