--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -208,8 +208,8 @@
 /// First wait, in ms, of a job that fails everywhere; doubles with each failure.
 pub const BAD_JOB_WAIT_MS: u64 = 4_000;
 
-/// Longest wait, in ms, of a job that fails everywhere.
-pub const BAD_JOB_WAIT_MAX_MS: u64 = 120_000;
+/// Doublings of that wait at most: a mistake may be mended, so it ends near 2 min.
+pub const BAD_JOB_DOUBLINGS: u32 = 5;
 
 /// Wait, in ms, before a machine that refused a start as full gets another.
 pub const FULL_WAIT_MS: u64 = 2_000;
@@ -230,3 +230,13 @@
 
 /// Interval, in ms, of the forecast against objectives and deadlines.
 pub const FORECAST_MS: u64 = 2_000;
+
+/// What a machine on which a task failed costs a placement, in s of waiting.
+pub const ERRORS_COST_S: f64 = 30.0;
+
+/// What an ordinary machine costs a placement that may use a spot one, in s.
+pub const SPOT_COST_S: f64 = 2.0;
+
+/// What an empty machine costs a placement, in s: work gathers on few machines, so
+/// that others fall idle and go back.
+pub const EMPTY_COST_S: f64 = 3.0;
--- a/core/src/leader.rs
+++ b/core/src/leader.rs
@@ -565,11 +565,12 @@
                         task.index
                     );
                     job.failed_on.insert(id.clone());
-                    job.failures += 1;
-                    if job.failed_on.len() >= BAD_JOB_AFTER {
-                        // It fails wherever it goes: the machines are not to blame.
-                        let wait = BAD_JOB_WAIT_MS << (job.failures.min(8) - 1).min(6);
-                        job.held_until = now + wait.min(BAD_JOB_WAIT_MAX_MS);
+                    if job.to_blame() {
+                        if now >= job.held_until {
+                            let wait = BAD_JOB_WAIT_MS << job.failures.min(BAD_JOB_DOUBLINGS);
+                            job.held_until = now + wait;
+                            job.failures += 1;
+                        }
                         for machine in self.machines.values_mut() {
                             machine.errors.remove(&task.job);
                         }
@@ -1296,9 +1297,14 @@
             let Some(job) = self.jobs.get(&unplaced.job) else {
                 continue;
             };
-            let Some((machine_type, spot, zones)) = self.kind_for(&job.spec, &unplaced.zones, types) else {
+            let Some((machine_type, spot, mut zones)) = self.kind_for(&job.spec, &unplaced.zones, types)
+            else {
                 continue;
             };
+            if job.spec.one_zone {
+                // Machines spread over zones would never take it whole.
+                zones = self.fullest_zone(zones);
+            }
             let waste_s = self.waste_s(types, &machine_type.name);
             let per_machine = job.spec.needs.count_in(&machine_type.resources());
             queues
@@ -1356,6 +1362,20 @@
         }
     }
 
+    /// The zone with the most of the site's machines, the first of several.
+    fn fullest_zone(&self, zones: Vec<String>) -> Vec<String> {
+        let count = |zone: &String| {
+            self.machines
+                .values()
+                .filter(|machine| machine.zone == *zone)
+                .count()
+        };
+        let fullest = zones
+            .into_iter()
+            .min_by_key(|zone| std::cmp::Reverse(count(zone)));
+        fullest.into_iter().collect()
+    }
+
     /// The cheapest kind of machine, per task, that the cloud may have.
     fn kind_for<'a>(
         &self,
--- a/core/src/model.rs
+++ b/core/src/model.rs
@@ -214,6 +214,7 @@
     pub waiting: BTreeSet<u32>,
     /// Machines on which tasks of this job failed, since one last ran well.
     pub failed_on: BTreeSet<MachineId>,
+    /// Rounds of failures on several machines; many tasks failing at once are one.
     pub failures: u32,
     /// Not placed before then.
     pub held_until: Millis,
@@ -249,6 +250,11 @@
         self.age_ms_at_load + now.saturating_sub(self.loaded_at)
     }
 
+    /// Its tasks fail on different machines: the job is to blame, not they.
+    pub fn to_blame(&self) -> bool {
+        self.failed_on.len() >= crate::constants::BAD_JOB_AFTER
+    }
+
     pub fn complete(&self) -> bool {
         self.spec.shape != Shape::Service && self.done.len() as u32 == self.spec.tasks
     }
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -1,7 +1,9 @@
 //! Which waiting task goes where, and what is stopped to make room. Pure: it reads
 //! the ledger and returns decisions.
 
-use crate::constants::{FAULTY_AFTER, SECOND_MS, STARTS_PER_PASS, STOP_GRACE_EXTRA_S};
+use crate::constants::{
+    EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, SECOND_MS, SPOT_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+};
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
 use crate::settings::{Deployment, Team};
@@ -232,9 +234,12 @@
             .collect()
     }
 
-    fn allowed(&self, spec: &JobSpec, at: usize, zones: &[String]) -> bool {
+    fn allowed(&self, job: &Job, at: usize, zones: &[String]) -> bool {
+        let spec = &job.spec;
         let room = &self.rooms[at];
+        let distrusted = !job.to_blame() && job.failed_on.contains(&room.machine.id);
         room.usable
+            && !distrusted
             && zones.contains(&room.machine.zone)
             && self
                 .site
@@ -261,21 +266,21 @@
             cost += job.spec.image_gb / rate * if fetching > 0 { 2.0 } else { 1.0 };
         }
         if job.spec.spot && !room.machine.spot {
-            cost += 2.0;
+            cost += SPOT_COST_S;
         }
-        if job.failed_on.contains(&room.machine.id) || !room.machine.errors.is_empty() {
-            cost += 30.0;
+        if !room.machine.errors.is_empty() {
+            cost += ERRORS_COST_S;
         }
         if let Some(machine_type) = machine_type {
             let whole = machine_type.resources();
-            cost += 3.0 * room.free.share_of(&whole);
+            cost += EMPTY_COST_S * room.free.share_of(&whole);
         }
         cost
     }
 
     fn best(&self, job: &Job, zones: &[String], attempt: Option<u64>) -> Option<usize> {
         (0..self.rooms.len())
-            .filter(|at| job.spec.needs.fits_in(&self.rooms[*at].free) && self.allowed(&job.spec, *at, zones))
+            .filter(|at| job.spec.needs.fits_in(&self.rooms[*at].free) && self.allowed(job, *at, zones))
             // A worker that still lists an exited task under the same attempt
             // ignores another start of it.
             .filter(|at| {
@@ -438,7 +443,7 @@
     fn make_room(&mut self, job: &Job, in_guarantee: bool, zones: &[String]) -> bool {
         let needs = job.spec.needs;
         let candidates: Vec<usize> = (0..self.rooms.len())
-            .filter(|at| self.allowed(&job.spec, *at, zones))
+            .filter(|at| self.allowed(job, *at, zones))
             .collect();
         for at in &candidates {
             let room = &self.rooms[*at];
--- /dev/null
+++ b/core/tests/sim/cloud.rs
@@ -0,0 +1,141 @@
+//! A stand-in for the cloud, by its published protocol.
+
+use indigopath_core::wire::{ListedMachine, ListedStatus, Listing, MachineNames, MachineType, RentalRequest};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How far the machine list lags, in ms.
+const LAG_MS: u64 = 3_000;
+
+pub struct Rented {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub at: u64,
+    pub up_at: u64,
+    pub gone_at: Option<u64>,
+}
+
+#[derive(Default)]
+pub struct Cloud {
+    pub types: Vec<MachineType>,
+    pub machines: BTreeMap<String, Rented>,
+    answers: BTreeMap<String, Value>,
+    pub outage: bool,
+    /// (type or `*`, spot) that are not to be had.
+    pub refused: BTreeSet<(String, bool)>,
+    /// Machines rented from now on that never come up.
+    pub duds: u32,
+    pub rentals: u32,
+    returned: Vec<String>,
+}
+
+impl Cloud {
+    pub fn rent(&mut self, machine_type: &str, zone: &str, spot: bool, now: u64) -> String {
+        let boot_s = self
+            .types
+            .iter()
+            .find(|known| known.name == machine_type)
+            .unwrap()
+            .boot_s;
+        let dud = self.duds > 0;
+        self.duds = self.duds.saturating_sub(1);
+        let id = format!("m-{:06}", self.machines.len());
+        let up_at = if dud {
+            u64::MAX
+        } else {
+            now + (boot_s * 1000.0) as u64
+        };
+        let rented = Rented {
+            machine_type: machine_type.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            at: now,
+            up_at,
+            gone_at: None,
+        };
+        self.machines.insert(id.clone(), rented);
+        self.rentals += 1;
+        id
+    }
+
+    pub fn remove(&mut self, id: &str, now: u64) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.gone_at.get_or_insert(now);
+        }
+    }
+
+    /// Machines given back since this was last asked.
+    pub fn take_returned(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.returned)
+    }
+
+    pub fn handle(&mut self, method: &str, path: &str, body: &[u8], now: u64) -> (u16, Value) {
+        if self.outage {
+            return (503, json!({ "error": "trouble" }));
+        }
+        match (method, path.split('?').next().unwrap_or(path)) {
+            ("GET", "/flavors") => (200, json!({ "Rigs": self.types })),
+            ("GET", "/rentals") => (200, self.list(now)),
+            ("POST", "/rentals") => {
+                let request: RentalRequest = serde_json::from_slice(body).unwrap();
+                assert!((1..=50).contains(&request.count));
+                if let Some(answer) = self.answers.get(&request.request) {
+                    return (200, answer.clone());
+                }
+                if self
+                    .refused
+                    .contains(&(request.machine_type.clone(), request.spot))
+                    || self.refused.contains(&("*".to_owned(), request.spot))
+                {
+                    return (503, json!({ "error": "no capacity" }));
+                }
+                let machines = (0..request.count)
+                    .map(|_| self.rent(&request.machine_type, &request.zone, request.spot, now))
+                    .collect();
+                let answer = serde_json::to_value(MachineNames { machines }).unwrap();
+                self.answers.insert(request.request, answer.clone());
+                (200, answer)
+            }
+            ("POST", "/rentals/return") => {
+                let names: MachineNames = serde_json::from_slice(body).unwrap();
+                assert!(names.machines.len() <= 100);
+                for id in names.machines {
+                    self.remove(&id, now);
+                    self.returned.push(id);
+                }
+                (200, json!({}))
+            }
+            other => panic!("the cloud is asked {other:?}"),
+        }
+    }
+
+    fn list(&self, now: u64) -> Value {
+        let then = now.saturating_sub(LAG_MS);
+        let machines = self
+            .machines
+            .iter()
+            .filter(|(_, machine)| {
+                (machine.at <= then || machine.at == 0) && machine.gone_at.is_none_or(|gone| gone > then)
+            })
+            .map(|(id, machine)| ListedMachine {
+                id: id.clone(),
+                addr: Some(id.clone()),
+                machine_type: machine.machine_type.clone(),
+                zone: machine.zone.clone(),
+                spot: machine.spot,
+                status: if machine.up_at <= then {
+                    ListedStatus::Running
+                } else {
+                    ListedStatus::Booting
+                },
+                age_s: then.saturating_sub(machine.at) as f64 / 1000.0,
+            })
+            .collect();
+        serde_json::to_value(Listing {
+            machines,
+            more: false,
+        })
+        .unwrap()
+    }
+}
--- /dev/null
+++ b/core/tests/sim/mod.rs
@@ -0,0 +1,922 @@
+//! A small world in simulated time round real controllers: state service, cloud,
+//! workers and users are stand-ins; the rules of the protocol are checked all the
+//! time. The same scenario always plays the same way.
+
+mod cloud;
+mod script;
+mod state;
+mod worker;
+
+use cloud::Cloud;
+use indigopath_core::io::{CallId, Destination, Effect, Outcome, RequestId};
+use indigopath_core::node::{Command, Node};
+use indigopath_core::peers::Frame;
+use indigopath_core::settings::{Peer, Settings};
+use indigopath_core::wire::{Flavors, TaskState};
+pub use script::run;
+use serde_json::Value;
+use state::{Reply, StateService};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use worker::{GANG_PEER_MS, Worker};
+
+/// Grain of simulated time, in ms.
+const STEP_MS: u64 = 10;
+/// One way through the network, in ms.
+const LATENCY_MS: u64 = 5;
+const RESTART_MS: u64 = 4_000;
+const CANCEL_MS: u64 = 50_000;
+const NODES: usize = 3;
+
+/// What the world knows of a job, apart from any controller.
+#[derive(Debug, Clone, Default)]
+pub struct JobFacts {
+    pub body: Value,
+    pub shape: String,
+    pub team: String,
+    pub tasks: u32,
+    pub gpus: f64,
+    pub run_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    pub image: String,
+    pub image_gb: f64,
+    pub done: BTreeSet<u32>,
+    pub saved_s: f64,
+    /// Submitted with a mistake: it fails everywhere.
+    pub broken: bool,
+    pub accepted: bool,
+    pub wants_cancel: bool,
+    pub told: Option<String>,
+    pub cancelled_at: Option<u64>,
+    pub done_told_at: Option<u64>,
+    pub starts: u32,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Call {
+        node: usize,
+        life: u32,
+        call: CallId,
+        to: Destination,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+    },
+    Answer {
+        node: usize,
+        life: u32,
+        call: CallId,
+        outcome: Outcome,
+    },
+    Report {
+        worker: String,
+        session: u64,
+        number: u64,
+        node: usize,
+        body: Vec<u8>,
+    },
+    ReportAnswer {
+        worker: String,
+        session: u64,
+        number: u64,
+        outcome: Option<(u16, Vec<u8>)>,
+    },
+    Frame {
+        to: usize,
+        bytes: Vec<u8>,
+    },
+    User {
+        node: usize,
+        job: String,
+        kind: UserKind,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum UserKind {
+    Submit,
+    Poll,
+    Cancel,
+    /// A request whose answer's status must be this.
+    Probe {
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        status: u16,
+    },
+}
+
+/// Who waits for a reply of a node.
+#[derive(Debug, Clone)]
+enum Asker {
+    Worker { id: String, session: u64, number: u64 },
+    User { job: String, kind: UserKind },
+}
+
+struct Controller {
+    node: Option<Node>,
+    life: u32,
+    restart_at: u64,
+    asked: HashMap<RequestId, Asker>,
+    next_request: u64,
+    frozen_until: u64,
+    inbox: Vec<Command>,
+}
+
+struct Watch {
+    node: usize,
+    life: u32,
+    call: CallId,
+    prefix: String,
+    after: u64,
+    until: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cut {
+    /// Packets vanish.
+    Drop,
+    /// Packets are delivered when it is over.
+    Hold,
+}
+
+/// What the next matching messages suffer.
+#[derive(Debug, Clone, PartialEq)]
+enum Mishap {
+    /// Carried out, but the answer is lost.
+    LoseAnswer { path: String },
+    /// Carried out so many ms later, without an answer.
+    Late { path: String, by_ms: u64 },
+}
+
+struct World {
+    now: u64,
+    queue: BTreeMap<(u64, u64), Event>,
+    next_event: u64,
+    nodes: Vec<Controller>,
+    state: StateService,
+    refused: BTreeMap<usize, u64>,
+    cloud: Cloud,
+    workers: BTreeMap<String, Worker>,
+    jobs: BTreeMap<String, JobFacts>,
+    watches: Vec<Watch>,
+    cuts: Vec<(String, String, Cut)>,
+    held: Vec<Event>,
+    mishaps: Vec<Mishap>,
+    user_at: BTreeMap<String, u64>,
+    user_turn: usize,
+    probes: Vec<(String, u16)>,
+    broken: Vec<String>,
+    most_refused: u32,
+}
+
+impl World {
+    fn new() -> World {
+        let mut world = World {
+            now: 0,
+            queue: BTreeMap::new(),
+            next_event: 0,
+            nodes: Vec::new(),
+            state: StateService::default(),
+            refused: BTreeMap::new(),
+            cloud: Cloud::default(),
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            watches: Vec::new(),
+            cuts: Vec::new(),
+            held: Vec::new(),
+            mishaps: Vec::new(),
+            user_at: BTreeMap::new(),
+            user_turn: 0,
+            probes: Vec::new(),
+            broken: Vec::new(),
+            most_refused: 0,
+        };
+        let flavors: Flavors = serde_json::from_str(include_str!("../support/flavors.json")).unwrap();
+        world.cloud.types = flavors.types;
+        for index in 0..NODES {
+            world.nodes.push(Controller {
+                node: None,
+                life: 0,
+                restart_at: 0,
+                asked: HashMap::new(),
+                next_request: 0,
+                frozen_until: 0,
+                inbox: Vec::new(),
+            });
+            world.boot(index);
+        }
+        world
+    }
+
+    fn boot(&mut self, index: usize) {
+        let mut settings = Settings::parse(include_str!("../support/settings.json")).unwrap();
+        let mut names: Vec<Peer> = settings.peers.clone();
+        names.push(Peer {
+            node: "n0".to_owned(),
+            addr: settings.peer_listen,
+        });
+        settings.node = format!("n{index}");
+        names.retain(|peer| peer.node != settings.node);
+        names.sort_by(|a, b| a.node.cmp(&b.node));
+        settings.peers = names;
+        let (now, wall) = (self.now, self.wall());
+        let controller = &mut self.nodes[index];
+        controller.life += 1;
+        controller.asked.clear();
+        controller.inbox.clear();
+        let seed = index as u64 + 100 * u64::from(controller.life);
+        controller.node = Some(Node::new(settings, seed, now, wall));
+    }
+
+    fn wall(&self) -> u64 {
+        1_700_000_000_000 + self.now
+    }
+
+    fn leader(&self) -> Option<usize> {
+        (0..NODES)
+            .filter(|index| {
+                self.nodes[*index]
+                    .node
+                    .as_ref()
+                    .is_some_and(|node| node.token().is_some())
+            })
+            .max_by_key(|index| self.nodes[*index].node.as_ref().and_then(Node::token))
+    }
+
+    fn breach(&mut self, rule: &str, what: impl std::fmt::Display) {
+        let line = format!("{rule} at {:.2} s: {what}", self.now as f64 / 1000.0);
+        if !self.broken.contains(&line) && self.broken.len() < 5 {
+            self.broken.push(line);
+        }
+    }
+
+    // ---- the network ---------------------------------------------------------
+
+    fn post(&mut self, after: u64, event: Event) {
+        self.next_event += 1;
+        self.queue.insert((self.now + after, self.next_event), event);
+    }
+
+    /// Sends an event between two hosts, through whatever cuts there are.
+    fn send(&mut self, from: &str, to: &str, event: Event) {
+        let matches = |pattern: &str, host: &str| {
+            pattern == "*" || pattern == host || (pattern == "workers" && host.starts_with("m-"))
+        };
+        let cut = self
+            .cuts
+            .iter()
+            .find(|(a, b, _)| (matches(a, from) && matches(b, to)) || (matches(b, from) && matches(a, to)))
+            .map(|(_, _, cut)| *cut);
+        match cut {
+            None => self.post(LATENCY_MS, event),
+            Some(Cut::Hold) => self.held.push(event),
+            Some(Cut::Drop) => (),
+        }
+    }
+
+    fn heal(&mut self) {
+        self.cuts.clear();
+        for event in std::mem::take(&mut self.held) {
+            self.post(LATENCY_MS, event);
+        }
+    }
+
+    // ---- one step ------------------------------------------------------------
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        self.state.expire(self.now);
+        for index in 0..NODES {
+            if self.nodes[index].node.is_none() && self.now >= self.nodes[index].restart_at {
+                self.boot(index);
+            }
+        }
+        while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            let event = entry.remove();
+            self.deliver(event);
+        }
+        self.step_machines();
+        self.step_watches();
+        self.step_users();
+        for index in 0..NODES {
+            self.step_node(index);
+        }
+        self.check_rules();
+    }
+
+    fn step_node(&mut self, index: usize) {
+        let (now, wall) = (self.now, self.wall());
+        let controller = &mut self.nodes[index];
+        if now < controller.frozen_until {
+            return;
+        }
+        let inbox = std::mem::take(&mut controller.inbox);
+        let life = controller.life;
+        let Some(node) = &mut controller.node else { return };
+        node.clock(now, wall);
+        for command in inbox {
+            node.handle(command);
+        }
+        node.settle();
+        let effects = node.take_effects();
+        let name = format!("n{index}");
+        for effect in effects {
+            match effect {
+                Effect::Reply {
+                    request,
+                    status,
+                    body,
+                    ..
+                } => {
+                    let asker = self.nodes[index].asked.remove(&request);
+                    self.replied(index, asker, status, body);
+                }
+                Effect::Call {
+                    call,
+                    to,
+                    method,
+                    path,
+                    body,
+                    timeout_ms,
+                } => {
+                    let timeout = Event::Answer {
+                        node: index,
+                        life,
+                        call,
+                        outcome: Outcome::NoAnswer,
+                    };
+                    self.post(timeout_ms, timeout);
+                    let host = host(&to);
+                    if let Destination::Worker(addr) = &to
+                        && !self.workers.contains_key(addr)
+                    {
+                        continue;
+                    }
+                    let event = Event::Call {
+                        node: index,
+                        life,
+                        call,
+                        to,
+                        method: method.as_str(),
+                        path,
+                        body,
+                    };
+                    self.send(&name, &host, event);
+                }
+                Effect::Frame { peer, bytes } => {
+                    let to = (0..NODES).filter(|other| *other != index).nth(peer).unwrap();
+                    self.send(&name, &format!("n{to}"), Event::Frame { to, bytes });
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, event: Event) {
+        match event {
+            Event::Call {
+                node,
+                life,
+                call,
+                to,
+                method,
+                path,
+                body,
+            } => self.serve(node, life, call, to, method, path, body),
+            Event::Answer {
+                node,
+                life,
+                call,
+                outcome,
+            } => {
+                if self.nodes[node].life == life && self.nodes[node].node.is_some() {
+                    self.nodes[node].inbox.push(Command::Answer { call, outcome });
+                }
+            }
+            Event::Report {
+                worker,
+                session,
+                number,
+                node,
+                body,
+            } => {
+                if self.nodes[node].node.is_some() {
+                    let request = self.ask(
+                        node,
+                        Asker::Worker {
+                            id: worker,
+                            session,
+                            number,
+                        },
+                    );
+                    let command = Command::Request {
+                        request,
+                        method: "POST".to_owned(),
+                        path: "/v1/report".to_owned(),
+                        body,
+                    };
+                    self.nodes[node].inbox.push(command);
+                } else {
+                    let event = Event::ReportAnswer {
+                        worker: worker.clone(),
+                        session,
+                        number,
+                        outcome: None,
+                    };
+                    self.post(LATENCY_MS, event);
+                }
+            }
+            Event::ReportAnswer {
+                worker,
+                session,
+                number,
+                outcome,
+            } => {
+                if let Some(worker) = self.workers.get_mut(&worker) {
+                    worker.answered(number, session, outcome, NODES, &self.jobs, self.now);
+                }
+            }
+            Event::Frame { to, bytes } => {
+                if self.nodes[to].node.is_some()
+                    && let Ok(Some((Some(frame), _))) = Frame::decode(&bytes)
+                {
+                    self.nodes[to].inbox.push(Command::Frame(frame));
+                }
+            }
+            Event::User { node, job, kind } => {
+                if self.nodes[node].node.is_none() {
+                    return;
+                }
+                let (method, path, body) = match &kind {
+                    UserKind::Submit => (
+                        "POST",
+                        "/v1/jobs".to_owned(),
+                        self.jobs[&job].body.to_string().into_bytes(),
+                    ),
+                    UserKind::Poll => ("GET", format!("/v1/jobs/{job}"), Vec::new()),
+                    UserKind::Cancel => ("POST", format!("/v1/jobs/{job}/withdraw"), Vec::new()),
+                    UserKind::Probe {
+                        method, path, body, ..
+                    } => (*method, path.clone(), body.clone()),
+                };
+                let request = self.ask(node, Asker::User { job, kind });
+                self.nodes[node].inbox.push(Command::Request {
+                    request,
+                    method: method.to_owned(),
+                    path,
+                    body,
+                });
+            }
+        }
+    }
+
+    fn ask(&mut self, node: usize, asker: Asker) -> RequestId {
+        let controller = &mut self.nodes[node];
+        controller.next_request += 1;
+        let request = RequestId(controller.next_request);
+        controller.asked.insert(request, asker);
+        request
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn serve(
+        &mut self,
+        node: usize,
+        life: u32,
+        call: CallId,
+        to: Destination,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+    ) {
+        let from = host(&to);
+        let mut silent = false;
+        let mishap = self.mishaps.iter().position(|mishap| {
+            let (Mishap::LoseAnswer { path: wanted } | Mishap::Late { path: wanted, .. }) = mishap;
+            *wanted == path && !(path == "/do" && !String::from_utf8_lossy(&body).contains("\"run\""))
+        });
+        if let Some(at) = mishap {
+            match self.mishaps.remove(at) {
+                Mishap::LoseAnswer { .. } => silent = true,
+                Mishap::Late { by_ms, .. } => {
+                    // The sender has given up by then; nobody hears the answer.
+                    let event = Event::Call {
+                        node,
+                        life: 0,
+                        call,
+                        to,
+                        method,
+                        path,
+                        body,
+                    };
+                    self.post(by_ms, event);
+                    return;
+                }
+            }
+        }
+        let answer = match &to {
+            Destination::State => {
+                if self.state.outage || self.refused.get(&node).is_some_and(|until| self.now < *until) {
+                    Some((503, Value::Null))
+                } else {
+                    match self.state.handle(method, &path, &body, self.now) {
+                        Reply::Now(status, value) => Some((status, value)),
+                        Reply::Wait { prefix, after, until } => {
+                            self.watches.push(Watch {
+                                node,
+                                life,
+                                call,
+                                prefix,
+                                after,
+                                until,
+                            });
+                            None
+                        }
+                    }
+                }
+            }
+            Destination::Cloud => {
+                let answer = self.cloud.handle(method, &path, &body, self.now);
+                for id in self.cloud.take_returned() {
+                    self.workers.remove(&id);
+                }
+                Some(answer)
+            }
+            Destination::Worker(addr) => {
+                let Some(worker) = self.workers.get_mut(addr) else {
+                    return;
+                };
+                if self.now < worker.hung_until {
+                    let wait = worker.hung_until - self.now;
+                    self.post(
+                        wait,
+                        Event::Call {
+                            node,
+                            life,
+                            call,
+                            to,
+                            method,
+                            path,
+                            body,
+                        },
+                    );
+                    return;
+                }
+                let (status, body) = if path == "/do" {
+                    worker.direct(&body, &self.jobs, self.now)
+                } else {
+                    (200, worker.report(self.now))
+                };
+                let outcome = Outcome::Answer { status, body };
+                if !silent {
+                    self.send(
+                        &from,
+                        &format!("n{node}"),
+                        Event::Answer {
+                            node,
+                            life,
+                            call,
+                            outcome,
+                        },
+                    );
+                }
+                return;
+            }
+        };
+        if let Some((status, value)) = answer
+            && !silent
+        {
+            let outcome = Outcome::Answer {
+                status,
+                body: value.to_string().into_bytes(),
+            };
+            self.send(
+                &from,
+                &format!("n{node}"),
+                Event::Answer {
+                    node,
+                    life,
+                    call,
+                    outcome,
+                },
+            );
+        }
+    }
+
+    fn step_watches(&mut self) {
+        if self.state.outage {
+            return;
+        }
+        let watches = std::mem::take(&mut self.watches);
+        for watch in watches {
+            if self
+                .refused
+                .get(&watch.node)
+                .is_some_and(|until| self.now < *until)
+            {
+                self.watches.push(watch);
+                continue;
+            }
+            let news = self
+                .state
+                .news(&watch.prefix, watch.after)
+                .or_else(|| (self.now >= watch.until).then(|| self.state.empty_news()));
+            match news {
+                Some(news) => {
+                    let outcome = Outcome::Answer {
+                        status: 200,
+                        body: news.to_string().into_bytes(),
+                    };
+                    let event = Event::Answer {
+                        node: watch.node,
+                        life: watch.life,
+                        call: watch.call,
+                        outcome,
+                    };
+                    self.send("state", &format!("n{}", watch.node), event);
+                }
+                None => self.watches.push(watch),
+            }
+        }
+    }
+
+    fn step_machines(&mut self) {
+        let up: Vec<String> = self
+            .cloud
+            .machines
+            .iter()
+            .filter(|(id, machine)| {
+                machine.up_at <= self.now && machine.gone_at.is_none() && !self.workers.contains_key(*id)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in up {
+            let machine = &self.cloud.machines[&id];
+            let worker = Worker::new(&id, &machine.machine_type, &machine.zone, machine.spot, self.now);
+            self.workers.insert(id, worker);
+        }
+        let taken: Vec<String> = self
+            .workers
+            .values()
+            .filter(|worker| worker.notice_at.is_some_and(|at| self.now >= at))
+            .map(|worker| worker.id.clone())
+            .collect();
+        for id in taken {
+            self.cloud.remove(&id, self.now);
+            self.workers.remove(&id);
+        }
+        let ids: Vec<String> = self.workers.keys().cloned().collect();
+        for id in ids {
+            let Some(worker) = self.workers.get_mut(&id) else {
+                continue;
+            };
+            let arrived = worker.step(&mut self.jobs, self.now);
+            let (node, session) = (worker.node, worker.session);
+            if let Some((number, body)) = worker.due_report(self.now) {
+                let event = Event::Report {
+                    worker: id.clone(),
+                    session,
+                    number,
+                    node,
+                    body,
+                };
+                self.send(&id, &format!("n{node}"), event);
+            }
+            for task in arrived {
+                self.check_start(&id, &task.job, task.index);
+            }
+        }
+        self.step_gangs();
+    }
+
+    /// Gangs start together, end together and notice a lost member.
+    fn step_gangs(&mut self) {
+        let mut gangs: BTreeMap<(String, u64), Vec<TaskState>> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let hung = self.now < worker.hung_until;
+            for task in worker.tasks.iter().filter(|task| task.on() && !hung) {
+                gangs
+                    .entry((task.job.clone(), task.attempt))
+                    .or_default()
+                    .push(task.state);
+            }
+        }
+        for ((job, attempt), states) in gangs {
+            let facts = &self.jobs[&job];
+            if facts.shape != "gang" {
+                continue;
+            }
+            let all = states.len() as u32 == facts.tasks;
+            let start = all && states.iter().all(|state| *state == TaskState::Waiting);
+            let done = facts.done.len() as u32 == facts.tasks;
+            for task in self.workers.values_mut().flat_map(|worker| &mut worker.tasks) {
+                if task.job != job || task.attempt != attempt || !task.on() {
+                    continue;
+                }
+                if start {
+                    task.state = TaskState::Running;
+                    task.since = self.now;
+                    task.progress_from = facts.saved_s;
+                } else if done && task.state == TaskState::Running {
+                    task.exit(indigopath_core::wire::Cause::Done);
+                } else if task.state == TaskState::Running {
+                    let missing = !all;
+                    task.lost_mates_at =
+                        missing.then(|| task.lost_mates_at.unwrap_or(self.now + GANG_PEER_MS));
+                }
+            }
+        }
+    }
+
+    // ---- users ---------------------------------------------------------------
+
+    fn step_users(&mut self) {
+        let due: Vec<String> = self
+            .user_at
+            .iter()
+            .filter(|(_, at)| self.now >= **at)
+            .map(|(job, _)| job.clone())
+            .collect();
+        for job in due {
+            let facts = &self.jobs[&job];
+            let over = matches!(facts.told.as_deref(), Some("done" | "cancelled"));
+            let kind = if !facts.accepted {
+                UserKind::Submit
+            } else if facts.wants_cancel && !over {
+                UserKind::Cancel
+            } else {
+                UserKind::Poll
+            };
+            self.user_at.insert(job.clone(), self.now + 1_000);
+            self.user_turn += 1;
+            let node = self.user_turn % NODES;
+            self.send("users", &format!("n{node}"), Event::User { node, job, kind });
+        }
+    }
+
+    fn replied(&mut self, node: usize, asker: Option<Asker>, status: u16, body: Vec<u8>) {
+        let name = format!("n{node}");
+        match asker {
+            None => (),
+            Some(Asker::Worker { id, session, number }) => {
+                let event = Event::ReportAnswer {
+                    worker: id.clone(),
+                    session,
+                    number,
+                    outcome: Some((status, body)),
+                };
+                self.send(&name, &id, event);
+            }
+            Some(Asker::User { job, kind }) => self.user_told(&job, kind, status, &body),
+        }
+    }
+
+    fn user_told(&mut self, job: &str, kind: UserKind, status: u16, body: &[u8]) {
+        if let UserKind::Probe {
+            method,
+            path,
+            status: wanted,
+            ..
+        } = kind
+        {
+            if status != wanted && status != 503 {
+                self.breach("answer", format!("{method} {path} got {status}, not {wanted}"));
+            }
+            self.probes.push((path, status));
+            return;
+        }
+        let now = self.now;
+        let facts = self.jobs.get_mut(job).unwrap();
+        match (kind, status) {
+            (UserKind::Submit, 200 | 201) => facts.accepted = true,
+            (_, 400 | 404 | 422) if facts.accepted => {
+                self.breach("forgotten", format!("{job} got {status}"));
+                return;
+            }
+            (_, 503) => self.most_refused += 1,
+            _ => (),
+        }
+        if status != 200 && status != 201 {
+            return;
+        }
+        let answer: Value = serde_json::from_slice(body).unwrap();
+        let told = answer["Status"].as_str().unwrap().to_owned();
+        let facts = self.jobs.get_mut(job).unwrap();
+        let before = facts.told.replace(told.clone());
+        let complete = facts.done.len() as u32 == facts.tasks && facts.shape != "daemon";
+        let wanted = facts.wants_cancel;
+        if told == "cancelled" {
+            facts.cancelled_at.get_or_insert(now);
+        }
+        if told == "done" {
+            facts.done_told_at.get_or_insert(now);
+        }
+        if let Some(before) = before.filter(|before| matches!(before.as_str(), "done" | "cancelled"))
+            && before != told
+        {
+            self.breach("went_back", format!("{job} was {before}, is {told}"));
+        }
+        if told == "done" && !complete {
+            self.breach("not_done", job);
+        }
+        if told == "cancelled" && !wanted {
+            self.breach("went_back", format!("{job} is cancelled, but not by its user"));
+        }
+    }
+
+    // ---- the rules -----------------------------------------------------------
+
+    fn on_machines(&self) -> impl Iterator<Item = (&Worker, &worker::Task)> {
+        self.workers.values().flat_map(|worker| {
+            worker
+                .tasks
+                .iter()
+                .filter(|task| task.on())
+                .map(move |task| (worker, task))
+        })
+    }
+
+    fn check_start(&mut self, machine: &str, job: &str, index: u32) {
+        self.jobs.get_mut(job).unwrap().starts += 1;
+        let facts = self.jobs[job].clone();
+        let worker = &self.workers[machine];
+        let (zone, machine_type, spot) = (worker.zone.clone(), worker.machine_type.clone(), worker.spot);
+        let name = format!("{job}/{index}");
+        let elsewhere: Vec<(String, String, String)> = self
+            .on_machines()
+            .filter(|(_, task)| task.job == job)
+            .map(|(worker, task)| (worker.id.clone(), worker.zone.clone(), task.name()))
+            .collect();
+        if elsewhere
+            .iter()
+            .any(|(id, _, task)| *task == name && id != machine)
+        {
+            self.breach("ran_twice", &name);
+        }
+        let body = &facts.body;
+        let type_ok = body["Rigs"]
+            .as_array()
+            .is_none_or(|types| types.iter().any(|allowed| *allowed == machine_type.as_str()));
+        let zone_ok = body["Yard"].as_str().is_none_or(|only| only == zone);
+        let one_ok = body["OneZone"] != true || elsewhere.iter().all(|(_, other, _)| *other == zone);
+        let mut in_zone: BTreeSet<&String> = elsewhere
+            .iter()
+            .filter(|(_, other, _)| *other == zone)
+            .map(|(_, _, task)| task)
+            .collect();
+        in_zone.insert(&name);
+        let apart_ok = body["Apart"] != true || in_zone.len() as u32 <= facts.tasks.div_ceil(2);
+        if !(type_ok && zone_ok && one_ok && apart_ok) || (spot && body["Loaners"] != true) {
+            self.breach(
+                "wrong_place",
+                format!("{name} on {machine} ({machine_type}, {zone}, spot {spot})"),
+            );
+        }
+        if facts.cancelled_at.is_some_and(|at| self.now > at + CANCEL_MS) {
+            self.breach("ran_cancelled", format!("{name} starts"));
+        }
+    }
+
+    fn check_rules(&mut self) {
+        let mut used: BTreeMap<String, f64> = BTreeMap::new();
+        let mut overdue = Vec::new();
+        for (_, task) in self.on_machines() {
+            let facts = &self.jobs[&task.job];
+            *used.entry(facts.team.clone()).or_default() += facts.gpus;
+            if facts.cancelled_at.is_some_and(|at| self.now > at + CANCEL_MS) {
+                overdue.push(task.name());
+            }
+        }
+        for name in overdue {
+            self.breach("ran_cancelled", name);
+        }
+        for (team, limit) in [("red", 16.0), ("blue", 32.0)] {
+            let used = used.get(team).copied().unwrap_or(0.0);
+            if used > limit {
+                self.breach("quota", format!("{team} uses {used} GPUs"));
+            }
+        }
+    }
+
+    /// The machine on which a task is now.
+    fn machine_of(&self, name: &str) -> Option<String> {
+        self.workers
+            .values()
+            .find(|worker| {
+                worker
+                    .tasks
+                    .iter()
+                    .any(|task| task.name() == name && task.state != TaskState::Exited)
+            })
+            .map(|worker| worker.id.clone())
+    }
+}
+
+fn host(to: &Destination) -> String {
+    match to {
+        Destination::State => "state".to_owned(),
+        Destination::Cloud => "cloud".to_owned(),
+        Destination::Worker(addr) => addr.clone(),
+    }
+}
--- /dev/null
+++ b/core/tests/sim/script.rs
@@ -0,0 +1,375 @@
+//! Reads and plays a scenario. A line is `at SECONDS VERB …`, `expect …` (checked
+//! at the end) or `until SECONDS`; `#` starts a comment.
+
+use super::{Cut, Event, JobFacts, Mishap, NODES, UserKind, World};
+use indigopath_core::wire::TaskState;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+pub fn run(text: &str) -> Result<(), String> {
+    let mut actions: BTreeMap<(u64, usize), String> = BTreeMap::new();
+    let mut expects = Vec::new();
+    let mut until = 0;
+    for (number, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+        match word {
+            "" => (),
+            "at" => {
+                let (at, action) = rest
+                    .split_once(' ')
+                    .ok_or(format!("line {}: no action", number + 1))?;
+                let at: f64 = at.parse().map_err(|_| format!("line {}: no time", number + 1))?;
+                actions.insert(((at * 1000.0) as u64, number), action.to_owned());
+            }
+            "expect" => expects.push(rest.to_owned()),
+            "until" => until = rest.parse::<u64>().map_err(|error| error.to_string())? * 1000,
+            other => return Err(format!("line {}: unknown word {other}", number + 1)),
+        }
+    }
+    if expects.is_empty() || until == 0 {
+        return Err("a scenario needs `expect` and `until`".to_owned());
+    }
+    let mut world = World::new();
+    while world.now < until {
+        while let Some(entry) = actions.first_entry().filter(|entry| entry.key().0 <= world.now) {
+            let action = entry.remove();
+            act(&mut world, &mut actions, &action).map_err(|problem| format!("`{action}`: {problem}"))?;
+        }
+        world.step();
+    }
+    let mut problems = std::mem::take(&mut world.broken);
+    if !world.jobs.is_empty()
+        && world.jobs.values().all(|job| job.starts == 0)
+        && !expects.iter().any(|line| line.contains("starts = 0"))
+    {
+        problems.push("nothing_ran".to_owned());
+    }
+    for expect in expects {
+        if let Err(problem) = check(&world, &expect) {
+            problems.push(format!("expect {expect}: {problem}"));
+        }
+    }
+    if problems.is_empty() {
+        Ok(())
+    } else {
+        Err(problems.join("\n"))
+    }
+}
+
+/// Splits `key=value` words from plain ones.
+fn words(text: &str) -> (Vec<&str>, BTreeMap<&str, &str>) {
+    let mut plain = Vec::new();
+    let mut keyed = BTreeMap::new();
+    for word in text.split_whitespace() {
+        match word.split_once('=') {
+            Some((key, value)) => {
+                keyed.insert(key, value);
+            }
+            None => plain.push(word),
+        }
+    }
+    (plain, keyed)
+}
+
+fn number(text: &str) -> Result<f64, String> {
+    text.parse().map_err(|_| format!("{text} is no number"))
+}
+
+fn body(id: &str, keyed: &BTreeMap<&str, &str>) -> Result<(Value, JobFacts), String> {
+    let get = |key: &str, or: &str| keyed.get(key).copied().unwrap_or(or).to_owned();
+    let amount = |key: &str, or: &str| number(&get(key, or));
+    let flag = |key: &str| keyed.get(key) == Some(&"yes");
+    let optional = |key: &str| keyed.get(key).map_or(Value::Null, |value| json!(value));
+    let shape = get("shape", "sweep");
+    let facts = JobFacts {
+        shape: shape.clone(),
+        team: get("team", "blue"),
+        tasks: amount("tasks", "1")? as u32,
+        gpus: amount("gpus", "1")?,
+        run_s: amount("run", "10")?,
+        checkpoint_s: amount("checkpoint", "0")?,
+        save_s: amount("save", "0")?,
+        image: get("image", "img-1"),
+        image_gb: amount("image_gb", "1")?,
+        broken: flag("broken"),
+        ..JobFacts::default()
+    };
+    let body = json!({
+        "Id": id, "Lane": get("class", "batch"), "Crew": facts.team, "Shape": shape,
+        "Urgency": get("priority", "standard"), "Picks": facts.tasks,
+        "Cpus": amount("cpus", "2")?, "Gpus": facts.gpus, "MemGb": 4.0,
+        "Kit": facts.image, "PullGb": facts.image_gb,
+        "Rigs": keyed.get("types").map(|types| types.split(',').collect::<Vec<_>>()),
+        "Yard": optional("zone"), "OneZone": flag("one_zone"), "Apart": flag("apart"), "Loaners": flag("spot"),
+        "RuntimeS": if shape == "daemon" { 0.0 } else { amount("estimate", &get("run", "10"))? },
+        "StashEveryS": facts.checkpoint_s, "StashS": facts.save_s, "DueS": Value::Null,
+    });
+    Ok((body.clone(), JobFacts { body, ..facts }))
+}
+
+fn nodes_named(world: &World, name: &str) -> Result<Vec<usize>, String> {
+    match name {
+        "all" => Ok((0..NODES).collect()),
+        "leader" => world
+            .leader()
+            .map(|leader| vec![leader])
+            .ok_or("nobody leads".to_owned()),
+        "follower" => {
+            let leader = world.leader().ok_or("nobody leads")?;
+            Ok(vec![(leader + 1) % NODES])
+        }
+        other => other
+            .strip_prefix('n')
+            .and_then(|index| index.parse().ok())
+            .filter(|index| *index < NODES)
+            .map(|index| vec![index])
+            .ok_or(format!("no node {other}")),
+    }
+}
+
+fn host_named(world: &World, name: &str) -> Result<String, String> {
+    match name {
+        "leader" | "follower" => Ok(format!("n{}", nodes_named(world, name)?[0])),
+        other => machine_named(world, other).or_else(|_| Ok(other.to_owned())),
+    }
+}
+
+fn machine_named(world: &World, name: &str) -> Result<String, String> {
+    if let Some(task) = name.strip_prefix("of:") {
+        return world.machine_of(task).ok_or(format!("{task} is nowhere"));
+    }
+    world
+        .workers
+        .contains_key(name)
+        .then(|| name.to_owned())
+        .ok_or(format!("no machine {name}"))
+}
+
+fn act(world: &mut World, actions: &mut BTreeMap<(u64, usize), String>, action: &str) -> Result<(), String> {
+    let (plain, keyed) = words(action);
+    let arg = |at: usize| plain.get(at).copied().ok_or("too few words".to_owned());
+    let for_ms = keyed
+        .get("for")
+        .map(|value| number(value))
+        .transpose()?
+        .map(|seconds| (seconds * 1000.0) as u64);
+    let later = |actions: &mut BTreeMap<(u64, usize), String>, world: &World, text: &str| {
+        if let Some(ms) = for_ms {
+            actions.insert((world.now + ms, 100_000 + actions.len()), text.to_owned());
+        }
+    };
+    match arg(0)? {
+        "submit" => {
+            let id = arg(1)?;
+            let (_, facts) = body(id, &keyed)?;
+            world.jobs.insert(id.to_owned(), facts);
+            world.user_at.insert(id.to_owned(), world.now);
+        }
+        "withdraw" => world.jobs.get_mut(arg(1)?).ok_or("no such job")?.wants_cancel = true,
+        // A submission again, with another body: its job's state, never a refusal.
+        "resubmit" => {
+            let (body, _) = body(arg(1)?, &keyed)?;
+            for node in 0..NODES {
+                let kind = UserKind::Probe {
+                    method: "POST",
+                    path: "/v1/jobs".to_owned(),
+                    body: body.to_string().into_bytes(),
+                    status: 200,
+                };
+                let event = Event::User {
+                    node,
+                    job: String::new(),
+                    kind,
+                };
+                world.send("users", &format!("n{node}"), event);
+            }
+        }
+        "probe" => {
+            let method = if arg(1)? == "GET" { "GET" } else { "POST" };
+            let body = keyed.get("body").copied().unwrap_or("").as_bytes().to_vec();
+            let kind = UserKind::Probe {
+                method,
+                path: arg(2)?.to_owned(),
+                body,
+                status: number(arg(3)?)? as u16,
+            };
+            for node in 0..NODES {
+                let event = Event::User {
+                    node,
+                    job: String::new(),
+                    kind: kind.clone(),
+                };
+                world.send("users", &format!("n{node}"), event);
+            }
+        }
+        "crash" => {
+            for node in nodes_named(world, arg(1)?)? {
+                world.nodes[node].node = None;
+                world.nodes[node].restart_at = world.now + for_ms.unwrap_or(super::RESTART_MS);
+            }
+        }
+        "freeze" => {
+            for node in nodes_named(world, arg(1)?)? {
+                world.nodes[node].frozen_until = world.now + for_ms.ok_or("for how long")?;
+            }
+        }
+        "refuse" => {
+            for node in nodes_named(world, arg(1)?)? {
+                world
+                    .refused
+                    .insert(node, world.now + for_ms.ok_or("for how long")?);
+            }
+        }
+        "cut" => {
+            let (a, b) = (host_named(world, arg(1)?)?, host_named(world, arg(2)?)?);
+            let cut = if plain.contains(&"hold") {
+                Cut::Hold
+            } else {
+                Cut::Drop
+            };
+            world.cuts.push((a, b, cut));
+            later(actions, world, "heal");
+        }
+        "heal" => world.heal(),
+        "outage" => {
+            match arg(1)? {
+                "state" => world.state.start_outage(world.now),
+                _ => world.cloud.outage = true,
+            }
+            later(actions, world, &format!("restore {}", arg(1)?));
+        }
+        "restore" => match arg(1)? {
+            "state" => world.state.end_outage(world.now),
+            _ => world.cloud.outage = false,
+        },
+        "lose-answer" => world.mishaps.push(Mishap::LoseAnswer {
+            path: arg(1)?.to_owned(),
+        }),
+        "late" => {
+            let by_ms = (number(arg(2)?)? * 1000.0) as u64;
+            world.mishaps.push(Mishap::Late {
+                path: arg(1)?.to_owned(),
+                by_ms,
+            });
+        }
+        "die" => {
+            let id = machine_named(world, arg(1)?)?;
+            world.workers.remove(&id);
+            // It still appears as running; nothing on it runs.
+            if let Some(machine) = world.cloud.machines.get_mut(&id) {
+                machine.up_at = u64::MAX;
+            }
+        }
+        "hang" => {
+            let id = machine_named(world, arg(1)?)?;
+            let until = world.now + for_ms.ok_or("for how long")?;
+            world.workers.get_mut(&id).ok_or("no machine")?.hung_until = until;
+        }
+        "faulty" => {
+            let id = machine_named(world, arg(1)?)?;
+            world.workers.get_mut(&id).ok_or("no machine")?.faulty = true;
+        }
+        "notice" => {
+            let id = machine_named(world, arg(1)?)?;
+            let now = world.now;
+            let taken_at = now + (number(arg(2)?)? * 1000.0) as u64;
+            world
+                .workers
+                .get_mut(&id)
+                .ok_or("no machine")?
+                .warn(taken_at, now);
+        }
+        "no-capacity" => {
+            world
+                .cloud
+                .refused
+                .insert((arg(1)?.to_owned(), arg(2)? == "spot"));
+        }
+        "duds" => world.cloud.duds = number(arg(1)?)? as u32,
+        "stranger" => {
+            world.cloud.rent(arg(1)?, arg(2)?, false, world.now);
+        }
+        "fix" => world.jobs.get_mut(arg(1)?).ok_or("no such job")?.broken = false,
+        other => return Err(format!("unknown action {other}")),
+    }
+    Ok(())
+}
+
+fn check(world: &World, expect: &str) -> Result<(), String> {
+    let words: Vec<&str> = expect.split_whitespace().collect();
+    let job = |id: &str| world.jobs.get(id).ok_or(format!("no job {id}"));
+    let compare = |have: f64, sign: &str, want: &str| {
+        let want = number(want)?;
+        let holds = match sign {
+            "=" => have == want,
+            "<=" => have <= want,
+            ">=" => have >= want,
+            other => return Err(format!("unknown sign {other}")),
+        };
+        if holds {
+            Ok(())
+        } else {
+            Err(format!("it is {have}"))
+        }
+    };
+    match words.as_slice() {
+        ["machines", sign, want] => compare(world.workers.len() as f64, sign, want),
+        ["rented", sign, want] => compare(f64::from(world.cloud.rentals), sign, want),
+        ["fenced", sign, want] => compare(f64::from(world.state.fenced), sign, want),
+        ["refused", sign, want] => compare(f64::from(world.most_refused), sign, want),
+        ["answered", path, sign, want] => compare(
+            world
+                .probes
+                .iter()
+                .filter(|(asked, status)| asked == path && *status != 503)
+                .count() as f64,
+            sign,
+            want,
+        ),
+        ["live", "jobs", sign, want] => compare(world.state.count("j/") as f64, sign, want),
+        ["leaders", sign, want] => {
+            let leaders = world
+                .nodes
+                .iter()
+                .filter(|node| node.node.as_ref().is_some_and(|node| node.token().is_some()))
+                .count();
+            compare(leaders as f64, sign, want)
+        }
+        ["leader", "key"] => world
+            .state
+            .value("leader")
+            .map(|_| ())
+            .ok_or("there is none".to_owned()),
+        [id, "told", want] => {
+            let told = job(id)?.told.clone().unwrap_or_default();
+            if told == *want {
+                Ok(())
+            } else {
+                Err(format!("its user was told {told:?}"))
+            }
+        }
+        [id, "done", "by", want] => match job(id)?.done_told_at {
+            Some(at) => compare(at as f64 / 1000.0, "<=", want),
+            None => Err("its user was never told so".to_owned()),
+        },
+        [id, "starts", sign, want] => compare(f64::from(job(id)?.starts), sign, want),
+        [id, "saved", sign, want] => compare(job(id)?.saved_s, sign, want),
+        [id, "running", sign, want] => {
+            let running = world
+                .on_machines()
+                .filter(|(_, task)| task.job == *id && task.state == TaskState::Running)
+                .count();
+            compare(running as f64, sign, want)
+        }
+        [id, "zones", sign, want] => {
+            let zones: std::collections::BTreeSet<&str> = world
+                .on_machines()
+                .filter(|(_, task)| task.job == *id)
+                .map(|(worker, _)| worker.zone.as_str())
+                .collect();
+            compare(zones.len() as f64, sign, want)
+        }
+        _ => Err("unknown expectation".to_owned()),
+    }
+}
--- /dev/null
+++ b/core/tests/sim/state.rs
@@ -0,0 +1,285 @@
+//! A stand-in for the state service, by its published protocol.
+
+use indigopath_core::wire::{
+    Change, Changes, Event, LeaseAnswer, LeaseRequest, StoredItem, StoredPage, Transaction,
+};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// Changes that the service keeps for watches.
+const HISTORY: usize = 10_000;
+
+#[derive(Default)]
+pub struct StateService {
+    pub revision: u64,
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    next_lease: u64,
+    history: Vec<(u64, Event)>,
+    pub outage: bool,
+    outage_began: Option<u64>,
+    /// Transactions that met a condition on the leader's key that no longer held.
+    pub fenced: u32,
+}
+
+/// An answer, or a watch that goes on waiting.
+pub enum Reply {
+    Now(u16, Value),
+    Wait { prefix: String, after: u64, until: u64 },
+}
+
+impl StateService {
+    pub fn start_outage(&mut self, now: u64) {
+        self.outage = true;
+        self.outage_began = Some(now);
+    }
+
+    pub fn end_outage(&mut self, now: u64) {
+        self.outage = false;
+        // Every lease has its full time again.
+        for (ttl, expires) in self.leases.values_mut() {
+            *expires = now + *ttl;
+        }
+        self.outage_began = None;
+    }
+
+    pub fn expire(&mut self, now: u64) {
+        if self.outage {
+            return;
+        }
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, expires))| *expires < now)
+            .map(|(id, _)| *id)
+            .collect();
+        for lease in over {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) -> bool {
+        if self.leases.remove(&lease).is_none() {
+            return false;
+        }
+        let keys: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, value)| value.2 == Some(lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+            for key in keys {
+                self.delete(&key);
+            }
+        }
+        true
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            self.note(Event::Delete { key: key.to_owned() });
+        }
+    }
+
+    fn note(&mut self, event: Event) {
+        self.history.push((self.revision, event));
+        if self.history.len() > HISTORY {
+            self.history.remove(0);
+        }
+    }
+
+    pub fn value(&self, key: &str) -> Option<&Value> {
+        self.keys.get(key).map(|(value, _, _)| value)
+    }
+
+    pub fn count(&self, prefix: &str) -> usize {
+        self.keys.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
+    /// What a watch would be told now, if anything.
+    pub fn news(&self, prefix: &str, after: u64) -> Option<Value> {
+        let events: Vec<Event> = self
+            .history
+            .iter()
+            .filter(|(revision, event)| {
+                let key = match event {
+                    Event::Put { key, .. } | Event::Delete { key } => key,
+                };
+                *revision > after && key.starts_with(prefix)
+            })
+            .map(|(_, event)| event.clone())
+            .collect();
+        (!events.is_empty()).then(|| {
+            serde_json::to_value(Changes {
+                revision: self.revision,
+                events,
+            })
+            .unwrap()
+        })
+    }
+
+    pub fn empty_news(&self) -> Value {
+        json!({ "Ledger": self.revision, "News": [] })
+    }
+
+    pub fn handle(&mut self, method: &str, path: &str, body: &[u8], now: u64) -> Reply {
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let query: BTreeMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        match (method, path) {
+            ("POST", "/multi") => self.transaction(body),
+            ("POST", "/holds") => {
+                let request: LeaseRequest = serde_json::from_slice(body).unwrap();
+                self.next_lease += 1;
+                self.leases
+                    .insert(self.next_lease, (request.ttl_ms, now + request.ttl_ms));
+                Reply::Now(
+                    200,
+                    serde_json::to_value(LeaseAnswer {
+                        lease: self.next_lease,
+                    })
+                    .unwrap(),
+                )
+            }
+            ("GET", "/store") => self.page(&query),
+            ("GET", "/changes") => {
+                let after: u64 = query["From"].parse().unwrap();
+                let hold: u64 = query["HoldMs"].parse().unwrap();
+                if self.history.len() >= HISTORY && self.history[0].0 > after {
+                    return Reply::Now(410, json!({}));
+                }
+                match self.news(query["Under"], after) {
+                    Some(news) => Reply::Now(200, news),
+                    None => Reply::Wait {
+                        prefix: query["Under"].to_owned(),
+                        after,
+                        until: now + hold,
+                    },
+                }
+            }
+            _ => self.one(method, path, now),
+        }
+    }
+
+    fn one(&mut self, method: &str, path: &str, now: u64) -> Reply {
+        if let Some(key) = path.strip_prefix("/store/") {
+            return match self.keys.get(key) {
+                Some((value, version, lease)) => {
+                    let mut item = serde_json::to_value(StoredItem {
+                        key: key.to_owned(),
+                        value: value.clone(),
+                        version: *version,
+                    })
+                    .unwrap();
+                    if let Some(lease) = lease {
+                        item["Permit"] = json!(lease);
+                    }
+                    Reply::Now(200, item)
+                }
+                None => Reply::Now(404, json!({ "Ledger": self.revision })),
+            };
+        }
+        let Some(rest) = path.strip_prefix("/holds/") else {
+            return Reply::Now(400, json!({}));
+        };
+        if method == "DELETE" {
+            let known = self.end_lease(rest.parse().unwrap());
+            return Reply::Now(if known { 200 } else { 404 }, json!({}));
+        }
+        let lease: u64 = rest.trim_end_matches("/touch").parse().unwrap();
+        match self.leases.get_mut(&lease) {
+            Some((ttl, expires)) => {
+                *expires = now + *ttl;
+                Reply::Now(200, json!({ "Permit": lease }))
+            }
+            None => Reply::Now(404, json!({})),
+        }
+    }
+
+    fn page(&self, query: &BTreeMap<&str, &str>) -> Reply {
+        let prefix = query["Under"];
+        let after = query.get("From").copied().unwrap_or("");
+        let limit: usize = query.get("Limit").map_or(1000, |limit| limit.parse().unwrap());
+        let mut items: Vec<StoredItem> = self
+            .keys
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
+            .take(limit + 1)
+            .map(|(key, (value, version, _))| StoredItem {
+                key: key.clone(),
+                value: value.clone(),
+                version: *version,
+            })
+            .collect();
+        let more = items.len() > limit;
+        items.truncate(limit);
+        Reply::Now(
+            200,
+            serde_json::to_value(StoredPage {
+                items,
+                more,
+                revision: self.revision,
+            })
+            .unwrap(),
+        )
+    }
+
+    fn transaction(&mut self, body: &[u8]) -> Reply {
+        assert!(body.len() <= 64 * 1024, "a transaction of {} bytes", body.len());
+        let transaction: Transaction = serde_json::from_slice(body).unwrap();
+        assert!(
+            transaction.changes.len() <= 12,
+            "{} changes in one transaction",
+            transaction.changes.len()
+        );
+        assert!(
+            transaction.conditions.len() <= 48,
+            "{} conditions in one transaction",
+            transaction.conditions.len()
+        );
+        let failed: Vec<String> = transaction
+            .conditions
+            .iter()
+            .filter(|condition| self.keys.get(&condition.key).map_or(0, |value| value.1) != condition.version)
+            .map(|condition| condition.key.clone())
+            .collect();
+        let lost_lease = transaction.changes.iter().any(|change| match change {
+            Change::Put {
+                lease: Some(lease), ..
+            } => !self.leases.contains_key(lease),
+            _ => false,
+        });
+        if lost_lease {
+            return Reply::Now(400, json!({ "error": "no such lease" }));
+        }
+        if !failed.is_empty() {
+            self.fenced += u32::from(failed.iter().any(|key| key == "leader"));
+            return Reply::Now(409, json!({ "failed": failed, "Ledger": self.revision }));
+        }
+        self.revision += 1;
+        for change in transaction.changes {
+            match change {
+                Change::Put { key, value, lease } => {
+                    assert!(
+                        !key.is_empty() && key.len() <= 200 && !key.contains(' '),
+                        "key {key:?}"
+                    );
+                    assert!(
+                        value.to_string().len() <= 16 * 1024,
+                        "value of {key} is too large"
+                    );
+                    self.keys
+                        .insert(key.clone(), (value.clone(), self.revision, lease));
+                    self.note(Event::Put {
+                        key,
+                        value,
+                        version: self.revision,
+                    });
+                }
+                Change::Delete { key } => self.delete(&key),
+            }
+        }
+        Reply::Now(200, json!({ "Ledger": self.revision }))
+    }
+}
--- /dev/null
+++ b/core/tests/sim/worker.rs
@@ -0,0 +1,342 @@
+//! A stand-in for a worker, by its published protocol: sessions, leases, tokens,
+//! images, gangs.
+
+use super::JobFacts;
+use indigopath_core::wire::{Cause, DirectOrders, Order, Report, ReportAnswer, TaskReport, TaskState, Verb};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const REPORT_MS: u64 = 3_000;
+pub const LEASE_MS: u64 = 30_000;
+const GANG_WAIT_MS: u64 = 30_000;
+pub const GANG_PEER_MS: u64 = 5_000;
+
+#[derive(Debug, Clone)]
+pub struct Task {
+    pub job: String,
+    pub index: u32,
+    pub attempt: u64,
+    pub state: TaskState,
+    pub why: Option<Cause>,
+    pub saved: bool,
+    pub since: u64,
+    pub progress_from: f64,
+    /// When it will have saved, and when its gang was told to stop.
+    pub stop_at: Option<u64>,
+    pub lost_mates_at: Option<u64>,
+}
+
+impl Task {
+    /// On its machine by the rules' reckoning: from having its image until it exits.
+    pub fn on(&self) -> bool {
+        !matches!(self.state, TaskState::Exited | TaskState::Fetching)
+    }
+
+    pub fn name(&self) -> String {
+        format!("{}/{}", self.job, self.index)
+    }
+}
+
+pub struct Worker {
+    pub id: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub tasks: Vec<Task>,
+    images: BTreeSet<String>,
+    pub node: usize,
+    pub in_flight: Option<(u64, u64)>,
+    pub next_report: u64,
+    pub last_report: u64,
+    /// Sending time of the last answered report, or the session's beginning.
+    pub lease_from: u64,
+    pub hung_until: u64,
+    pub notice_at: Option<u64>,
+    pub faulty: bool,
+    reports: u64,
+}
+
+impl Worker {
+    pub fn new(id: &str, machine_type: &str, zone: &str, spot: bool, now: u64) -> Worker {
+        Worker {
+            id: id.to_owned(),
+            machine_type: machine_type.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: Vec::new(),
+            images: BTreeSet::new(),
+            node: 0,
+            in_flight: None,
+            next_report: now,
+            last_report: 0,
+            lease_from: now,
+            hung_until: 0,
+            notice_at: None,
+            faulty: false,
+            reports: 0,
+        }
+    }
+
+    pub fn report(&mut self, now: u64) -> Vec<u8> {
+        self.seq += 1;
+        let report = Report {
+            machine: self.id.clone(),
+            addr: self.id.clone(),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self.notice_at.map(|at| at.saturating_sub(now) as f64 / 1000.0),
+            tasks: self
+                .tasks
+                .iter()
+                .map(|task| TaskReport {
+                    task: task.name(),
+                    attempt: task.attempt,
+                    state: task.state,
+                    why: task.why,
+                    saved: task.saved.then_some(true),
+                })
+                .collect(),
+        };
+        serde_json::to_vec(&report).unwrap()
+    }
+
+    /// The next report, if one is due: its number and body.
+    pub fn due_report(&mut self, now: u64) -> Option<(u64, Vec<u8>)> {
+        if self.in_flight.is_some() || now < self.next_report || now < self.hung_until {
+            return None;
+        }
+        self.reports += 1;
+        self.in_flight = Some((self.reports, now));
+        self.last_report = now;
+        self.next_report = now + REPORT_MS;
+        Some((self.reports, self.report(now)))
+    }
+
+    fn changed(&mut self, now: u64) {
+        self.next_report = self.next_report.min((self.last_report + 500).max(now));
+    }
+
+    pub fn answered(
+        &mut self,
+        number: u64,
+        session: u64,
+        outcome: Option<(u16, Vec<u8>)>,
+        nodes: usize,
+        jobs: &BTreeMap<String, JobFacts>,
+        now: u64,
+    ) {
+        let Some((_, sent)) = self.in_flight.filter(|(current, _)| *current == number) else {
+            return;
+        };
+        self.in_flight = None;
+        match outcome {
+            Some((200, body)) => {
+                let answer: ReportAnswer = serde_json::from_slice(&body).unwrap();
+                if answer.token < self.token || session != self.session {
+                    return;
+                }
+                if answer.token > self.token {
+                    self.token = answer.token;
+                    self.changed(now);
+                }
+                self.lease_from = sent;
+                self.execute(&answer.orders, jobs, now);
+            }
+            Some((421, body)) => {
+                let to = serde_json::from_slice::<Value>(&body).ok().and_then(|body| {
+                    body["Foreman"]
+                        .as_str()
+                        .and_then(|name| name[1..].parse::<usize>().ok())
+                });
+                match to {
+                    Some(node) if node != self.node && node < nodes => {
+                        self.node = node;
+                        self.next_report = now + 100;
+                    }
+                    _ => self.try_next(nodes, now),
+                }
+            }
+            _ => self.try_next(nodes, now),
+        }
+    }
+
+    fn try_next(&mut self, nodes: usize, now: u64) {
+        self.node = (self.node + 1) % nodes;
+        self.next_report = now + 1_000;
+    }
+
+    /// A direct command.
+    pub fn direct(&mut self, body: &[u8], jobs: &BTreeMap<String, JobFacts>, now: u64) -> (u16, Vec<u8>) {
+        let orders: DirectOrders = serde_json::from_slice(body).unwrap();
+        if orders.token < self.token || orders.session != self.session {
+            return (409, self.report(now));
+        }
+        if orders.token > self.token {
+            self.token = orders.token;
+            self.changed(now);
+        }
+        self.execute(&orders.orders, jobs, now);
+        (200, self.report(now))
+    }
+
+    fn execute(&mut self, orders: &[Order], jobs: &BTreeMap<String, JobFacts>, now: u64) {
+        for order in orders {
+            let (job, index) = order.task.rsplit_once('/').unwrap();
+            let index: u32 = index.parse().unwrap();
+            let known = self
+                .tasks
+                .iter()
+                .position(|task| task.job == job && task.index == index && task.attempt == order.attempt);
+            match (order.verb, known) {
+                (Verb::Start, None) => self.start(job, index, order.attempt, jobs, now),
+                (Verb::Stop, Some(at)) => {
+                    let grace_ms = (order.grace_s.unwrap_or(0.0) * 1000.0) as u64;
+                    let task = &mut self.tasks[at];
+                    let facts = &jobs[job];
+                    let save_ms = (facts.save_s * 1000.0) as u64;
+                    match task.state {
+                        TaskState::Running if facts.checkpoint_s > 0.0 && grace_ms >= save_ms => {
+                            task.state = TaskState::Saving;
+                            task.progress_from += (now - task.since) as f64 / 1000.0;
+                            task.stop_at = Some(now + save_ms);
+                        }
+                        TaskState::Saving if grace_ms > 0 => (),
+                        TaskState::Exited => (),
+                        _ => task.exit(Cause::Stopped),
+                    }
+                }
+                (Verb::Forget, Some(at)) if self.tasks[at].state == TaskState::Exited => {
+                    self.tasks.remove(at);
+                }
+                _ => (),
+            }
+        }
+        if !orders.is_empty() {
+            self.changed(now);
+        }
+    }
+
+    fn start(&mut self, job: &str, index: u32, attempt: u64, jobs: &BTreeMap<String, JobFacts>, now: u64) {
+        let mut task = Task {
+            job: job.to_owned(),
+            index,
+            attempt,
+            state: TaskState::Fetching,
+            why: None,
+            saved: false,
+            since: now,
+            progress_from: 0.0,
+            stop_at: None,
+            lost_mates_at: None,
+        };
+        if !jobs.contains_key(job) {
+            task.exit(Cause::Unknown);
+        } else if self
+            .tasks
+            .iter()
+            .any(|other| other.name() == task.name() && other.state != TaskState::Exited)
+        {
+            task.exit(Cause::Busy);
+        }
+        self.tasks.push(task);
+    }
+
+    /// Lets time pass on the machine. Returns tasks that came to be on it.
+    pub fn step(&mut self, jobs: &mut BTreeMap<String, JobFacts>, now: u64) -> Vec<Task> {
+        if now < self.hung_until {
+            return Vec::new();
+        }
+        if now > self.lease_from + LEASE_MS {
+            self.tasks.clear();
+            self.session += 1;
+            self.lease_from = now;
+            self.changed(now);
+        }
+        if let Some((_, sent)) = self.in_flight
+            && now >= sent + 4_000
+        {
+            self.in_flight = None;
+            self.try_next(3, now);
+        }
+        let mut arrived = Vec::new();
+        let mut changed = false;
+        for task in &mut self.tasks {
+            let facts = jobs.get_mut(&task.job);
+            let Some(facts) = facts else { continue };
+            let before = task.state;
+            match task.state {
+                TaskState::Fetching => {
+                    let ready = self.images.contains(&facts.image)
+                        || now >= task.since + (facts.image_gb * 1000.0) as u64;
+                    if ready {
+                        self.images.insert(facts.image.clone());
+                        arrived.push(task.clone());
+                        if facts.done.contains(&task.index) {
+                            task.exit(Cause::Done);
+                        } else if self.faulty || facts.broken {
+                            task.exit(Cause::Error);
+                        } else {
+                            task.since = now;
+                            task.progress_from = facts.saved_s;
+                            task.state = if facts.shape == "gang" {
+                                TaskState::Waiting
+                            } else {
+                                TaskState::Running
+                            };
+                        }
+                    }
+                }
+                TaskState::Waiting if now >= task.since + GANG_WAIT_MS => task.exit(Cause::Alone),
+                TaskState::Running if facts.shape != "daemon" => {
+                    let progress_s = task.progress_from + (now - task.since) as f64 / 1000.0;
+                    if task.lost_mates_at.is_some_and(|at| now >= at) {
+                        task.exit(Cause::Peers);
+                    } else if progress_s >= facts.run_s {
+                        facts.done.insert(task.index);
+                        if facts.shape == "gang" {
+                            facts.done.extend(0..facts.tasks);
+                        }
+                        task.exit(Cause::Done);
+                    } else if facts.checkpoint_s > 0.0 {
+                        facts.saved_s = facts
+                            .saved_s
+                            .max((progress_s / facts.checkpoint_s).floor() * facts.checkpoint_s);
+                    }
+                }
+                TaskState::Saving if task.stop_at.is_some_and(|at| now >= at) => {
+                    facts.saved_s = facts.saved_s.max(task.progress_from);
+                    task.saved = true;
+                    task.exit(Cause::Stopped);
+                }
+                _ => (),
+            }
+            changed |= task.state != before;
+        }
+        if changed {
+            self.changed(now);
+        }
+        arrived
+    }
+
+    pub fn warn(&mut self, taken_at: u64, now: u64) {
+        self.notice_at = Some(taken_at);
+        self.changed(now);
+    }
+}
+
+impl Task {
+    pub fn exit(&mut self, why: Cause) {
+        self.state = TaskState::Exited;
+        self.why = Some(why);
+    }
+}
