--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -14,21 +14,35 @@
     pub gang: u32,
 }
 
+/// Waiting tasks of one job.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Waiting {
+    pub tasks: u32,
+    /// The owner's estimate; 0 for none.
+    pub estimate_s: f64,
+    /// How many of them one machine takes.
+    pub per_machine: f64,
+    pub gang: bool,
+    /// Its objective leaves no time to wait for anything but a new machine.
+    pub hurry: bool,
+}
+
 impl Queue {
-    /// Adds `tasks` waiting tasks of which one machine takes `per_machine`.
-    pub fn add(&mut self, tasks: u32, estimate_s: f64, waste_s: f64, per_machine: f64, gang: bool) {
+    /// Adds a job's waiting tasks.
+    pub fn add(&mut self, waiting: Waiting, waste_s: f64) {
         // A task without an estimate counts as twice the waste time.
-        let estimate_s = if estimate_s > 0.0 {
-            estimate_s
+        let estimate_s = if waiting.estimate_s > 0.0 {
+            waiting.estimate_s
         } else {
             WASTE_FACTOR * waste_s
         };
-        let fill = f64::from(tasks) / per_machine.max(1.0);
-        // In the paper a machine runs one task at a time. Ours share one, so each
-        // counts for the share that it books.
-        self.walltime_s += if SHARED_WALLTIME { fill } else { f64::from(tasks) } * estimate_s;
+        let fill = f64::from(waiting.tasks) / waiting.per_machine.max(1.0);
+        // In the paper a machine runs one task at a time. Ours share one, so tasks
+        // that can wait for running ones to end count for the share they book.
+        let shared = SHARED_WALLTIME && !waiting.hurry;
+        self.walltime_s += if shared { fill } else { f64::from(waiting.tasks) } * estimate_s;
         self.fill += fill;
-        if gang {
+        if waiting.gang {
             self.gang = self.gang.max(fill.ceil() as u32);
         }
     }
@@ -54,45 +68,62 @@
 mod tests {
     use super::*;
 
-    fn queue(tasks: u32, estimate_s: f64, per_machine: f64) -> Queue {
+    fn waiting(tasks: u32, estimate_s: f64, per_machine: f64) -> Waiting {
+        Waiting {
+            tasks,
+            estimate_s,
+            per_machine,
+            gang: false,
+            hurry: true,
+        }
+    }
+
+    fn queue(waiting: Waiting) -> Queue {
         let mut queue = Queue::default();
-        queue.add(tasks, estimate_s, 50.0, per_machine, false);
+        queue.add(waiting, 50.0);
         queue
     }
 
     #[test]
     fn queued_walltime_over_twice_the_waste() {
         // 40 one-minute tasks, one a machine: 2400 s / (2 x 50 s) = 24.
-        assert_eq!(target(&queue(40, 60.0, 1.0), 50.0), 24);
+        assert_eq!(target(&queue(waiting(40, 60.0, 1.0)), 50.0), 24);
     }
 
     #[test]
     fn at_least_one_while_work_waits_and_none_otherwise() {
-        assert_eq!(target(&queue(1, 10.0, 8.0), 50.0), 1);
+        assert_eq!(target(&queue(waiting(1, 10.0, 8.0)), 50.0), 1);
         assert_eq!(target(&Queue::default(), 50.0), 0);
     }
 
     #[test]
     fn no_more_than_the_tasks_fill() {
-        assert_eq!(target(&queue(16, 1000.0, 8.0), 50.0), 2);
+        assert_eq!(target(&queue(waiting(16, 1000.0, 8.0)), 50.0), 2);
     }
 
     #[test]
     fn tasks_that_share_a_machine_share_its_walltime() {
         // 80 tasks of 50 s, eight a machine: 500 s of machines / (2 x 50 s).
-        assert_eq!(target(&queue(80, 50.0, 8.0), 50.0), 5);
+        let patient = Waiting {
+            hurry: false,
+            ..waiting(80, 50.0, 8.0)
+        };
+        assert_eq!(target(&queue(patient), 50.0), 5);
+        assert_eq!(target(&queue(waiting(80, 50.0, 8.0)), 50.0), 10);
     }
 
     #[test]
     fn covers_the_largest_gang() {
-        let mut short = Queue::default();
-        short.add(16, 5.0, 50.0, 4.0, true);
+        let short = queue(Waiting {
+            gang: true,
+            ..waiting(16, 5.0, 4.0)
+        });
         assert_eq!(target(&short, 50.0), 4);
     }
 
     #[test]
     fn tasks_without_an_estimate_count_twice_the_waste() {
-        assert_eq!(target(&queue(3, 0.0, 1.0), 50.0), 3);
+        assert_eq!(target(&queue(waiting(3, 0.0, 1.0)), 50.0), 3);
     }
 
     #[test]
--- a/core/src/leader.rs
+++ b/core/src/leader.rs
@@ -1310,11 +1310,15 @@
                 .entry((machine_type.name.clone(), spot, zones))
                 .or_default()
                 .add(
-                    unplaced.tasks,
-                    job.spec.estimate_s,
+                    fleet::Waiting {
+                        tasks: unplaced.tasks,
+                        estimate_s: job.spec.estimate_s,
+                        per_machine,
+                        gang: job.spec.shape == Shape::Gang,
+                        hurry: forecast::slack_s(job, &settings.deployment.objectives, machine_type, io.now)
+                            < waste_s,
+                    },
                     waste_s,
-                    per_machine,
-                    job.spec.shape == Shape::Gang,
                 );
         }
         let pending: u32 = self.rentals.values().map(|rental| rental.request.count).sum();
