--- a/core/src/gangs.rs
+++ b/core/src/gangs.rs
@@ -42,3 +42,29 @@
         !self.started && !self.broken
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_lost_task_is_replaced_only_before_the_start() {
+        let mut gang = GangAttempt::new(7);
+        gang.lost();
+        gang.ended(Cause::NoRoom);
+        assert!(gang.open());
+        gang.started = true;
+        assert!(!gang.open() && !gang.broken);
+        gang.lost();
+        assert!(gang.broken);
+    }
+
+    #[test]
+    fn an_ended_task_breaks_the_attempt() {
+        for why in [Cause::Stopped, Cause::Peers, Cause::Alone, Cause::Error] {
+            let mut gang = GangAttempt::new(7);
+            gang.ended(why);
+            assert!(gang.broken, "{why:?}");
+        }
+    }
+}
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -522,3 +522,188 @@
         false
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::sync::Arc;
+
+    /// First token of the term under test.
+    const TOKEN: u64 = 40;
+
+    fn task() -> TaskId {
+        TaskId::parse("wk-1/0").unwrap()
+    }
+
+    fn machine(change: impl FnOnce(&mut Attempt)) -> Machine {
+        let mut machine = Machine::new(
+            MachineId(Arc::from("m-1")),
+            "small".into(),
+            "east".into(),
+            false,
+            0,
+        );
+        let mut attempt = Attempt::planned(
+            task(),
+            9,
+            Arc::from("red"),
+            Resources::default(),
+            Arc::from("img"),
+            0,
+        );
+        attempt.durable = true;
+        change(&mut attempt);
+        machine.attempts.push(attempt);
+        machine
+    }
+
+    fn report(session: u64, seq: u64, token: u64, state: Option<TaskState>) -> Report {
+        Report {
+            machine: "m-1".into(),
+            addr: "10.0.0.1:9000".into(),
+            machine_type: "small".into(),
+            zone: "east".into(),
+            spot: false,
+            session,
+            seq,
+            token,
+            notice_s: None,
+            tasks: state
+                .into_iter()
+                .map(|state| TaskReport {
+                    task: task().to_string(),
+                    attempt: 9,
+                    state,
+                    why: (state == TaskState::Exited).then_some(Cause::Done),
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    fn verbs(machine: &mut Machine, answering: Option<(u64, u64)>) -> Vec<Verb> {
+        machine
+            .orders(answering, true, 0)
+            .into_iter()
+            .map(|order| order.verb)
+            .collect()
+    }
+
+    #[test]
+    fn a_start_is_sent_only_once_it_is_recorded() {
+        let mut machine = machine(|attempt| attempt.durable = false);
+        assert!(!machine.wants_direct(true, 0));
+        assert_eq!(verbs(&mut machine, Some((1, 1))), []);
+        machine.attempts[0].durable = true;
+        assert!(machine.wants_direct(true, 0));
+        assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Start]);
+    }
+
+    #[test]
+    fn an_older_report_changes_nothing() {
+        let mut machine = machine(|_| ());
+        assert!(
+            machine
+                .absorb(&report(2, 5, TOKEN, Some(TaskState::Running)), TOKEN, 0)
+                .is_some()
+        );
+        for (session, seq) in [(2, 5), (2, 4), (1, 99)] {
+            assert!(
+                machine
+                    .absorb(&report(session, seq, TOKEN, None), TOKEN, 0)
+                    .is_none()
+            );
+        }
+        assert_eq!(machine.attempts.len(), 1);
+    }
+
+    // A former leader may still have the start under way: only a worker that has
+    // seen this term's token drops it.
+    #[test]
+    fn only_a_fenced_worker_disproves_an_inherited_start() {
+        let mut machine = machine(|attempt| attempt.inherited = true);
+        machine.absorb(&report(1, 1, TOKEN - 1, None), TOKEN, 0);
+        assert_eq!(machine.attempts.len(), 1);
+        assert!(!machine.synced);
+        let changes = machine.absorb(&report(1, 2, TOKEN, None), TOKEN, 0);
+        assert!(matches!(changes.as_deref(), Some([Change::Vanished { .. }])));
+        assert!(machine.attempts.is_empty());
+    }
+
+    // An unanswered direct command may be carried out minutes later.
+    #[test]
+    fn an_unanswered_start_stays_until_session_or_token_refuse_it() {
+        for (session, token, stays) in [(1, TOKEN, true), (2, TOKEN, false), (1, TOKEN + 1, false)] {
+            let mut machine = machine(|attempt| {
+                attempt.in_flight = true;
+                attempt.seen = Some(TaskState::Running);
+            });
+            machine.direct_unanswered(TOKEN, 1);
+            machine.absorb(&report(session, 7, token, None), TOKEN, 0);
+            assert_eq!(
+                machine.attempts.len(),
+                usize::from(stays),
+                "session {session}, token {token}"
+            );
+        }
+    }
+
+    // After a `forget`, the late start would run the task once more.
+    #[test]
+    fn what_may_still_arrive_is_not_forgotten() {
+        let mut machine = machine(|attempt| attempt.in_flight = true);
+        machine.direct_unanswered(TOKEN, 1);
+        machine.absorb(&report(1, 1, TOKEN, Some(TaskState::Exited)), TOKEN, 0);
+        machine.attempts[0].closed = true;
+        assert_eq!(verbs(&mut machine, Some((1, 1))), []);
+        assert!(!machine.is_empty());
+        machine.absorb(&report(1, 2, TOKEN + 1, Some(TaskState::Exited)), TOKEN, 0);
+        assert_eq!(verbs(&mut machine, Some((1, 2))), [Verb::Forget]);
+    }
+
+    // The result would be lost with a leader that has not recorded it.
+    #[test]
+    fn a_result_is_not_forgotten_before_it_is_recorded() {
+        let mut machine = machine(|_| ());
+        machine.absorb(&report(1, 1, TOKEN, Some(TaskState::Exited)), TOKEN, 0);
+        assert_eq!(verbs(&mut machine, Some((1, 1))), []);
+        machine.attempts[0].closed = true;
+        assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Forget]);
+        assert_eq!(
+            verbs(&mut machine, None),
+            [],
+            "never by a direct command, which may be late"
+        );
+    }
+
+    #[test]
+    fn a_start_that_never_arrived_is_sent_again() {
+        let mut machine = machine(|_| ());
+        machine.absorb(&report(1, 1, TOKEN, None), TOKEN, 0);
+        assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Start]);
+        assert_eq!(verbs(&mut machine, None), [], "it is on its way");
+        machine.absorb(&report(1, 2, TOKEN, None), TOKEN, 0);
+        assert_eq!(verbs(&mut machine, Some((1, 2))), [Verb::Start]);
+    }
+
+    #[test]
+    fn the_record_names_all_that_may_be_there() {
+        let mut machine = machine(|attempt| attempt.durable = false);
+        assert_eq!(machine.record().starts.len(), 1);
+        machine.attempts[0].seen = Some(TaskState::Exited);
+        assert_eq!(machine.record().starts.len(), 0);
+        machine.attempts[0].pin = Some(Pin {
+            session: 1,
+            token: TOKEN,
+        });
+        assert_eq!(machine.record().starts.len(), 1);
+    }
+
+    #[test]
+    fn strangers_are_stopped() {
+        let mut machine = machine(|_| ());
+        machine.attempts.clear();
+        machine.absorb(&report(1, 1, TOKEN, Some(TaskState::Running)), TOKEN, 0);
+        assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Stop]);
+    }
+}
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -227,7 +227,6 @@
             .deployment
             .zones
             .iter()
-            .filter(|zone| spec.zone.as_ref().is_none_or(|only| only == *zone))
             .filter(|zone| !spec.one_zone || taken.iter().all(|(other, count)| *count == 0 || other == *zone))
             .filter(|zone| taken.get(*zone).copied().unwrap_or(0) < spec.zone_cap())
             .cloned()
