--- a/core/src/leader.rs
+++ b/core/src/leader.rs
@@ -480,6 +480,7 @@
         for change in changes {
             match change {
                 Change::Running(task, number) => {
+                    log::debug!("job={} machine={machine} task {} runs", task.job, task.index);
                     if let Some(job) = self.jobs.get_mut(&task.job)
                         && let Some(gang) = job.gang.as_mut().filter(|gang| gang.number == number)
                     {
@@ -761,11 +762,17 @@
             Shape::Array | Shape::Service => fresh,
         };
         job.waiting.remove(&task.index);
+        let cached = machine.images.iter().any(|(name, _)| *name == job.spec.image);
+        log::debug!(
+            "job={} machine={id} task {} is placed{}",
+            task.job,
+            task.index,
+            if cached { "" } else { ", without its image" }
+        );
         let cache_gb = types
             .get(&machine.machine_type)
             .map_or(0.0, |machine_type| machine_type.cache_gb);
         machine.touch_image(&job.spec.image, job.spec.image_gb, cache_gb);
-        log::debug!("job={} machine={id} task {} is placed", task.job, task.index);
         machine.attempts.push(Attempt::planned(
             task,
             number,
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -648,6 +648,21 @@
         }
     }
 
+    // A stop that is wanted says nothing of a start that is still on its way.
+    #[test]
+    fn a_start_on_its_way_stays_although_its_stop_is_wanted() {
+        let mut machine = machine(|attempt| {
+            attempt.in_flight = true;
+            attempt.stop = Some(Stop {
+                grace_s: 0.0,
+                asked_at: 0,
+                ordered_at: None,
+            });
+        });
+        machine.absorb(&report(1, 1, TOKEN, None), TOKEN, 0);
+        assert_eq!(machine.attempts.len(), 1);
+    }
+
     // After a `forget`, the late start would run the task once more.
     #[test]
     fn what_may_still_arrive_is_not_forgotten() {
--- a/core/src/users.rs
+++ b/core/src/users.rs
@@ -192,7 +192,7 @@
                 let Wish::Submit(spec) = waiting.wish else {
                     return None;
                 };
-                log::debug!("job={job} accepted");
+                log::debug!("job={job} class={} accepted, {} tasks", spec.class, spec.tasks);
                 return Some(Done::Accepted { spec, version });
             }
             (UserCall::Create, Some(409)) => self.next(request, UserCall::ReadLive, 0, io),
