--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -245,3 +245,17 @@
 /// What an empty machine costs a placement, in s: work gathers on few machines, so
 /// that others fall idle and go back.
 pub const EMPTY_COST_S: f64 = 3.0;
+
+/// Whether replicas are gathered on few machines while nothing waits. Long-lived
+/// replicas otherwise hold many machines, each nearly empty, that cannot go back.
+pub const GATHER_REPLICAS: bool = true;
+
+/// Used share of a machine up to which its replicas are moved off it.
+pub const GATHER_BELOW: f64 = 0.6;
+
+/// Replicas moved in one pass: a job's users notice a few at a time at most.
+pub const MOVES_PER_PASS: usize = 2;
+
+/// How long a replica must have run, in ms, before it is moved: an early stop would
+/// make its start worthless to its users (protocol: 30 s).
+pub const SETTLED_MS: u64 = 35_000;
--- a/core/src/model.rs
+++ b/core/src/model.rs
@@ -104,6 +104,16 @@
     }
 }
 
+impl Resources {
+    /// The smallest share that is left of any of `whole`'s amounts.
+    pub fn share_free(&self, whole: &Resources) -> f64 {
+        let share = |part: f64, whole: f64| if whole > 0.0 { part / whole } else { 1.0 };
+        share(self.cpus, whole.cpus)
+            .min(share(self.gpus, whole.gpus))
+            .min(share(self.memory_gb, whole.memory_gb))
+    }
+}
+
 impl AddAssign for Resources {
     fn add_assign(&mut self, other: Resources) {
         self.cpus += other.cpus;
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -2,7 +2,8 @@
 //! the ledger and returns decisions.
 
 use crate::constants::{
-    EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, SECOND_MS, SPOT_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, GATHER_BELOW, GATHER_REPLICAS, MOVES_PER_PASS, SECOND_MS,
+    SETTLED_MS, SPOT_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
 };
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
@@ -143,6 +144,7 @@
         }
     }
     pass.drain_noticed();
+    pass.gather_replicas();
     pass.plan
 }
 
@@ -581,6 +583,74 @@
         }
     }
 
+    /// While nothing waits, moves replicas off the emptiest machine onto fuller ones
+    /// that hold their image, so that it falls idle and goes back. With the image
+    /// there a move takes a fraction of a second.
+    fn gather_replicas(&mut self) {
+        let waiting = self.site.jobs.values().any(|job| !job.waiting.is_empty());
+        if !GATHER_REPLICAS || waiting || !self.plan.decisions.is_empty() {
+            return;
+        }
+        let used_share = |room: &Room<'_>| match self.site.types.get(&room.machine.machine_type) {
+            Some(machine_type) => 1.0 - room.free.share_free(&machine_type.resources()),
+            None => 1.0,
+        };
+        let mut emptiest: Vec<(f64, usize)> = (0..self.rooms.len())
+            .filter(|at| self.rooms[*at].usable && !self.rooms[*at].running.is_empty())
+            .map(|at| (used_share(&self.rooms[at]), at))
+            .collect();
+        emptiest.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (share, from) in emptiest {
+            if share > GATHER_BELOW {
+                return;
+            }
+            if let Some(moves) = self.replica_moves(from) {
+                let machine = self.rooms[from].machine.id.clone();
+                for attempt in moves.into_iter().take(MOVES_PER_PASS) {
+                    self.stop(attempt, machine.clone());
+                }
+                return;
+            }
+        }
+    }
+
+    /// The replicas of a machine, if all of them can move to fuller ones.
+    fn replica_moves(&self, from: usize) -> Option<Vec<&'a Attempt>> {
+        let room = &self.rooms[from];
+        let mut free: Vec<Resources> = self.rooms.iter().map(|room| room.free).collect();
+        let mut moves = Vec::new();
+        for running in &room.running {
+            let job = self.site.jobs.get(&running.attempt.task.job)?;
+            if job.spec.shape != Shape::Service {
+                // It ends by itself.
+                continue;
+            }
+            let settled = running
+                .attempt
+                .running_since
+                .is_some_and(|since| self.site.now >= since + SETTLED_MS);
+            if running.stopping || !settled {
+                return None;
+            }
+            // Where one zone holds too many already, the spread decides, not this.
+            let zones = match job.spec.spread && job.spec.tasks > 1 {
+                true => vec![room.machine.zone.clone()],
+                false => self.open_zones(&job.spec),
+            };
+            let to = (0..self.rooms.len()).find(|to| {
+                *to != from
+                    && self.allowed(job, *to, &zones)
+                    && self.rooms[*to].images.contains(&job.spec.image)
+                    && self.rooms[*to].free.gpus.max(0.0) <= room.free.gpus
+                    && self.rooms[*to].free.cpus <= room.free.cpus
+                    && job.spec.needs.fits_in(&free[*to])
+            })?;
+            free[to] -= job.spec.needs;
+            moves.push(running.attempt);
+        }
+        (!moves.is_empty()).then_some(moves)
+    }
+
     /// Moves what can be moved off machines that the cloud is about to take, or
     /// that fail: replicas to be started elsewhere, and whatever can save. Other
     /// work may still finish in time.
