--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -178,11 +178,6 @@
 /// The paper's factor: queued walltime is divided by this many waste times.
 pub const WASTE_FACTOR: f64 = 2.0;
 
-/// Whether queued walltime counts a task for the share of a machine that it books.
-/// The paper's machines ran one task each; with eight on one, counting each in full
-/// rented for any queue whatever it filled, and a third of the money went into boots.
-pub const SHARED_WALLTIME: bool = true;
-
 /// Most machines rented at a time, unless the operator says otherwise.
 pub const FLEET_MAX: u32 = 500;
 
@@ -259,3 +254,11 @@
 /// How long a replica must have run, in ms, before it is moved: an early stop would
 /// make its start worthless to its users (protocol: 30 s).
 pub const SETTLED_MS: u64 = 35_000;
+
+/// Work that may be lost, in s of a task, to start a task beside its image when a
+/// fetch would make it late.
+pub const PREEMPT_FOR_IMAGE_S: f64 = 30.0;
+
+/// Weight of a fetch against lost work when room is made: somebody waits for the
+/// urgent task, while lost work is only run again.
+pub const FETCH_WEIGHT: f64 = 3.0;
--- a/core/src/forecast.rs
+++ b/core/src/forecast.rs
@@ -6,7 +6,7 @@
 use crate::model::{Job, JobId, MachineId, Millis};
 use crate::placement::Types;
 use crate::settings::{Objective, Settings};
-use crate::wire::{MachineType, Shape};
+use crate::wire::Shape;
 use std::collections::{BTreeMap, HashMap};
 
 /// What a job is to be complete within, in s, and who says so.
@@ -23,26 +23,6 @@
     limits
 }
 
-/// Seconds for which the job's waiting tasks may still wait for room without
-/// missing the nearest objective that is not missed yet, by its owner's estimate.
-pub fn slack_s(job: &Job, objectives: &[Objective], machine_type: &MachineType, now: Millis) -> f64 {
-    let age_s = job.age_ms(now) as f64 / SECOND_MS as f64;
-    let fetch_s = job.spec.image_gb / machine_type.fetch_gb_per_s.max(f64::MIN_POSITIVE);
-    let starts = objectives
-        .iter()
-        .filter(|objective| objective.kind == "wait" && objective.class.as_deref() == Some(&job.spec.class))
-        .filter_map(|objective| objective.within_s);
-    let ends = limits(job, objectives)
-        .into_iter()
-        .map(|(limit_s, _)| limit_s - job.spec.estimate_s);
-    starts
-        .chain(ends)
-        .map(|limit_s| limit_s - fetch_s - age_s)
-        .filter(|slack_s| *slack_s > 0.0)
-        .min_by(f64::total_cmp)
-        .unwrap_or(0.0)
-}
-
 /// Progress of a job's tasks on machines: how many there are and the longest that
 /// one still needs, by the owner's estimate.
 #[derive(Debug, Clone, Copy, Default)]
--- a/core/src/leader.rs
+++ b/core/src/leader.rs
@@ -1322,8 +1322,6 @@
                         estimate_s: job.spec.estimate_s,
                         per_machine,
                         gang: job.spec.shape == Shape::Gang,
-                        hurry: forecast::slack_s(job, &settings.deployment.objectives, machine_type, io.now)
-                            < waste_s,
                     },
                     waste_s,
                 );
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -2,13 +2,13 @@
 //! the ledger and returns decisions.
 
 use crate::constants::{
-    EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, GATHER_BELOW, GATHER_REPLICAS, MOVES_PER_PASS, SECOND_MS,
-    SETTLED_MS, SPOT_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS, MOVES_PER_PASS,
+    PREEMPT_FOR_IMAGE_S, SECOND_MS, SETTLED_MS, SPOT_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
 };
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
 use crate::settings::{Deployment, Team};
-use crate::wire::{MachineType, Shape, TaskState};
+use crate::wire::{MachineType, Shape};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -251,21 +251,48 @@
                 })
     }
 
+    /// Time until the machine has the job's image, in s. Images fetched at the same
+    /// time may share its rate.
+    fn fetch_s(&self, job: &Job, at: usize) -> f64 {
+        let room = &self.rooms[at];
+        if room.images.contains(&job.spec.image) {
+            return 0.0;
+        }
+        let fetching: BTreeSet<&Option<Arc<str>>> = room
+            .running
+            .iter()
+            .filter(|running| !running.attempt.exited() && running.attempt.running_since.is_none())
+            .map(|running| &running.attempt.image)
+            .collect();
+        let rate = self
+            .site
+            .types
+            .get(&room.machine.machine_type)
+            .map_or(1.0, |machine_type| {
+                machine_type.fetch_gb_per_s.max(f64::MIN_POSITIVE)
+            });
+        job.spec.image_gb / rate * (1.0 + fetching.len() as f64)
+    }
+
+    /// How long the job's class may wait to start, in s, if its users say so.
+    fn start_within_s(&self, job: &Job) -> f64 {
+        self.site
+            .deployment
+            .objectives
+            .iter()
+            .filter(|objective| {
+                objective.kind == "wait" && objective.class.as_deref() == Some(&job.spec.class)
+            })
+            .filter_map(|objective| objective.within_s)
+            .fold(f64::INFINITY, f64::min)
+    }
+
     /// Lower is better: the wait for the image, then a spot machine for those who
     /// may use one, then the fullest, so that others fall idle.
     fn cost(&self, job: &Job, at: usize) -> f64 {
         let room = &self.rooms[at];
         let machine_type = self.site.types.get(&room.machine.machine_type);
-        let mut cost = 0.0;
-        if !room.images.contains(&job.spec.image) {
-            let fetching = room
-                .running
-                .iter()
-                .filter(|running| running.attempt.seen == Some(TaskState::Fetching))
-                .count();
-            let rate = machine_type.map_or(1.0, |machine_type| machine_type.fetch_gb_per_s.max(0.01));
-            cost += job.spec.image_gb / rate * if fetching > 0 { 2.0 } else { 1.0 };
-        }
+        let mut cost = self.fetch_s(job, at);
         if job.spec.spot && !room.machine.spot {
             cost += SPOT_COST_S;
         }
@@ -331,6 +358,14 @@
             let Some(at) = self.best(job, &zones, None) else {
                 break;
             };
+            // A fetch would make the start late: room beside the image is worth the
+            // little work that is stopped for it.
+            if self.fetch_s(job, at) > self.start_within_s(job)
+                && self.make_room(job, in_guarantee, &zones, Some(PREEMPT_FOR_IMAGE_S))
+            {
+                left -= 1;
+                continue;
+            }
             self.take(job, *index, at);
             left -= 1;
             if job.spec.spread || job.spec.one_zone {
@@ -339,7 +374,7 @@
         }
         let mut unplaced = 0;
         for _ in 0..left {
-            if !self.make_room(job, in_guarantee, &zones) {
+            if !self.make_room(job, in_guarantee, &zones, None) {
                 unplaced += 1;
             }
         }
@@ -398,7 +433,7 @@
                 let tasks = missing.len() as u32;
                 // Room for a larger gang is made by renting: stopping others for a
                 // part of it would waste their work without starting it.
-                if tasks == 1 && self.make_room(job, in_guarantee, &zones) {
+                if tasks == 1 && self.make_room(job, in_guarantee, &zones, None) {
                     return;
                 }
                 self.note_unplaced(job, tasks, zones);
@@ -440,11 +475,19 @@
     }
 
     /// Finds room for one task among what is leaving, or makes some by stopping
-    /// work that may be stopped for it. Claims it for the rest of the pass.
-    fn make_room(&mut self, job: &Job, in_guarantee: bool, zones: &[String]) -> bool {
+    /// work that may be stopped for it. Claims it for the rest of the pass. With
+    /// `most_lost_s`, only beside the job's image and at no higher cost.
+    fn make_room(
+        &mut self,
+        job: &Job,
+        in_guarantee: bool,
+        zones: &[String],
+        most_lost_s: Option<f64>,
+    ) -> bool {
         let needs = job.spec.needs;
         let candidates: Vec<usize> = (0..self.rooms.len())
             .filter(|at| self.allowed(job, *at, zones))
+            .filter(|at| most_lost_s.is_none() || self.rooms[*at].images.contains(&job.spec.image))
             .collect();
         for at in &candidates {
             let room = &self.rooms[*at];
@@ -458,6 +501,7 @@
         let mut best: Option<(f64, usize, Vec<usize>)> = None;
         for at in candidates {
             if let Some((cost, victims)) = self.victims(job, in_guarantee, at)
+                && most_lost_s.is_none_or(|most| cost <= most)
                 && best.as_ref().is_none_or(|(least, _, _)| cost < *least)
             {
                 best = Some((cost, at, victims));
@@ -556,14 +600,8 @@
             cost += lost;
             victims.push(index);
         }
-        (job.spec.needs.fits_in(&free) && !victims.is_empty()).then(|| {
-            let image = if room.images.contains(&job.spec.image) {
-                0.0
-            } else {
-                job.spec.image_gb
-            };
-            (cost + image, victims)
-        })
+        (job.spec.needs.fits_in(&free) && !victims.is_empty())
+            .then(|| (cost + self.fetch_s(job, at) * FETCH_WEIGHT, victims))
     }
 
     fn over_guarantee(&self, team: &str) -> bool {
