Silent machines are asked sooner; records keep images; nodes probe the state service

Cause: after a take-over a dead machine was found only 6.2 s later (no report of its own to be late), the new leader thought every cached image missing, and followers, asking little, told siblings that the state service was fine when it was not.

--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -122,13 +122,17 @@
 /// Age, in ms, beyond which a sibling's heartbeat says nothing any more.
 pub const HEARTBEAT_FRESH_MS: u64 = 2_000;
 
+/// Age, in ms, of a node's last answer from the state service at which it asks for
+/// one: a follower has little else to ask, and siblings rely on what it says.
+pub const STATE_PROBE_MS: u64 = 1_000;
+
 /// How long, in ms, the state service must fail a node before it asks the load
 /// balancer, through `/healthz`, to send users to a sibling.
 pub const STATE_BAD_MS: u64 = 1_500;
 
 /// Time without a report, in ms beyond the longest regular interval, after which
 /// a machine is asked directly.
-pub const SILENT_SLACK_MS: u64 = 1_200;
+pub const SILENT_SLACK_MS: u64 = 300;
 
 /// Share of the machines heard recently that, silent at once, make a leader
 /// doubt itself rather than them.
--- a/core/src/io.rs
+++ b/core/src/io.rs
@@ -118,6 +118,8 @@
     User(RequestId, UserCall),
     Types,
     StoredTypes,
+    /// Only whether the state service answers.
+    Probe,
 }
 
 /// Time, randomness, budgets and effects of the command being handled.
--- a/core/src/leader.rs
+++ b/core/src/leader.rs
@@ -1145,6 +1145,11 @@
             (Outcome::NotSent, _) | (_, Some(400 | 409)) => machine.direct_settled(false),
             _ => machine.direct_unanswered(token, session),
         }
+        if status.is_none() && greeting && machine.heard.is_none() {
+            // Known from a record, and it does not answer: no need to wait for the
+            // reports that it would have sent by now.
+            machine.inspect_due = true;
+        }
         let report = outcome.read::<Report>(&[200, 409])?;
         if report.machine != *id.0 {
             // Another machine has this address now.
@@ -1177,7 +1182,7 @@
                 continue;
             }
             let last = machine.heard.unwrap_or(self.started);
-            if io.now < last + quiet_ms {
+            if io.now < last + quiet_ms && !machine.inspect_due {
                 continue;
             }
             if !machine.inspecting
@@ -1228,6 +1233,7 @@
         let current = self.token();
         let machine = self.machines.get_mut(id)?;
         machine.inspecting = false;
+        machine.inspect_due = false;
         match outcome
             .read::<Report>(&[200])
             .filter(|report| report.machine == *id.0)
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -153,6 +153,8 @@
     pub greet: bool,
     pub greeted_at: Option<Millis>,
     pub inspecting: bool,
+    /// It is asked without waiting for a late report.
+    pub inspect_due: bool,
     pub inspect_failed: bool,
     /// It is to be given back, or the request has been sent and may be carried out.
     pub returning: bool,
@@ -191,6 +193,7 @@
             greet: false,
             greeted_at: None,
             inspecting: false,
+            inspect_due: false,
             inspect_failed: false,
             returning: false,
             return_in_flight: false,
@@ -214,6 +217,7 @@
         machine.version = version;
         machine.dirty = false;
         machine.returning = record.returning;
+        machine.images = record.images.iter().cloned().collect();
         machine.greet = true;
         machine.attempts = record
             .starts
@@ -246,6 +250,7 @@
             spot: self.spot,
             addr: self.addr.clone(),
             returning: self.returning,
+            images: self.images.iter().cloned().collect(),
             starts: self
                 .attempts
                 .iter()
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -66,6 +66,7 @@
     workers: HashMap<String, Millis>,
     state_ok_at: Millis,
     state_failed_at: Option<Millis>,
+    probed_at: Millis,
 }
 
 impl Node {
@@ -93,6 +94,7 @@
             workers: HashMap::new(),
             state_ok_at: now,
             state_failed_at: None,
+            probed_at: now,
         }
     }
 
@@ -130,6 +132,7 @@
             self.news(news);
         }
         self.poll_types();
+        self.probe_state();
         let siblings = self.hearing();
         if let Some(term) = &mut self.term {
             let news = term.settle(
@@ -315,6 +318,7 @@
                 }
                 None
             }
+            Purpose::Probe => None,
             Purpose::StoredTypes => {
                 self.types_busy = false;
                 let stored = outcome
@@ -335,7 +339,7 @@
     fn note_state(&mut self, purpose: &Purpose, outcome: &Outcome) {
         let state = matches!(
             purpose,
-            Purpose::Leadership(_) | Purpose::User(..) | Purpose::StoredTypes
+            Purpose::Leadership(_) | Purpose::User(..) | Purpose::StoredTypes | Purpose::Probe
         );
         if !state {
             return;
@@ -375,6 +379,17 @@
         self.send_all(&Frame::Changed { job });
     }
 
+    /// Asks the state service for a sign of life when nothing else has lately.
+    fn probe_state(&mut self) {
+        let now = self.io.now;
+        if now >= self.state_ok_at + STATE_PROBE_MS && now >= self.probed_at + STATE_PROBE_MS {
+            self.probed_at = now;
+            let path = paths::key(records::LEADER);
+            self.io
+                .state_call(Method::Get, path, Vec::new(), STATE_PROBE_MS, Purpose::Probe);
+        }
+    }
+
     fn poll_types(&mut self) {
         if self.types_busy || self.io.now < self.types_at {
             return;
@@ -441,7 +456,7 @@
                 .unwrap_or(0) as u16,
             token: self.leadership.token().unwrap_or(0),
             leads: self.term.is_some(),
-            state_ok: self.state_failed_at.is_none() && now < self.state_ok_at + 2 * WATCH_HOLD_MS,
+            state_ok: self.state_failed_at.is_none() && now < self.state_ok_at + 2 * STATE_PROBE_MS,
             hears: self.workers.len() as u32,
         };
         self.send_all(&Frame::Heartbeat(beat));
--- a/core/src/records.rs
+++ b/core/src/records.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use thiserror::Error;
 
 pub const LEADER: &str = "leader";
@@ -91,6 +92,9 @@
     pub spot: bool,
     pub addr: Option<String>,
     pub starts: Vec<StartRecord>,
+    /// Images it is thought to hold, with their size in GB, the latest used last.
+    #[serde(default)]
+    pub images: Vec<(Arc<str>, f64)>,
     /// It is being given back: nothing may be placed there any more.
     pub returning: bool,
 }
