Machines on their way take what they may before more are rented

Cause: each kind's target counted only its own kind's idle and booting machines, so tasks that a coming spot machine would take rented ordinary ones as well, and the other way.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -2,6 +2,9 @@
 //! what waits and what there is go in, what to rent comes out.
 
 use crate::constants::WASTE_FACTOR;
+use crate::model::{JobSpec, Resources};
+use crate::placement::Types;
+use crate::wire::Shape;
 
 /// Waiting work of one kind of machine.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -54,9 +57,43 @@
     (balanced.min(filled) as u32).max(queue.gang)
 }
 
-/// How many to rent, given those idle or booting and the room below the maximum.
-pub fn shortfall(target: u32, idle_or_booting: u32, room: u32) -> u32 {
-    target.saturating_sub(idle_or_booting).min(room)
+/// A machine that is idle or will be up soon.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Coming {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub free: Resources,
+}
+
+/// How many of a job's waiting tasks the machines idle or coming leave over; takes
+/// the room of the others. A gang is left over whole or not at all.
+pub fn left_over(coming: &mut [Coming], spec: &JobSpec, zones: &[String], tasks: u32, types: &Types) -> u32 {
+    let mut taken: Vec<usize> = Vec::new();
+    let mut zone: Option<String> = None;
+    for _ in 0..tasks {
+        let found = (0..coming.len()).find(|at| {
+            let machine = &coming[*at];
+            spec.needs.fits_in(&machine.free)
+                && zones.contains(&machine.zone)
+                && (!spec.one_zone || zone.as_ref().is_none_or(|zone| *zone == machine.zone))
+                && types
+                    .get(&machine.machine_type)
+                    .is_some_and(|known| spec.eligible(known, &machine.zone, machine.spot))
+        });
+        let Some(at) = found else { break };
+        coming[at].free -= spec.needs;
+        zone.get_or_insert_with(|| coming[at].zone.clone());
+        taken.push(at);
+    }
+    let left = tasks - taken.len() as u32;
+    if left > 0 && spec.shape == Shape::Gang {
+        for at in taken {
+            coming[at].free += spec.needs;
+        }
+        return tasks;
+    }
+    left
 }
 
 #[cfg(test)]
@@ -109,10 +146,59 @@
         assert_eq!(target(&queue(waiting(3, 0.0, 1.0)), 50.0), 3);
     }
 
+    fn job(change: impl FnOnce(&mut JobSpec)) -> JobSpec {
+        let value = serde_json::json!({
+            "id": "wk-1", "class": "batch", "team": "red", "shape": "sweep", "priority": "standard",
+            "tasks": 10, "needs": { "cpus": 8.0, "gpus": 1.0, "memory_gb": 8.0 }, "image": "img",
+            "image_gb": 1.0, "types": null, "zone": null, "one_zone": false, "spread": false,
+            "spot": false, "estimate_s": 10.0, "checkpoint_s": 0.0, "save_s": 0.0,
+            "deadline_s": null, "submitted_ms": 0
+        });
+        let mut spec: JobSpec = serde_json::from_value(value).unwrap();
+        change(&mut spec);
+        spec
+    }
+
+    fn coming(types: &Types) -> Vec<Coming> {
+        let machine = |zone: &str, spot| Coming {
+            machine_type: "small".into(),
+            zone: zone.into(),
+            spot,
+            free: types["small"].resources(),
+        };
+        vec![
+            machine("east", true),
+            machine("east", false),
+            machine("west", false),
+        ]
+    }
+
     #[test]
-    fn rents_only_the_gap() {
-        assert_eq!(shortfall(5, 2, 10), 3);
-        assert_eq!(shortfall(5, 7, 10), 0);
-        assert_eq!(shortfall(5, 0, 2), 2);
+    fn machines_on_their_way_take_what_they_may() {
+        let flavors: crate::wire::Flavors =
+            serde_json::from_str(include_str!("../tests/support/flavors.json")).unwrap();
+        let types: Types = flavors
+            .types
+            .into_iter()
+            .map(|known| (known.name.clone(), known))
+            .collect();
+        let both = ["east".to_owned(), "west".to_owned()];
+        let left = |change: fn(&mut JobSpec), zones: &[String]| {
+            left_over(&mut coming(&types), &job(change), zones, 10, &types)
+        };
+        // Four a machine: two ordinary ones, and the spot one where it is allowed.
+        assert_eq!(left(|_| (), &both), 2);
+        assert_eq!(left(|spec| spec.spot = true, &both), 0);
+        assert_eq!(left(|_| (), &both[..1]), 6);
+        // A gang comes whole or not at all, and in one zone if it must.
+        assert_eq!(left(|spec| spec.shape = Shape::Gang, &both), 10);
+        let mut rooms = coming(&types);
+        let gang = job(|spec| {
+            spec.shape = Shape::Gang;
+            spec.one_zone = true;
+        });
+        assert_eq!(left_over(&mut rooms, &gang, &both, 5, &types), 5);
+        assert_eq!(rooms, coming(&types), "what it does not take stays free");
+        assert_eq!(left_over(&mut rooms, &gang, &both, 4, &types), 0);
     }
 }
--- a/core/src/leader.rs
+++ b/core/src/leader.rs
@@ -2,7 +2,7 @@
 //! former leaders, places tasks, sizes the fleet and writes everything down.
 
 use crate::constants::*;
-use crate::fleet::{self, Queue};
+use crate::fleet::{self, Coming, Queue};
 use crate::forecast;
 use crate::gangs::GangAttempt;
 use crate::io::{CallId, Destination, Io, Method, Outcome, Purpose, RequestId, json};
@@ -19,7 +19,7 @@
 };
 use crate::writer::{Unit, Writer};
 use rand::RngExt;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 /// A call made in a term; its answer is dropped in any other.
@@ -1304,11 +1304,17 @@
             return;
         }
         self.refused.retain(|_, until| *until > io.now);
+        let mut coming = self.coming(types);
         let mut queues: BTreeMap<(String, bool, Vec<String>), Queue> = BTreeMap::new();
         for unplaced in &self.unplaced {
             let Some(job) = self.jobs.get(&unplaced.job) else {
                 continue;
             };
+            // Machines that are idle or coming take what they may, of whatever kind.
+            let tasks = fleet::left_over(&mut coming, &job.spec, &unplaced.zones, unplaced.tasks, types);
+            if tasks == 0 {
+                continue;
+            }
             let Some((machine_type, spot, mut zones)) = self.kind_for(&job.spec, &unplaced.zones, types)
             else {
                 continue;
@@ -1319,61 +1325,60 @@
             }
             let waste_s = self.waste_s(types, &machine_type.name);
             let per_machine = job.spec.needs.count_in(&machine_type.resources());
+            let waiting = fleet::Waiting {
+                tasks,
+                estimate_s: job.spec.estimate_s,
+                per_machine,
+                gang: job.spec.shape == Shape::Gang,
+            };
             queues
                 .entry((machine_type.name.clone(), spot, zones))
                 .or_default()
-                .add(
-                    fleet::Waiting {
-                        tasks: unplaced.tasks,
-                        estimate_s: job.spec.estimate_s,
-                        per_machine,
-                        gang: job.spec.shape == Shape::Gang,
-                    },
-                    waste_s,
-                );
+                .add(waiting, waste_s);
         }
         let pending: u32 = self.rentals.values().map(|rental| rental.request.count).sum();
         let mut room = settings
             .operator
             .fleet_max
             .saturating_sub(self.machines.len() as u32 + pending);
-        let mut counted: BTreeSet<MachineId> = BTreeSet::new();
-        let mut counted_rentals: BTreeSet<String> = BTreeSet::new();
         for ((name, spot, zones), queue) in queues {
             let target = fleet::target(&queue, self.waste_s(types, &name));
-            let fits = |machine_type: &str, is_spot: bool, zone: &String| {
-                machine_type == name && is_spot == spot && zones.contains(zone)
-            };
-            let mut supply = 0;
-            for machine in self.machines.values() {
-                let coming = !machine.is_up() && machine.attempts.is_empty() || machine.idle_since.is_some();
-                if supply < target
-                    && coming
-                    && !machine.returning
-                    && machine.notice_until.is_none()
-                    && !faulty(machine)
-                    && fits(&machine.machine_type, machine.spot, &machine.zone)
-                    && counted.insert(machine.id.clone())
-                {
-                    supply += 1;
-                }
+            let count = target.min(room).min(RENT_MAX);
+            if count > 0 {
+                room -= count;
+                self.rent(&name, spot, &zones, count);
             }
-            for rental in self.rentals.values() {
-                let request = &rental.request;
-                if supply < target
-                    && fits(&request.machine_type, request.spot, &request.zone)
-                    && counted_rentals.insert(request.request.clone())
-                {
-                    supply += request.count;
-                }
-            }
-            let count = fleet::shortfall(target, supply, room).min(RENT_MAX);
-            if count == 0 {
+        }
+    }
+
+    /// Machines that are idle, booting or being rented.
+    fn coming(&self, types: &Types) -> Vec<Coming> {
+        let machines = self.machines.values().filter(|machine| {
+            let coming = !machine.is_up() && machine.attempts.is_empty() || machine.idle_since.is_some();
+            coming && !machine.returning && machine.notice_until.is_none() && !faulty(machine)
+        });
+        let machines = machines.map(|machine| (&machine.machine_type, &machine.zone, machine.spot, 1));
+        let rentals = self.rentals.values().map(|rental| {
+            let request = &rental.request;
+            (&request.machine_type, &request.zone, request.spot, request.count)
+        });
+        let mut coming = Vec::new();
+        for (machine_type, zone, spot, count) in machines.chain(rentals) {
+            let Some(known) = types.get(machine_type) else {
                 continue;
+            };
+            for _ in 0..count {
+                coming.push(Coming {
+                    machine_type: machine_type.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    free: known.resources(),
+                });
             }
-            room -= count;
-            self.rent(&name, spot, &zones, count);
         }
+        // What may use spot machines leaves the others to what may not.
+        coming.sort_by_key(|machine| !machine.spot);
+        coming
     }
 
     /// The zone with the most of the site's machines, the first of several.
