--- a/core/src/leader.rs
+++ b/core/src/leader.rs
@@ -120,6 +120,8 @@
     changed: bool,
     unplaced: Vec<Unplaced>,
     doubting_since: Option<Millis>,
+    /// When all machines were last asked, because one was silent.
+    roll_call: Option<Millis>,
     bumped_at: Millis,
     pub counts: Counts,
     stored_types: bool,
@@ -163,6 +165,7 @@
             changed: true,
             unplaced: Vec::new(),
             doubting_since: None,
+            roll_call: None,
             bumped_at: 0,
             counts: Counts::new(),
             stored_types: false,
@@ -1174,6 +1177,7 @@
         let quiet_ms = (workers.report_s * 1.25 * SECOND_MS as f64) as u64 + SILENT_SLACK_MS;
         let lease_ms = (workers.lease_s * SECOND_MS as f64) as u64;
         let lease_ms = lease_ms + lease_ms * CLOCK_DRIFT_PPM / 1_000_000 + LEASE_MARGIN_MS;
+        let roll_call = self.call_roll(io.now);
         let mut inspect = Vec::new();
         let mut lapsed = Vec::new();
         for machine in self.machines.values_mut() {
@@ -1182,7 +1186,8 @@
                 continue;
             }
             let last = machine.heard.unwrap_or(self.started);
-            if io.now < last + quiet_ms && !machine.inspect_due {
+            let asked = roll_call && !machine.inspect_failed && io.now > last;
+            if io.now < last + quiet_ms && !machine.inspect_due && !asked {
                 continue;
             }
             if !machine.inspecting
@@ -1248,6 +1253,9 @@
                 if !machine.inspect_failed {
                     log::info!("machine={id} is silent and does not answer");
                 }
+                if !machine.inspect_failed {
+                    machine.silent_at = io.now;
+                }
                 machine.inspect_failed = true;
                 self.changed = true;
             }
@@ -1255,6 +1263,40 @@
         None
     }
 
+    /// Machines fall silent one after the other, as their reports fall due, also
+    /// when it is the leader who is cut off. So whenever one is newly silent, all
+    /// are asked at once, before it is given back. Returns whether to ask now.
+    fn call_roll(&mut self, now: Millis) -> bool {
+        let newest = self
+            .machines
+            .values()
+            .filter(|machine| machine.inspect_failed && !machine.returning)
+            .map(|machine| machine.silent_at)
+            .max();
+        let due = newest.is_some_and(|silent_at| self.roll_call.is_none_or(|at| at < silent_at));
+        if due {
+            self.roll_call = Some(now);
+        }
+        due
+    }
+
+    /// Most of the other machines have been heard since the roll was called.
+    fn others_answer(&self) -> bool {
+        let Some(called) = self.roll_call else {
+            return false;
+        };
+        let others = self
+            .machines
+            .values()
+            .filter(|machine| machine.is_up() && !machine.inspect_failed);
+        let (mut heard, mut all) = (0, 0);
+        for machine in others {
+            all += 1;
+            heard += u32::from(machine.heard.is_some_and(|at| at >= called));
+        }
+        2 * heard >= all
+    }
+
     fn silent(&self) -> (u32, u32) {
         let up = self
             .machines
@@ -1598,6 +1640,7 @@
                 || self
                     .doubting_since
                     .is_none_or(|since| io.now < since + 2 * SUSPECT_SELF_MS));
+        let doubting = doubting || !self.others_answer();
         let mut names = Vec::new();
         for machine in self.machines.values_mut() {
             if machine.return_in_flight || names.len() >= RETURN_MAX {
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -156,6 +156,8 @@
     /// It is asked without waiting for a late report.
     pub inspect_due: bool,
     pub inspect_failed: bool,
+    /// When it last failed to answer.
+    pub silent_at: Millis,
     /// It is to be given back, or the request has been sent and may be carried out.
     pub returning: bool,
     pub return_in_flight: bool,
@@ -195,6 +197,7 @@
             inspecting: false,
             inspect_due: false,
             inspect_failed: false,
+            silent_at: 0,
             returning: false,
             return_in_flight: false,
             return_unanswered: false,
