--- a/core/src/leader.rs
+++ b/core/src/leader.rs
@@ -1686,7 +1686,13 @@
         let names: Vec<MachineId> = names
             .into_iter()
             .map(|(name, why)| {
-                log::info!("machine={name} is given back: {why}");
+                let told = self
+                    .machines
+                    .get_mut(&name)
+                    .is_none_or(|machine| std::mem::replace(&mut machine.return_told, true));
+                if !told {
+                    log::info!("machine={name} is given back: {why}");
+                }
                 name
             })
             .collect();
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -163,6 +163,8 @@
     pub return_in_flight: bool,
     /// A return went unanswered: it may be carried out at any time.
     pub return_unanswered: bool,
+    /// Its return is in the log already; a cloud that fails is asked many times.
+    pub return_told: bool,
     pub idle_since: Option<Millis>,
     pub errors: BTreeSet<JobId>,
     pub full_until: Millis,
@@ -201,6 +203,7 @@
             returning: false,
             return_in_flight: false,
             return_unanswered: false,
+            return_told: false,
             idle_since: None,
             errors: BTreeSet::new(),
             full_until: 0,
--- a/core/tests/sim/state.rs
+++ b/core/tests/sim/state.rs
@@ -254,7 +254,11 @@
             return Reply::Now(400, json!({ "error": "no such lease" }));
         }
         if !failed.is_empty() {
-            self.fenced += u32::from(failed.iter().any(|key| key == "leader"));
+            let claim = transaction
+                .conditions
+                .iter()
+                .any(|condition| condition.key == "leader" && condition.version == 0);
+            self.fenced += u32::from(!claim && failed.iter().any(|key| key == "leader"));
             return Reply::Now(409, json!({ "failed": failed, "Ledger": self.revision }));
         }
         self.revision += 1;
