--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -130,9 +130,10 @@
 /// balancer, through `/healthz`, to send users to a sibling.
 pub const STATE_BAD_MS: u64 = 1_500;
 
-/// Time without a report, in ms beyond the longest regular interval, after which
-/// a machine is asked directly.
-pub const SILENT_SLACK_MS: u64 = 300;
+/// Time without a word from a machine, in ms, after which it is asked directly: well
+/// before its next report is late, as an answer costs little and replicas on a dead
+/// machine wait for the proof.
+pub const ASK_AFTER_MS: u64 = 2_000;
 
 /// Share of the machines heard recently that, silent at once, make a leader
 /// doubt itself rather than them.
--- a/core/src/leader/machines.rs
+++ b/core/src/leader/machines.rs
@@ -82,11 +82,6 @@
             (Outcome::NotSent, _) | (_, Some(400 | 409)) => machine.direct_settled(false),
             _ => machine.direct_unanswered(token, session),
         }
-        if status.is_none() && greeting && machine.heard.is_none() {
-            // Known from a record, and it does not answer: no need to wait for the
-            // reports that it would have sent by now.
-            machine.inspect_due = true;
-        }
         let report = outcome.read::<Report>(&[200, 409])?;
         if report.machine != *id.0 {
             // Another machine has this address now.
@@ -106,7 +101,6 @@
 
     pub(super) fn check_machines(&mut self, settings: &Settings, io: &mut Io) {
         let workers = &settings.deployment.workers;
-        let quiet_ms = (workers.report_s * 1.25 * SECOND_MS as f64) as u64 + SILENT_SLACK_MS;
         let lease_ms = (workers.lease_s * SECOND_MS as f64) as u64;
         let lease_ms = lease_ms + lease_ms * CLOCK_DRIFT_PPM / 1_000_000 + LEASE_MARGIN_MS;
         let roll_call = self.call_roll(io.now);
@@ -119,7 +113,7 @@
             }
             let last = machine.heard.unwrap_or(self.started);
             let asked = roll_call && !machine.inspect_failed && io.now > last;
-            if io.now < last + quiet_ms && !machine.inspect_due && !asked {
+            if io.now < last + ASK_AFTER_MS && !machine.inspect_due && !asked {
                 continue;
             }
             if !machine.inspecting
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -153,7 +153,7 @@
     pub greet: bool,
     pub greeted_at: Option<Millis>,
     pub inspecting: bool,
-    /// It is asked without waiting for a late report.
+    /// Known from a record only: it is asked at once.
     pub inspect_due: bool,
     pub inspect_failed: bool,
     /// When it last failed to answer.
@@ -225,6 +225,7 @@
         machine.returning = record.returning;
         machine.images = record.images.iter().cloned().collect();
         machine.greet = true;
+        machine.inspect_due = true;
         machine.attempts = record
             .starts
             .iter()
