--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -136,11 +136,19 @@
     }
 }
 
+impl Operator {
+    /// Reads the operators' settings from whatever notation held them.
+    pub fn from_value(value: serde_json::Value) -> Result<Operator, SettingsError> {
+        Ok(serde_path_to_error::deserialize(value)?)
+    }
+}
+
 /// A setting that cannot be used, with the field's name.
 #[derive(Debug, Error)]
 pub enum SettingsError {
-    #[error("not valid settings: {0}")]
-    Json(#[from] serde_json::Error),
+    /// The path to the field, and what is wrong there.
+    #[error("{0}")]
+    Unreadable(#[from] serde_path_to_error::Error<serde_json::Error>),
     #[error("{field}: {problem}")]
     Field { field: String, problem: String },
 }
@@ -170,7 +178,11 @@
 
 impl Settings {
     pub fn parse(text: &str) -> Result<Settings, SettingsError> {
-        let settings: Settings = serde_json::from_str(text)?;
+        let mut input = serde_json::Deserializer::from_str(text);
+        let settings: Settings = serde_path_to_error::deserialize(&mut input)?;
+        input
+            .end()
+            .map_err(|error| bad("end of file", error.to_string()))?;
         settings.check()?;
         Ok(settings)
     }
@@ -232,3 +244,43 @@
         self.deployment.teams.iter().find(|team| team.name == name)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = include_str!("../tests/support/settings.json");
+
+    fn problem(change: impl FnOnce(&mut serde_json::Value)) -> String {
+        let mut value: serde_json::Value = serde_json::from_str(GOOD).unwrap();
+        change(&mut value);
+        Settings::parse(&value.to_string()).unwrap_err().to_string()
+    }
+
+    #[test]
+    fn problems_name_their_field() {
+        assert!(Settings::parse(GOOD).is_ok());
+        assert!(problem(|value| value["deployment"]["zones"] = 5.into()).starts_with("deployment.zones: "));
+        assert!(problem(|value| value["bind"] = "here".into()).starts_with("bind: "));
+        assert!(problem(|value| value["deployment"]["workers"]["lease_s"] = 0.into()).contains("lease_s"));
+        assert!(
+            problem(|value| {
+                value.as_object_mut().unwrap().remove("services");
+            })
+            .contains("services")
+        );
+    }
+
+    #[test]
+    fn operators_settings_allow_nothing_unknown() {
+        let read = |text: &str| Operator::from_value(serde_json::from_str(text).unwrap());
+        assert_eq!(read(r#"{ "fleet_max": 7 }"#).unwrap().fleet_max, 7);
+        for (text, field) in [
+            (r#"{ "fleet": 7 }"#, "fleet"),
+            (r#"{ "fleet_max": "x" }"#, "fleet_max"),
+        ] {
+            let problem = read(text).unwrap_err().to_string();
+            assert!(problem.contains(field), "{problem}");
+        }
+    }
+}
--- a/indigopath/src/main.rs
+++ b/indigopath/src/main.rs
@@ -70,16 +70,16 @@
     let Some(path) = &files.operator else {
         return Ok(settings);
     };
-    let operator: Operator = hcl::from_str(&read(path)?).map_err(|source| FileError::Hcl {
+    let value: serde_json::Value = hcl::from_str(&read(path)?).map_err(|source| FileError::Hcl {
         path: path.clone(),
         source,
     })?;
-    settings
-        .with_operator(operator)
-        .map_err(|source| FileError::Settings {
-            path: path.clone(),
-            source,
-        })
+    let unusable = |source| FileError::Settings {
+        path: path.clone(),
+        source,
+    };
+    let operator = Operator::from_value(value).map_err(unusable)?;
+    settings.with_operator(operator).map_err(unusable)
 }
 
 fn start_log(member: &str) {
