Work within one team's guarantee is never stopped for another's

After a take-over two arrays within their teams' guarantees stopped each other 500 times in 5 s: each team was beyond its guarantee as a whole, so each could take the other's guaranteed tasks back. Now only jobs beyond their team's guarantee give way.

--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -77,6 +77,8 @@
     rooms: Vec<Room<'a>>,
     usage: HashMap<Arc<str>, Resources>,
     zones: HashMap<JobId, Zones>,
+    /// Jobs within their team's guarantee.
+    within: BTreeSet<JobId>,
     plan: Plan,
     starts: usize,
 }
@@ -119,7 +121,7 @@
 
 pub fn plan(site: &Site<'_>) -> Plan {
     let mut pass = Pass::new(site);
-    let within = within_guarantee(site.deployment, site.jobs, site.now);
+    let within = pass.within.clone();
     let mut order: Vec<&Job> = site
         .jobs
         .values()
@@ -195,6 +197,7 @@
             rooms,
             usage,
             zones,
+            within: within_guarantee(site.deployment, site.jobs, site.now),
             plan: Plan::default(),
             starts: 0,
         }
@@ -583,6 +586,9 @@
             let borrowed = in_guarantee
                 && victim.spec.priority >= job.spec.priority
                 && victim.spec.team != job.spec.team
+                // Else two teams beyond their guarantees would stop each other's
+                // guaranteed work, back and forth.
+                && !self.within.contains(&victim.spec.id)
                 && self.over_guarantee(&victim.spec.team);
             if lower || borrowed {
                 options.push((self.lost_work_s(running.attempt, victim), index));
