--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -239,10 +239,6 @@
         self.operator = operator;
         Ok(self)
     }
-
-    pub fn team(&self, name: &str) -> Option<&Team> {
-        self.deployment.teams.iter().find(|team| team.name == name)
-    }
 }
 
 #[cfg(test)]
