Clean-up: one place each for what the leader's code said twice

An asked stop, an empty start-up reading, the leader's transactions, the time that a task ran, whether a machine has been up, and whether a job is within its guarantee stood in several places; each now stands in one. Behaviour and tests' assertions are unchanged.

--- a/core/src/forecast.rs
+++ b/core/src/forecast.rs
@@ -65,12 +65,11 @@
         let Some(job) = jobs.get(&attempt.task.job) else {
             continue;
         };
-        let ran_s = attempt
-            .running_since
-            .map_or(0.0, |since| now.saturating_sub(since) as f64 / SECOND_MS as f64);
         let entry = placed.entry(&attempt.task.job).or_default();
         entry.tasks += 1;
-        entry.longest_s = entry.longest_s.max((job.spec.estimate_s - ran_s).max(0.0));
+        entry.longest_s = entry
+            .longest_s
+            .max((job.spec.estimate_s - attempt.ran_s(now)).max(0.0));
     }
     let mut late = Vec::new();
     for job in jobs
--- a/core/src/leader/machines.rs
+++ b/core/src/leader/machines.rs
@@ -107,8 +107,7 @@
         let mut inspect = Vec::new();
         let mut lapsed = Vec::new();
         for machine in self.machines.values_mut() {
-            let known_up = machine.heard.is_some() || !machine.attempts.is_empty();
-            if !known_up {
+            if !machine.has_been_up() {
                 continue;
             }
             let last = machine.heard.unwrap_or(self.started);
@@ -178,8 +177,6 @@
             None => {
                 if !machine.inspect_failed {
                     log::info!("machine={id} is silent and does not answer");
-                }
-                if !machine.inspect_failed {
                     machine.silent_at = io.now;
                 }
                 machine.inspect_failed = true;
@@ -224,10 +221,7 @@
     }
 
     pub(super) fn silent(&self) -> (u32, u32) {
-        let up = self
-            .machines
-            .values()
-            .filter(|machine| machine.heard.is_some() || !machine.attempts.is_empty());
+        let up = self.machines.values().filter(|machine| machine.has_been_up());
         let (mut silent, mut all) = (0, 0);
         for machine in up {
             all += 1;
--- a/core/src/leader/mod.rs
+++ b/core/src/leader/mod.rs
@@ -81,7 +81,7 @@
 }
 
 /// Start-up reading: prefix by prefix, page by page.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Load {
     prefix: usize,
     after: Option<String>,
@@ -137,14 +137,7 @@
         Term {
             first_token: token,
             started: now,
-            load: Some(Load {
-                prefix: 0,
-                after: None,
-                busy: false,
-                retry_at: 0,
-                items: Vec::new(),
-                revision: None,
-            }),
+            load: Some(Load::default()),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             rentals: BTreeMap::new(),
@@ -199,6 +192,19 @@
     ) -> CallId {
         io.state_call(method, path, body, timeout_ms, self.purpose(kind))
     }
+
+    /// A transaction of this leader.
+    fn transact(&self, body: Vec<u8>, kind: TermCallKind, io: &mut Io) {
+        self.state_call(
+            Method::Post,
+            paths::TRANSACTION.to_owned(),
+            body,
+            STATE_TIMEOUT_MS,
+            kind,
+            io,
+        );
+    }
+
     fn poll_load(&mut self, io: &mut Io) {
         let Some(load) = &mut self.load else { return };
         if load.busy || io.now < load.retry_at {
@@ -250,11 +256,7 @@
                 log::error!("record {} is ignored: {problem}", item.key);
             }
         }
-        let machines: Vec<MachineId> = self.machines.keys().cloned().collect();
-        for id in machines {
-            let Some(machine) = self.machines.get_mut(&id) else {
-                continue;
-            };
+        for machine in self.machines.values_mut() {
             for attempt in &mut machine.attempts {
                 match self.jobs.get_mut(&attempt.task.job) {
                     Some(job) => {
@@ -270,13 +272,7 @@
                             gang.number = gang.number.max(attempt.number);
                         }
                     }
-                    None => {
-                        attempt.stop = Some(Stop {
-                            grace_s: 0.0,
-                            asked_at: io.now,
-                            ordered_at: None,
-                        })
-                    }
+                    None => attempt.stop = Some(Stop::asked(0.0, io.now)),
                 }
             }
         }
@@ -355,11 +351,7 @@
                     attempt.closed = true;
                 } else {
                     // Whatever grace an earlier stop had, nobody needs it now.
-                    attempt.stop = Some(Stop {
-                        grace_s: 0.0,
-                        asked_at: now,
-                        ordered_at: None,
-                    });
+                    attempt.stop = Some(Stop::asked(0.0, now));
                 }
             }
         }
@@ -370,14 +362,7 @@
         let Some(changes) = outcome.read::<wire::Changes>(&[200]) else {
             if outcome.status() == Some(410) && self.load.is_none() {
                 // Too far behind: only a new reading tells which jobs are over.
-                self.load = Some(Load {
-                    prefix: 0,
-                    after: None,
-                    busy: false,
-                    retry_at: 0,
-                    items: Vec::new(),
-                    revision: None,
-                });
+                self.load = Some(Load::default());
                 self.jobs.clear();
                 self.machines.clear();
                 self.rentals.clear();
@@ -571,11 +556,7 @@
                 task.job,
                 task.index
             );
-            attempt.stop = Some(Stop {
-                grace_s,
-                asked_at: now,
-                ordered_at: None,
-            });
+            attempt.stop = Some(Stop::asked(grace_s, now));
         }
     }
 
@@ -627,14 +608,7 @@
                 lease: None,
             }],
         };
-        self.state_call(
-            Method::Post,
-            paths::TRANSACTION.to_owned(),
-            json(&body),
-            STATE_TIMEOUT_MS,
-            TermCallKind::StoreTypes,
-            io,
-        );
+        self.transact(json(&body), TermCallKind::StoreTypes, io);
     }
 
     pub fn answered(
--- a/core/src/leader/renting.rs
+++ b/core/src/leader/renting.rs
@@ -354,26 +354,17 @@
         if names.is_empty() || !io.cloud.take(1.0, 0.0, io.now) {
             return;
         }
-        let names: Vec<MachineId> = names
-            .into_iter()
-            .map(|(name, why)| {
-                let told = self
-                    .machines
-                    .get_mut(&name)
-                    .is_none_or(|machine| std::mem::replace(&mut machine.return_told, true));
-                if !told {
-                    log::info!("machine={name} is given back: {why}");
-                }
-                name
-            })
-            .collect();
-        for name in &names {
+        for (name, why) in &names {
             if let Some(machine) = self.machines.get_mut(name) {
                 machine.returning = true;
                 machine.dirty = true;
                 machine.return_in_flight = true;
+                if !std::mem::replace(&mut machine.return_told, true) {
+                    log::info!("machine={name} is given back: {why}");
+                }
             }
         }
+        let names: Vec<MachineId> = names.into_iter().map(|(name, _)| name).collect();
         let body = json(&MachineNames {
             machines: names.iter().map(|name| name.to_string()).collect(),
         });
--- a/core/src/leader/reports.rs
+++ b/core/src/leader/reports.rs
@@ -214,11 +214,7 @@
                 .flat_map(|machine| &mut machine.attempts)
             {
                 if attempt.task.job == task.job && !attempt.exited() && attempt.stop.is_none() {
-                    attempt.stop = Some(Stop {
-                        grace_s,
-                        asked_at: now,
-                        ordered_at: None,
-                    });
+                    attempt.stop = Some(Stop::asked(grace_s, now));
                 }
             }
         }
--- a/core/src/leader/writing.rs
+++ b/core/src/leader/writing.rs
@@ -24,14 +24,7 @@
         {
             self.bumped_at = io.now;
             let body = self.writer.renewal(renewal);
-            self.state_call(
-                Method::Post,
-                paths::TRANSACTION.to_owned(),
-                body,
-                STATE_TIMEOUT_MS,
-                TermCallKind::Write,
-                io,
-            );
+            self.transact(body, TermCallKind::Write, io);
             return;
         }
         let most = settings.deployment.state.txn_ops.min(io.writes.available(io.now));
@@ -42,14 +35,7 @@
             return;
         };
         io.writes.force(ops as f64, io.now);
-        self.state_call(
-            Method::Post,
-            paths::TRANSACTION.to_owned(),
-            body,
-            STATE_TIMEOUT_MS,
-            TermCallKind::Write,
-            io,
-        );
+        self.transact(body, TermCallKind::Write, io);
     }
 
     /// A start that nobody answered may arrive minutes later, even for a job that
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -27,6 +27,16 @@
     pub ordered_at: Option<Millis>,
 }
 
+impl Stop {
+    pub fn asked(grace_s: f64, now: Millis) -> Stop {
+        Stop {
+            grace_s,
+            asked_at: now,
+            ordered_at: None,
+        }
+    }
+}
+
 /// One attempt at a task, as far as it may be on this machine.
 #[derive(Debug, Clone)]
 pub struct Attempt {
@@ -91,6 +101,12 @@
         !self.exited() || self.pin.is_some()
     }
 
+    /// Seconds for which it has been seen running.
+    pub fn ran_s(&self, now: Millis) -> f64 {
+        self.running_since
+            .map_or(0.0, |since| now.saturating_sub(since) as f64 / SECOND_MS as f64)
+    }
+
     /// No message that could start it has ever left.
     pub fn never_sent(&self) -> bool {
         !self.inherited && self.sent.is_none() && !self.in_flight && self.pin.is_none() && self.seen.is_none()
@@ -279,6 +295,11 @@
         self.heard.is_some()
     }
 
+    /// It has been up, as far as this leader knows: heard of, or recorded with work.
+    pub fn has_been_up(&self) -> bool {
+        self.is_up() || !self.attempts.is_empty()
+    }
+
     pub fn used(&self) -> Resources {
         let mut used = Resources::default();
         for attempt in self.attempts.iter().filter(|attempt| attempt.may_be_there()) {
@@ -369,11 +390,7 @@
             stranger.image = None;
             stranger.durable = true;
             stranger.closed = reported.state == TaskState::Exited;
-            stranger.stop = Some(Stop {
-                grace_s: 0.0,
-                asked_at: now,
-                ordered_at: None,
-            });
+            stranger.stop = Some(Stop::asked(0.0, now));
             stranger.observe(reported, now, &mut Vec::new());
             self.attempts.push(stranger);
         }
@@ -665,11 +682,7 @@
     fn a_start_on_its_way_stays_although_its_stop_is_wanted() {
         let mut machine = machine(|attempt| {
             attempt.in_flight = true;
-            attempt.stop = Some(Stop {
-                grace_s: 0.0,
-                asked_at: 0,
-                ordered_at: None,
-            });
+            attempt.stop = Some(Stop::asked(0.0, 0));
         });
         machine.absorb(&report(1, 1, TOKEN, None), TOKEN, 0);
         assert_eq!(machine.attempts.len(), 1);
--- a/core/src/model.rs
+++ b/core/src/model.rs
@@ -102,9 +102,7 @@
             .max(share(self.gpus, whole.gpus))
             .max(share(self.memory_gb, whole.memory_gb))
     }
-}
 
-impl Resources {
     /// The smallest share that is left of any of `whole`'s amounts.
     pub fn share_free(&self, whole: &Resources) -> f64 {
         let share = |part: f64, whole: f64| if whole > 0.0 { part / whole } else { 1.0 };
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -3,7 +3,7 @@
 
 use crate::constants::{
     EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS, MOVES_PER_PASS,
-    PREEMPT_FOR_IMAGE_S, SECOND_MS, SETTLED_MS, SPOT_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    PREEMPT_FOR_IMAGE_S, SETTLED_MS, SPOT_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
 };
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
@@ -121,7 +121,6 @@
 
 pub fn plan(site: &Site<'_>) -> Plan {
     let mut pass = Pass::new(site);
-    let within = pass.within.clone();
     let mut order: Vec<&Job> = site
         .jobs
         .values()
@@ -130,7 +129,7 @@
     order.sort_by_key(|job| {
         (
             job.spec.priority,
-            !within.contains(&job.spec.id),
+            !pass.within.contains(&job.spec.id),
             Reverse(job.age_ms(site.now)),
             job.spec.id.clone(),
         )
@@ -139,10 +138,9 @@
         if pass.starts >= STARTS_PER_PASS {
             break;
         }
-        let in_guarantee = within.contains(&job.spec.id);
         match job.spec.shape {
-            Shape::Gang => pass.place_gang(job, in_guarantee),
-            Shape::Array | Shape::Service => pass.place_tasks(job, in_guarantee),
+            Shape::Gang => pass.place_gang(job),
+            Shape::Array | Shape::Service => pass.place_tasks(job),
         }
     }
     pass.drain_noticed();
@@ -350,7 +348,7 @@
         });
     }
 
-    fn place_tasks(&mut self, job: &Job, in_guarantee: bool) {
+    fn place_tasks(&mut self, job: &Job) {
         let allowed = self.quota_left(&job.spec, job.waiting.len() as u32);
         let mut zones = self.open_zones(&job.spec);
         let mut left = allowed;
@@ -364,7 +362,7 @@
             // A fetch would make the start late: room beside the image is worth the
             // little work that is stopped for it.
             if self.fetch_s(job, at) > self.start_within_s(job)
-                && self.make_room(job, in_guarantee, &zones, Some(PREEMPT_FOR_IMAGE_S))
+                && self.make_room(job, &zones, Some(PREEMPT_FOR_IMAGE_S))
             {
                 left -= 1;
                 continue;
@@ -377,7 +375,7 @@
         }
         let mut unplaced = 0;
         for _ in 0..left {
-            if !self.make_room(job, in_guarantee, &zones, None) {
+            if !self.make_room(job, &zones, None) {
                 unplaced += 1;
             }
         }
@@ -395,7 +393,7 @@
     }
 
     /// All missing tasks of the gang at once, or none.
-    fn place_gang(&mut self, job: &Job, in_guarantee: bool) {
+    fn place_gang(&mut self, job: &Job) {
         let present: u32 = self
             .zones
             .get(&job.spec.id)
@@ -436,7 +434,7 @@
                 let tasks = missing.len() as u32;
                 // Room for a larger gang is made by renting: stopping others for a
                 // part of it would waste their work without starting it.
-                if tasks == 1 && self.make_room(job, in_guarantee, &zones, None) {
+                if tasks == 1 && self.make_room(job, &zones, None) {
                     return;
                 }
                 self.note_unplaced(job, tasks, zones);
@@ -480,13 +478,7 @@
     /// Finds room for one task among what is leaving, or makes some by stopping
     /// work that may be stopped for it. Claims it for the rest of the pass. With
     /// `most_lost_s`, only beside the job's image and at no higher cost.
-    fn make_room(
-        &mut self,
-        job: &Job,
-        in_guarantee: bool,
-        zones: &[String],
-        most_lost_s: Option<f64>,
-    ) -> bool {
+    fn make_room(&mut self, job: &Job, zones: &[String], most_lost_s: Option<f64>) -> bool {
         let needs = job.spec.needs;
         let candidates: Vec<usize> = (0..self.rooms.len())
             .filter(|at| self.allowed(job, *at, zones))
@@ -503,7 +495,7 @@
         }
         let mut best: Option<(f64, usize, Vec<usize>)> = None;
         for at in candidates {
-            if let Some((cost, victims)) = self.victims(job, in_guarantee, at)
+            if let Some((cost, victims)) = self.victims(job, at)
                 && most_lost_s.is_none_or(|most| cost <= most)
                 && best.as_ref().is_none_or(|(least, _, _)| cost < *least)
             {
@@ -572,7 +564,7 @@
     }
 
     /// The cheapest tasks on a machine whose stop makes room, with the work lost.
-    fn victims(&self, job: &Job, in_guarantee: bool, at: usize) -> Option<(f64, Vec<usize>)> {
+    fn victims(&self, job: &Job, at: usize) -> Option<(f64, Vec<usize>)> {
         let room = &self.rooms[at];
         let mut options: Vec<(f64, usize)> = Vec::new();
         for (index, running) in room.running.iter().enumerate() {
@@ -583,7 +575,7 @@
                 continue;
             };
             let lower = victim.spec.priority > job.spec.priority;
-            let borrowed = in_guarantee
+            let borrowed = self.within.contains(&job.spec.id)
                 && victim.spec.priority >= job.spec.priority
                 && victim.spec.team != job.spec.team
                 // Else two teams beyond their guarantees would stop each other's
@@ -617,13 +609,10 @@
 
     /// Seconds of work that a stop throws away.
     fn lost_work_s(&self, attempt: &Attempt, job: &Job) -> f64 {
-        let ran_s = attempt.running_since.map_or(0.0, |since| {
-            self.site.now.saturating_sub(since) as f64 / SECOND_MS as f64
-        });
         if job.spec.saves() {
             job.spec.save_s + 1.0
         } else {
-            ran_s + 1.0
+            attempt.ran_s(self.site.now) + 1.0
         }
     }
 
