--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -67,8 +67,9 @@
 /// Share of the state service's request rate that the leader allows itself.
 pub const LEADER_STATE_SHARE: f64 = 0.5;
 
-/// Share of the state service's request rate that each follower allows itself.
-pub const FOLLOWER_STATE_SHARE: f64 = 0.22;
+/// Share of the state service's request rate that the followers allow themselves
+/// together.
+pub const FOLLOWERS_STATE_SHARE: f64 = 0.45;
 
 /// Share of the state service's change rate that the leader's batches may use;
 /// the rest is for users' submissions and cancellations on any node.
@@ -76,7 +77,7 @@
 
 /// Share of the cloud's request rate that the leader uses; other nodes ask for
 /// machine types only.
-pub const CLOUD_SHARE: f64 = 0.6;
+pub const CLOUD_SHARE: f64 = 0.8;
 
 /// Part of a bucket that polls must leave for submissions and cancellations.
 pub const POLL_RESERVE: f64 = 0.25;
@@ -84,12 +85,31 @@
 /// Wait, in ms, before a leader's failed write is tried again.
 pub const WRITE_RETRY_MS: u64 = 200;
 
+/// How long polls gather, in ms, before one comparison in the state service answers
+/// for all of them; their users wait 2 s.
+pub const POLL_GATHER_MS: u64 = 60;
+
+/// Live jobs whose record's version a node remembers for that.
+pub const LIVE_CACHE: usize = 20_000;
+
 /// Bytes of one transaction's body that the leader fills at most (protocol: 64 KiB).
 pub const TXN_BYTES: usize = 56 * 1024;
 
 /// Number of items asked for in one page of a state listing.
 pub const PAGE_ITEMS: u32 = 500;
 
+/// How long, in ms, completed tasks gather before they are recorded. Workers keep
+/// the results meanwhile.
+pub const DONE_GATHER_MS: u64 = 500;
+
+/// Part of `value_kb` that a value of ours fills at most: the service may write the
+/// same JSON a little longer.
+pub const VALUE_SHARE: f64 = 0.9;
+
+/// What a machine takes of a shared record, in bytes, with some eight tasks: so many
+/// of them share one that it stays within `value_kb`. Fuller ones are halved.
+pub const SHARD_MACHINE_BYTES: usize = 500;
+
 /// Tasks per chunk of a job's record of completed tasks. As a bitmap a chunk
 /// takes 1 KiB, far below any `value_kb` that the platform sets.
 pub const DONE_CHUNK: u32 = 8_192;
@@ -135,6 +155,41 @@
 /// machine wait for the proof.
 pub const ASK_AFTER_MS: u64 = 2_000;
 
+/// Multiple of the report interval after which a report is missing, not just slow:
+/// workers vary it by a quarter (protocol).
+pub const REPORT_LATE: f64 = 1.25;
+
+/// What a report may take beyond that, in ms: its way, and a busy leader.
+pub const REPORT_SLACK_MS: u64 = 700;
+
+/// Machines that the leader asks unbidden in a second (greetings after a take-over,
+/// questions to silent ones). Each takes a socket and some 0.2 ms of processor time;
+/// a fleet of thousands must not take a second's worth of either at once, and most
+/// workers report by themselves within seconds.
+pub const QUESTIONS_PER_S: f64 = 50.0;
+
+/// Part of that which questions of doubtful use leave to the others.
+pub const QUESTIONS_RESERVE: f64 = 0.5;
+
+/// Machines asked, spread over the fleet, before a silent one is given back: enough
+/// to tell whether it is the leader who is cut off.
+pub const ROLL_SAMPLE: usize = 24;
+
+/// Direct commands under way at a time: each takes a socket.
+pub const DIRECTS_IN_FLIGHT: usize = 200;
+
+/// Interval, in ms, at which all machines are looked at for what time alone brings:
+/// silence, leases, repeated stops.
+pub const CHECK_MS: u64 = 200;
+
+/// Interval, in ms, at which the index of jobs' machines is built anew. It only ever
+/// names too many meanwhile.
+pub const INDEX_MS: u64 = 5_000;
+
+/// Interval, in ms, at which tasks are counted for display (protocol: the state may
+/// lag by 3 s).
+pub const COUNT_MS: u64 = 1_000;
+
 /// Share of the machines heard recently that, silent at once, make a leader
 /// doubt itself rather than them.
 pub const SUSPECT_SELF_SHARE: f64 = 0.5;
@@ -143,9 +198,10 @@
 /// a sibling that hears workers.
 pub const SUSPECT_SELF_MS: u64 = 1_500;
 
-/// How recently, in ms, a node must have been addressed by a worker to say that
-/// it hears it. Workers turned away come back about once a second.
-pub const HEARS_WORKER_MS: u64 = 5_000;
+/// How recently, in ms, a node must have been addressed by a worker to say that it
+/// hears it, beyond a second for each node: a worker waits 4 s for a silent node, and
+/// goes round the others, about a second each.
+pub const HEARS_WORKER_MS: u64 = 4_000;
 
 /// Interval of the cloud listing, in ms: several times its usual lag, as reports
 /// tell most of it sooner.
@@ -183,8 +239,9 @@
 /// The paper's factor: queued walltime is divided by this many waste times.
 pub const WASTE_FACTOR: f64 = 2.0;
 
-/// Most machines rented at a time, unless the operator says otherwise.
-pub const FLEET_MAX: u32 = 500;
+/// Most machines rented at a time, unless the operators say otherwise: no limit, as
+/// the cloud's capacity and the paper's rule are.
+pub const FLEET_MAX: u32 = u32::MAX;
 
 /// Interval of the fleet loop, in ms. The paper sleeps 10 to 15 s to spare its
 /// queue command; ours reads memory, and people wait for what it rents.
@@ -200,9 +257,20 @@
 /// Shortest time, in ms, between two scheduling passes: changes gather in a batch.
 pub const PASS_SPACING_MS: u64 = 20;
 
+/// What each machine adds to that, in us: a pass looks at every machine and must not
+/// take more than a part of a small share of a core.
+pub const PASS_SPACING_PER_MACHINE_US: u64 = 120;
+
 /// Starts that one pass plans at most, so that a pass stays short on a small
 /// share of a core; the next pass goes on.
-pub const STARTS_PER_PASS: usize = 150;
+pub const STARTS_PER_PASS: usize = 400;
+
+/// Searches for work that could give way which one pass makes at most: each looks at
+/// every task that runs.
+pub const ROOM_SEARCHES_PER_PASS: usize = 40;
+
+/// Machines that one pass tries to empty of replicas at most.
+pub const GATHER_TRIES: usize = 8;
 
 /// Failures of a machine, by different jobs, after which it is drained.
 pub const FAULTY_AFTER: usize = 2;
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -66,30 +66,53 @@
     pub free: Resources,
 }
 
+impl Coming {
+    fn alike(&self, other: &Coming) -> bool {
+        self.spot == other.spot && self.zone == other.zone && self.machine_type == other.machine_type
+    }
+}
+
 /// How many of a job's waiting tasks the machines idle or coming leave over; takes
-/// the room of the others. A gang is left over whole or not at all.
+/// the room of the others. A gang is left over whole or not at all, and in one zone
+/// where it must be. Machines of one kind best stand together in `coming`.
 pub fn left_over(coming: &mut [Coming], spec: &JobSpec, zones: &[String], tasks: u32, types: &Types) -> u32 {
-    let mut taken: Vec<usize> = Vec::new();
-    let mut zone: Option<String> = None;
-    for _ in 0..tasks {
-        let found = (0..coming.len()).find(|at| {
-            let machine = &coming[*at];
-            spec.needs.fits_in(&machine.free)
-                && zones.contains(&machine.zone)
-                && (!spec.one_zone || zone.as_ref().is_none_or(|zone| *zone == machine.zone))
+    if spec.one_zone {
+        let left = zones
+            .iter()
+            .map(|zone| take(coming, spec, std::slice::from_ref(zone), tasks, types))
+            .find(|left| *left < tasks);
+        return left.unwrap_or(tasks);
+    }
+    take(coming, spec, zones, tasks, types)
+}
+
+fn take(coming: &mut [Coming], spec: &JobSpec, zones: &[String], tasks: u32, types: &Types) -> u32 {
+    let mut taken: Vec<(usize, u32)> = Vec::new();
+    let mut left = tasks;
+    let mut eligible = false;
+    for at in 0..coming.len() {
+        if left == 0 {
+            break;
+        }
+        let alike = at > 0 && coming[at].alike(&coming[at - 1]);
+        let machine = &mut coming[at];
+        if !alike {
+            eligible = zones.contains(&machine.zone)
                 && types
                     .get(&machine.machine_type)
-                    .is_some_and(|known| spec.eligible(known, &machine.zone, machine.spot))
-        });
-        let Some(at) = found else { break };
-        coming[at].free -= spec.needs;
-        zone.get_or_insert_with(|| coming[at].zone.clone());
-        taken.push(at);
+                    .is_some_and(|known| spec.eligible(known, &machine.zone, machine.spot));
+        }
+        if !eligible || !spec.needs.fits_in(&machine.free) {
+            continue;
+        }
+        let count = (spec.needs.count_in(&machine.free) as u32).min(left);
+        machine.free -= spec.needs.times(f64::from(count));
+        left -= count;
+        taken.push((at, count));
     }
-    let left = tasks - taken.len() as u32;
     if left > 0 && spec.shape == Shape::Gang {
-        for at in taken {
-            coming[at].free += spec.needs;
+        for (at, count) in taken {
+            coming[at].free += spec.needs.times(f64::from(count));
         }
         return tasks;
     }
--- a/core/src/io.rs
+++ b/core/src/io.rs
@@ -2,12 +2,12 @@
 //! systems, frames to siblings. Nothing here does any input or output.
 
 use crate::budget::Bucket;
-use crate::constants::{CLOUD_SHARE, FOLLOWER_STATE_SHARE, LEADER_STATE_SHARE, LEADER_WRITE_SHARE};
+use crate::constants::{CLOUD_SHARE, FOLLOWERS_STATE_SHARE, LEADER_STATE_SHARE, LEADER_WRITE_SHARE};
 use crate::leader::TermCall;
 use crate::leadership::Step;
 use crate::model::Millis;
-use crate::settings::Deployment;
-use crate::users::UserCall;
+use crate::settings::Settings;
+use crate::users::{Comparison, UserCall};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde::Serialize;
@@ -116,6 +116,8 @@
     Leadership(Step),
     Term(TermCall),
     User(RequestId, UserCall),
+    /// Polls that one comparison answers.
+    Polls(Comparison),
     Types,
     StoredTypes,
     /// Only whether the state service answers.
@@ -134,13 +136,16 @@
     pub cloud: Bucket,
     pub effects: Vec<Effect>,
     state_rate: f64,
+    follower_share: f64,
     next_call: u64,
     calls: HashMap<CallId, Purpose>,
 }
 
 impl Io {
-    pub fn new(deployment: &Deployment, seed: u64, now: Millis, wall_ms: u64) -> Io {
-        let rate = deployment.state.rps * FOLLOWER_STATE_SHARE;
+    pub fn new(settings: &Settings, seed: u64, now: Millis, wall_ms: u64) -> Io {
+        let deployment = &settings.deployment;
+        let follower_share = FOLLOWERS_STATE_SHARE / settings.peers.len().max(1) as f64;
+        let rate = deployment.state.rps * follower_share;
         let writes = deployment.state.write_rps * LEADER_WRITE_SHARE;
         let cloud = deployment.cloud.rps * CLOUD_SHARE;
         Io {
@@ -152,6 +157,7 @@
             cloud: Bucket::new(cloud, cloud.max(1.0), now),
             effects: Vec::new(),
             state_rate: deployment.state.rps,
+            follower_share,
             next_call: 1,
             calls: HashMap::new(),
         }
@@ -161,7 +167,7 @@
         let share = if leading {
             LEADER_STATE_SHARE
         } else {
-            FOLLOWER_STATE_SHARE
+            self.follower_share
         };
         self.state.set_rate(self.state_rate * share, self.now);
     }
--- a/core/src/leader/machines.rs
+++ b/core/src/leader/machines.rs
@@ -1,63 +1,91 @@
 //! Direct commands to machines, and machines that fall silent.
 
 use super::*;
+use std::cmp::Reverse;
 
 impl Term {
+    /// Sends what is due to the machines that something happened to.
     pub(super) fn send_direct(&mut self, certain: bool, io: &mut Io) {
-        let token = self.token();
-        let mut sends = Vec::new();
-        for machine in self.machines.values_mut() {
-            if machine.direct_in_flight || machine.inspect_failed || machine.return_in_flight {
-                continue;
-            }
-            let Some(addr) = machine.addr.clone() else {
+        while self.directs < DIRECTS_IN_FLIGHT
+            && let Some(id) = self.attention.pop_first()
+        {
+            let Some(machine) = self.machines.get_mut(&id) else {
                 continue;
             };
-            let greeting = machine.greet
-                && machine
-                    .greeted_at
-                    .is_none_or(|at| io.now >= at + DO_TIMEOUT_MS / 2);
-            if !(greeting || machine.synced && machine.wants_direct(certain, io.now)) {
-                continue;
+            if machine.can_be_told() && machine.synced && machine.wants_direct(certain, io.now) {
+                self.direct(&id, false, certain, io);
             }
-            let orders = if machine.synced {
-                machine.orders(None, certain, io.now)
-            } else {
-                Vec::new()
-            };
-            if orders.is_empty() && !greeting {
-                continue;
+        }
+    }
+
+    /// Machines that a former leader may still command get an empty direct command:
+    /// it fences that one and brings a report. As most workers come by themselves
+    /// within seconds, no more are asked at a time than sockets and processor bear;
+    /// those with replicas or a gang, where people wait, come first.
+    fn greet(&mut self, io: &mut Io) {
+        let now = io.now;
+        let mut due: Vec<(bool, MachineId)> = Vec::new();
+        for machine in self.machines.values() {
+            let waited = machine.greeted_at.is_none_or(|at| now >= at + DO_TIMEOUT_MS / 2);
+            if machine.greet && waited && machine.can_be_told() {
+                let batch_only = machine.attempts.iter().all(|attempt| {
+                    self.jobs
+                        .get(&attempt.task.job)
+                        .is_none_or(|job| job.spec.shape == Shape::Array)
+                });
+                due.push((batch_only, machine.id.clone()));
             }
-            machine.direct_in_flight = true;
-            if greeting {
-                machine.greeted_at = Some(io.now);
+        }
+        due.sort();
+        for (_, id) in due {
+            if !self.questions.take(1.0, 0.0, now) {
+                return;
             }
-            // A machine from a record was last seen in an unknown session; nearly
-            // always the first. A wrong guess is answered with a report.
-            let session = machine.session.max(1);
-            let body = json(&DirectOrders {
-                token,
-                session,
-                orders,
-            });
-            sends.push((machine.id.clone(), addr, session, body, greeting));
-        }
-        for (machine, addr, session, body, greeting) in sends {
-            let purpose = self.purpose(TermCallKind::Direct(Direct {
-                machine,
-                token,
-                session,
-                greeting,
-            }));
-            io.call(
-                Destination::Worker(addr),
-                Method::Post,
-                paths::DIRECT.to_owned(),
-                body,
-                DO_TIMEOUT_MS,
-                purpose,
-            );
+            self.direct(&id, true, false, io);
+        }
+    }
+
+    fn direct(&mut self, id: &MachineId, greeting: bool, certain: bool, io: &mut Io) {
+        let token = self.token();
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(addr) = machine.addr.clone() else { return };
+        let orders = if machine.synced {
+            machine.orders(None, certain, io.now)
+        } else {
+            Vec::new()
+        };
+        if orders.is_empty() && !greeting {
+            return;
         }
+        machine.direct_in_flight = true;
+        self.directs += 1;
+        if greeting {
+            machine.greeted_at = Some(io.now);
+        }
+        // A machine from a record was last seen in an unknown session; nearly
+        // always the first. A wrong guess is answered with a report.
+        let session = machine.session.max(1);
+        let body = json(&DirectOrders {
+            token,
+            session,
+            orders,
+        });
+        let purpose = self.purpose(TermCallKind::Direct(Direct {
+            machine: id.clone(),
+            token,
+            session,
+            greeting,
+        }));
+        io.call(
+            Destination::Worker(addr),
+            Method::Post,
+            paths::DIRECT.to_owned(),
+            body,
+            DO_TIMEOUT_MS,
+            purpose,
+        );
     }
 
     pub(super) fn direct_answered(
@@ -74,8 +102,13 @@
             greeting,
         } = direct;
         let current = self.token();
+        self.directs = self.directs.saturating_sub(1);
         let machine = self.machines.get_mut(&id)?;
         machine.direct_in_flight = false;
+        if *outcome != Outcome::NotSent {
+            // Else there is no socket, or nobody listens: the next check tries again.
+            self.attention.insert(id.clone());
+        }
         let status = outcome.status();
         match (outcome, status) {
             (_, Some(200)) => machine.direct_settled(true),
@@ -103,23 +136,34 @@
         let workers = &settings.deployment.workers;
         let lease_ms = (workers.lease_s * SECOND_MS as f64) as u64;
         let lease_ms = lease_ms + lease_ms * CLOCK_DRIFT_PPM / 1_000_000 + LEASE_MARGIN_MS;
-        let roll_call = self.call_roll(io.now);
+        // A report later than this is missing, not just slow.
+        let overdue_ms = (workers.report_s * REPORT_LATE * SECOND_MS as f64) as u64 + REPORT_SLACK_MS;
+        self.call_roll(io);
+        self.greet(io);
         let mut inspect = Vec::new();
         let mut lapsed = Vec::new();
         for machine in self.machines.values_mut() {
+            if machine.can_be_told() && machine.synced && machine.wants_direct(true, io.now) {
+                self.attention.insert(machine.id.clone());
+            }
             if !machine.has_been_up() {
                 continue;
             }
             let last = machine.heard.unwrap_or(self.started);
-            let asked = roll_call && !machine.inspect_failed && io.now > last;
-            if io.now < last + ASK_AFTER_MS && !machine.inspect_due && !asked {
+            let silent_ms = io.now.saturating_sub(last);
+            if silent_ms < ASK_AFTER_MS {
                 continue;
             }
-            if !machine.inspecting
-                && let Some(addr) = &machine.addr
-            {
-                machine.inspecting = true;
-                inspect.push((machine.id.clone(), addr.clone()));
+            if !machine.inspecting && machine.addr.is_some() {
+                let rank = match (machine.inspect_failed, silent_ms >= overdue_ms) {
+                    (false, true) => 0,
+                    // Asked already; it may have come back.
+                    (true, _) => 1,
+                    // Its report is not due yet, but replicas on a dead machine wait
+                    // for the proof.
+                    (false, false) => 2,
+                };
+                inspect.push((rank, Reverse(silent_ms), machine.id.clone()));
             }
             // The longest that anyone could have kept its lease alive: this leader
             // until it last heard from it, a former one until it had to stop.
@@ -133,16 +177,13 @@
                 lapsed.push(machine.id.clone());
             }
         }
-        for (machine, addr) in inspect {
-            let purpose = self.purpose(TermCallKind::Inspect { machine });
-            io.call(
-                Destination::Worker(addr),
-                Method::Get,
-                paths::INSPECT.to_owned(),
-                Vec::new(),
-                INSPECT_TIMEOUT_MS,
-                purpose,
-            );
+        inspect.sort();
+        for (rank, _, id) in inspect {
+            let reserve = if rank == 0 { 0.0 } else { QUESTIONS_RESERVE };
+            if !self.questions.take(1.0, reserve, io.now) {
+                break;
+            }
+            self.inspect(&id, io);
         }
         for id in lapsed {
             log::info!("machine={id} its lease has run out: nothing is left on it");
@@ -151,6 +192,26 @@
             self.changed = true;
         }
         self.gone.retain(|_, since| io.now < *since + GONE_MEMORY_MS);
+        self.fence = self.fencing_needed();
+    }
+
+    fn inspect(&mut self, id: &MachineId, io: &mut Io) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(addr) = machine.addr.clone().filter(|_| !machine.inspecting) else {
+            return;
+        };
+        machine.inspecting = true;
+        let purpose = self.purpose(TermCallKind::Inspect { machine: id.clone() });
+        io.call(
+            Destination::Worker(addr),
+            Method::Get,
+            paths::INSPECT.to_owned(),
+            Vec::new(),
+            INSPECT_TIMEOUT_MS,
+            purpose,
+        );
     }
 
     pub(super) fn inspected(
@@ -163,7 +224,6 @@
         let current = self.token();
         let machine = self.machines.get_mut(id)?;
         machine.inspecting = false;
-        machine.inspect_due = false;
         match outcome
             .read::<Report>(&[200])
             .filter(|report| report.machine == *id.0)
@@ -187,33 +247,45 @@
     }
 
     /// Machines fall silent one after the other, as their reports fall due, also
-    /// when it is the leader who is cut off. So whenever one is newly silent, all
-    /// are asked at once, before it is given back. Returns whether to ask now.
-    pub(super) fn call_roll(&mut self, now: Millis) -> bool {
+    /// when it is the leader who is cut off. So whenever one is newly silent, some of
+    /// the others, spread over the fleet, are asked before it is given back.
+    pub(super) fn call_roll(&mut self, io: &mut Io) {
         let newest = self
             .machines
             .values()
             .filter(|machine| machine.inspect_failed && !machine.returning)
             .map(|machine| machine.silent_at)
             .max();
-        let due = newest.is_some_and(|silent_at| self.roll_call.is_none_or(|at| at < silent_at));
-        if due {
-            self.roll_call = Some(now);
+        let due = newest.is_some_and(|silent_at| {
+            self.roll_call
+                .is_none_or(|at| at < silent_at && io.now >= at + INSPECT_TIMEOUT_MS)
+        });
+        if !due {
+            return;
+        }
+        self.roll_call = Some(io.now);
+        let others: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|machine| machine.is_up() && !machine.inspect_failed)
+            .map(|machine| machine.id.clone())
+            .collect();
+        let stride = others.len().div_ceil(ROLL_SAMPLE).max(1);
+        let first = io.rng.random_range(0..stride);
+        self.roll = others.into_iter().skip(first).step_by(stride).collect();
+        for id in self.roll.clone() {
+            self.questions.force(1.0, io.now);
+            self.inspect(&id, io);
         }
-        due
     }
 
-    /// Most of the other machines have been heard since the roll was called.
+    /// Most of the machines on the roll have been heard since it was called.
     pub(super) fn others_answer(&self) -> bool {
         let Some(called) = self.roll_call else {
             return false;
         };
-        let others = self
-            .machines
-            .values()
-            .filter(|machine| machine.is_up() && !machine.inspect_failed);
         let (mut heard, mut all) = (0, 0);
-        for machine in others {
+        for machine in self.roll.iter().filter_map(|id| self.machines.get(id)) {
             all += 1;
             heard += u32::from(machine.heard.is_some_and(|at| at >= called));
         }
--- a/core/src/leader/mod.rs
+++ b/core/src/leader/mod.rs
@@ -6,6 +6,7 @@
 mod reports;
 mod writing;
 
+use crate::budget::Bucket;
 use crate::constants::*;
 use crate::fleet::{self, Coming, Queue};
 use crate::forecast;
@@ -13,9 +14,9 @@
 use crate::io::{CallId, Destination, Io, Method, Outcome, Purpose, RequestId, json};
 use crate::leadership::{Leadership, News, keep_alive_ms};
 use crate::ledger::{Attempt, Change, Machine, Stop};
-use crate::model::{Job, JobId, JobSpec, MachineId, Millis, TaskId};
+use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, TaskId};
 use crate::placement::{self, Decision, Site, Types, Unplaced, faulty};
-use crate::records::{self, MachineRecord, Record};
+use crate::records::{self, DoneRecord, Record, ShardRecord};
 use crate::settings::Settings;
 use crate::users::Counts;
 use crate::wire::{
@@ -24,7 +25,7 @@
 };
 use crate::writer::{Unit, Writer};
 use rand::RngExt;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// A call made in a term; its answer is dropped in any other.
@@ -70,6 +71,8 @@
     pub fresh: usize,
     /// Most workers that one of them hears.
     pub hears: u32,
+    /// How long workers take, in ms, to find a sibling when they lose the leader.
+    pub found_ms: u64,
 }
 
 #[derive(Debug)]
@@ -91,7 +94,7 @@
     revision: Option<u64>,
 }
 
-const LOAD_ORDER: [&str; 4] = [records::JOBS, records::DONE, records::MACHINES, records::RENTALS];
+const LOAD_ORDER: [&str; 4] = [records::JOBS, records::DONE, records::SHARDS, records::RENTALS];
 
 type RentKind = (String, String, bool);
 
@@ -104,6 +107,19 @@
     pub(crate) machines: BTreeMap<MachineId, Machine>,
     pub(crate) rentals: BTreeMap<String, Rental>,
     pub(crate) writer: Writer,
+    hosts: Hosts,
+    /// Machines for which a direct command may be due.
+    attention: BTreeSet<MachineId>,
+    /// Direct commands under way.
+    directs: usize,
+    /// A start may have been called off before it was sent.
+    called_off: bool,
+    /// A late command must be fenced off by a higher token.
+    fence: bool,
+    /// Questions that the leader asks machines unbidden.
+    questions: Bucket,
+    counted_at: Millis,
+    indexed_at: Millis,
     gone: HashMap<MachineId, Millis>,
     refused: HashMap<RentKind, Millis>,
     boot_s: HashMap<String, f64>,
@@ -115,6 +131,7 @@
     revision: u64,
     listing: bool,
     listed: Vec<wire::ListedMachine>,
+    listed_pages: u64,
     list_at: Millis,
     cloud_at: Millis,
     fleet_at: Millis,
@@ -125,15 +142,16 @@
     changed: bool,
     unplaced: Vec<Unplaced>,
     doubting_since: Option<Millis>,
-    /// When all machines were last asked, because one was silent.
+    /// When the roll was last called, because a machine was silent, and who is on it.
     roll_call: Option<Millis>,
+    roll: Vec<MachineId>,
     bumped_at: Millis,
     pub counts: Counts,
     stored_types: bool,
 }
 
 impl Term {
-    pub fn new(token: u64, now: Millis) -> Term {
+    pub fn new(token: u64, settings: &Settings, now: Millis) -> Term {
         Term {
             first_token: token,
             started: now,
@@ -141,7 +159,15 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             rentals: BTreeMap::new(),
-            writer: Writer::new(token),
+            writer: Writer::new(token, settings),
+            hosts: Hosts::new(),
+            attention: BTreeSet::new(),
+            directs: 0,
+            called_off: false,
+            fence: false,
+            questions: Bucket::new(QUESTIONS_PER_S, QUESTIONS_PER_S, now),
+            counted_at: 0,
+            indexed_at: now,
             gone: HashMap::new(),
             refused: HashMap::new(),
             boot_s: HashMap::new(),
@@ -153,6 +179,7 @@
             revision: 0,
             listing: false,
             listed: Vec::new(),
+            listed_pages: 0,
             list_at: 0,
             cloud_at: 0,
             fleet_at: 0,
@@ -164,6 +191,7 @@
             unplaced: Vec::new(),
             doubting_since: None,
             roll_call: None,
+            roll: Vec::new(),
             bumped_at: 0,
             counts: Counts::new(),
             stored_types: false,
@@ -256,6 +284,7 @@
                 log::error!("record {} is ignored: {problem}", item.key);
             }
         }
+        self.index_hosts(io.now);
         for machine in self.machines.values_mut() {
             for attempt in &mut machine.attempts {
                 match self.jobs.get_mut(&attempt.task.job) {
@@ -283,29 +312,32 @@
             let spec = JobSpec::from_value(&item.value)?;
             self.jobs
                 .insert(spec.id.clone(), Job::new(spec, item.version, io.now, io.wall_ms));
-        } else if let Some((job, chunk)) = records::parse_done_key(&item.key) {
-            let job = JobId(Arc::from(job));
-            match self.jobs.get_mut(&job) {
-                Some(live) => {
-                    records::decode_done(&item.value, chunk, &mut live.done)?;
-                    live.done.split_off(&live.spec.tasks);
-                    live.waiting.retain(|task| !live.done.contains(task));
-                    if live.complete() {
-                        self.writer.finishing.insert(job.clone());
-                    }
-                    self.writer.done_versions.insert((job, chunk), item.version);
-                }
-                None => {
-                    self.writer.garbage.insert(item.key.clone());
+        } else if let Some(number) = records::parse_number(records::DONE, &item.key) {
+            self.writer.done_read(number, item.version);
+            for (name, bitmap) in DoneRecord::from_value(&item.value)?.0 {
+                let Some((job, chunk)) = records::parse_chunk_name(&name) else {
+                    continue;
+                };
+                // Jobs that are over may stand there still.
+                let Some(live) = self.jobs.get_mut(job) else {
+                    continue;
+                };
+                records::decode_done(&bitmap, chunk, &mut live.done)?;
+                live.done.split_off(&live.spec.tasks);
+                live.waiting.retain(|task| !live.done.contains(task));
+                let id = live.spec.id.clone();
+                if live.complete() {
+                    self.writer.finishing.insert(id.clone());
                 }
+                let bytes = records::chunk_bytes(live.spec.tasks);
+                self.writer.join_done((id, chunk), bytes, number, item.version);
+            }
+        } else if let Some(number) = records::parse_number(records::SHARDS, &item.key) {
+            for record in ShardRecord::from_value(&item.value)?.machines()? {
+                let mut machine = Machine::from_record(&record, io.now);
+                self.writer.join(&mut machine, number, item.version);
+                self.machines.insert(machine.id.clone(), machine);
             }
-        } else if let Some(name) = item.key.strip_prefix(records::MACHINES) {
-            let record = MachineRecord::from_value(&item.value)?;
-            let id = MachineId(Arc::from(name));
-            self.machines.insert(
-                id.clone(),
-                Machine::from_record(id, &record, item.version, io.now),
-            );
         } else if item.key.starts_with(records::RENTALS) {
             let request = RentalRequest::from_value(&item.value)?;
             self.rentals.insert(
@@ -342,6 +374,11 @@
         self.changed = true;
         for machine in self.machines.values_mut() {
             machine.errors.remove(id);
+        }
+        for host in self.hosts.get(id).into_iter().flatten() {
+            let Some(machine) = self.machines.get_mut(host) else {
+                continue;
+            };
             for attempt in machine
                 .attempts
                 .iter_mut()
@@ -352,12 +389,28 @@
                 } else {
                     // Whatever grace an earlier stop had, nobody needs it now.
                     attempt.stop = Some(Stop::asked(0.0, now));
+                    self.called_off = true;
+                    self.attention.insert(host.clone());
                 }
             }
         }
     }
 
-    fn watched(&mut self, outcome: &Outcome, io: &mut Io) {
+    /// Builds the index of hosts anew, which forgets those where nothing is left.
+    fn index_hosts(&mut self, now: Millis) {
+        self.indexed_at = now;
+        self.hosts.clear();
+        for machine in self.machines.values() {
+            for attempt in &machine.attempts {
+                self.hosts
+                    .entry(attempt.task.job.clone())
+                    .or_default()
+                    .insert(machine.id.clone());
+            }
+        }
+    }
+
+    fn watched(&mut self, outcome: &Outcome, settings: &Settings, io: &mut Io) {
         self.watching = false;
         let Some(changes) = outcome.read::<wire::Changes>(&[200]) else {
             if outcome.status() == Some(410) && self.load.is_none() {
@@ -365,8 +418,10 @@
                 self.load = Some(Load::default());
                 self.jobs.clear();
                 self.machines.clear();
+                self.hosts.clear();
+                self.attention.clear();
                 self.rentals.clear();
-                self.writer = Writer::new(self.writer.token);
+                self.writer = Writer::new(self.writer.token, settings);
             }
             self.watch_at = io.now + WRITE_RETRY_MS;
             return;
@@ -415,7 +470,10 @@
         }
         let certain = leadership.certain(io.now);
         if io.now >= self.check_at {
-            self.check_at = io.now + WRITE_RETRY_MS;
+            self.check_at = io.now + CHECK_MS;
+            if io.now >= self.indexed_at + INDEX_MS {
+                self.index_hosts(io.now);
+            }
             self.check_machines(settings, io);
             if let Some(news) = self.check_self(leadership, siblings, io) {
                 return Some(news);
@@ -425,7 +483,7 @@
         self.poll_listing(io);
         if certain && !types.is_empty() {
             let due = if self.changed {
-                self.passed_at + PASS_SPACING_MS
+                self.passed_at + pass_spacing_ms(self.machines.len())
             } else {
                 self.pass_at
             };
@@ -468,6 +526,7 @@
             types,
             jobs: &self.jobs,
             machines: &self.machines,
+            hosts: &self.hosts,
             now: io.now,
         };
         let plan = placement::plan(&site);
@@ -489,7 +548,10 @@
         if starts >= STARTS_PER_PASS {
             self.changed = true;
         }
-        self.count();
+        if io.now >= self.counted_at + COUNT_MS {
+            self.counted_at = io.now;
+            self.count();
+        }
         for machine in self.machines.values_mut() {
             if machine.is_up() && machine.is_empty() {
                 machine.idle_since.get_or_insert(io.now);
@@ -528,6 +590,7 @@
             .get(&machine.machine_type)
             .map_or(0.0, |machine_type| machine_type.cache_gb);
         machine.touch_image(&job.spec.image, job.spec.image_gb, cache_gb);
+        self.hosts.entry(task.job.clone()).or_default().insert(id.clone());
         machine.attempts.push(Attempt::planned(
             task,
             number,
@@ -536,7 +599,7 @@
             job.spec.image.clone(),
             now,
         ));
-        machine.dirty = true;
+        self.writer.record(machine);
     }
 
     fn stop(&mut self, task: &TaskId, id: &MachineId, grace_s: f64, now: Millis) {
@@ -557,11 +620,16 @@
                 task.index
             );
             attempt.stop = Some(Stop::asked(grace_s, now));
+            self.called_off = true;
+            self.attention.insert(id.clone());
         }
     }
 
     /// Starts that were called off before anything was sent never were.
     fn drop_called_off(&mut self, io: &mut Io) {
+        if !std::mem::take(&mut self.called_off) {
+            return;
+        }
         let mut dropped = Vec::new();
         for machine in self.machines.values_mut() {
             machine.attempts.retain(|attempt| {
@@ -616,11 +684,12 @@
         kind: TermCallKind,
         outcome: &Outcome,
         leadership: &mut Leadership,
+        settings: &Settings,
         io: &mut Io,
     ) -> Option<News> {
         match kind {
             TermCallKind::Load => self.loaded(outcome, io),
-            TermCallKind::Watch => self.watched(outcome, io),
+            TermCallKind::Watch => self.watched(outcome, settings, io),
             TermCallKind::Write => return self.written(outcome, leadership, io),
             TermCallKind::Reread { key } => return self.reread(key, outcome, leadership, io),
             TermCallKind::Direct(direct) => return self.direct_answered(direct, outcome, leadership, io),
@@ -633,3 +702,9 @@
         None
     }
 }
+
+/// Shortest time between two scheduling passes: a pass looks at every machine, so a
+/// larger fleet gathers more changes for each.
+fn pass_spacing_ms(machines: usize) -> u64 {
+    PASS_SPACING_MS + PASS_SPACING_PER_MACHINE_US * machines as u64 / 1_000
+}
--- a/core/src/leader/renting.rs
+++ b/core/src/leader/renting.rs
@@ -20,6 +20,10 @@
         }
         self.refused.retain(|_, until| *until > io.now);
         let mut coming = self.coming(types);
+        let mut in_zone: HashMap<&str, usize> = HashMap::new();
+        for machine in self.machines.values() {
+            *in_zone.entry(&machine.zone).or_default() += 1;
+        }
         let mut queues: BTreeMap<(String, bool, Vec<String>), Queue> = BTreeMap::new();
         for unplaced in &self.unplaced {
             let Some(job) = self.jobs.get(&unplaced.job) else {
@@ -36,7 +40,7 @@
             };
             if job.spec.one_zone {
                 // Machines spread over zones would never take it whole.
-                zones = self.fullest_zone(zones);
+                zones = fullest_zone(zones, &in_zone);
             }
             let waste_s = self.waste_s(types, &machine_type.name);
             let per_machine = job.spec.needs.count_in(&machine_type.resources());
@@ -58,7 +62,7 @@
             .saturating_sub(self.machines.len() as u32 + pending);
         for ((name, spot, zones), queue) in queues {
             let target = fleet::target(&queue, self.waste_s(types, &name));
-            let count = target.min(room).min(RENT_MAX);
+            let count = target.min(room);
             if count > 0 {
                 room -= count;
                 self.rent(&name, spot, &zones, count);
@@ -92,24 +96,12 @@
             }
         }
         // What may use spot machines leaves the others to what may not.
-        coming.sort_by_key(|machine| !machine.spot);
+        coming.sort_by(|a: &Coming, b: &Coming| {
+            (!a.spot, &a.machine_type, &a.zone).cmp(&(!b.spot, &b.machine_type, &b.zone))
+        });
         coming
     }
 
-    /// The zone with the most of the site's machines, the first of several.
-    pub(super) fn fullest_zone(&self, zones: Vec<String>) -> Vec<String> {
-        let count = |zone: &String| {
-            self.machines
-                .values()
-                .filter(|machine| machine.zone == *zone)
-                .count()
-        };
-        let fullest = zones
-            .into_iter()
-            .min_by_key(|zone| std::cmp::Reverse(count(zone)));
-        fullest.into_iter().collect()
-    }
-
     /// The cheapest kind of machine, per task, that the cloud may have.
     pub(super) fn kind_for<'a>(
         &self,
@@ -171,30 +163,34 @@
             *at += 1;
             *share.entry(*zone).or_default() += 1;
         }
-        for (zone, count) in share {
-            self.next_rental += 1;
-            let request = RentalRequest {
-                request: format!("r-{}-{}", self.first_token, self.next_rental),
-                machine_type: name.to_owned(),
-                zone: zone.clone(),
-                spot,
-                count,
-            };
+        for (zone, mut left) in share {
             log::info!(
-                "renting {count} of {name} in {zone}{}",
+                "renting {left} of {name} in {zone}{}",
                 if spot { ", spot" } else { "" }
             );
-            let key = request.request.clone();
-            self.rentals.insert(
-                key.clone(),
-                Rental {
-                    request,
-                    recorded: false,
-                    in_flight: false,
-                    retry_at: 0,
-                },
-            );
-            self.writer.rentals.insert(key);
+            while left > 0 {
+                let count = left.min(RENT_MAX);
+                left -= count;
+                self.next_rental += 1;
+                let request = RentalRequest {
+                    request: format!("r-{}-{}", self.first_token, self.next_rental),
+                    machine_type: name.to_owned(),
+                    zone: zone.clone(),
+                    spot,
+                    count,
+                };
+                let key = request.request.clone();
+                self.rentals.insert(
+                    key.clone(),
+                    Rental {
+                        request,
+                        recorded: false,
+                        in_flight: false,
+                        retry_at: 0,
+                    },
+                );
+                self.writer.rentals.insert(key);
+            }
         }
     }
 
@@ -310,7 +306,7 @@
                 || siblings.hears > 0
                 || self
                     .doubting_since
-                    .is_none_or(|since| io.now < since + 2 * SUSPECT_SELF_MS));
+                    .is_none_or(|since| io.now < since + SUSPECT_SELF_MS + siblings.found_ms));
         let doubting = doubting || !self.others_answer();
         let mut names = Vec::new();
         for machine in self.machines.values_mut() {
@@ -357,7 +353,9 @@
         for (name, why) in &names {
             if let Some(machine) = self.machines.get_mut(name) {
                 machine.returning = true;
-                machine.dirty = true;
+                if machine.shard.is_some() {
+                    self.writer.record(machine);
+                }
                 machine.return_in_flight = true;
                 if !std::mem::replace(&mut machine.return_told, true) {
                     log::info!("machine={name} is given back: {why}");
@@ -398,7 +396,7 @@
                     continue;
                 };
                 self.gone.insert(id.clone(), io.now);
-                self.writer.machine_gone(&id, machine.version);
+                self.writer.machine_gone(&machine);
                 let changes = machine.clear();
                 self.apply(&id, changes, io);
                 self.changed = true;
@@ -439,16 +437,19 @@
         self.listing = false;
         let Some(page) = outcome.read::<Listing>(&[200]) else {
             self.listed.clear();
+            self.listed_pages = 0;
             self.list_at = io.now + CLOUD_RETRY_MS;
             return;
         };
         let more = page.more && !page.machines.is_empty();
         self.listed.extend(page.machines);
+        self.listed_pages += 1;
         if more {
             self.list_at = io.now;
             return;
         }
-        self.list_at = io.now + LIST_INTERVAL_MS;
+        // A long list takes its calls from renting and returning.
+        self.list_at = io.now + LIST_INTERVAL_MS * std::mem::take(&mut self.listed_pages).div_ceil(2);
         for listed in std::mem::take(&mut self.listed) {
             let id = MachineId(Arc::from(listed.id.as_str()));
             if self.gone.contains_key(&id) {
@@ -480,3 +481,11 @@
         }
     }
 }
+
+/// The zone with the most of the site's machines, the first of several.
+fn fullest_zone(zones: Vec<String>, machines: &HashMap<&str, usize>) -> Vec<String> {
+    let fullest = zones
+        .into_iter()
+        .min_by_key(|zone| std::cmp::Reverse(machines.get(zone.as_str()).copied().unwrap_or(0)));
+    fullest.into_iter().collect()
+}
--- a/core/src/leader/reports.rs
+++ b/core/src/leader/reports.rs
@@ -61,9 +61,12 @@
             )
         });
         let rented_at = machine.rented_at.filter(|_| machine.heard.is_none());
+        let before = machine.usability();
         let Some(changes) = machine.absorb(report, self.first_token, io.now) else {
             return false;
         };
+        // Most reports say nothing new, and call for no pass.
+        self.changed |= !changes.is_empty() || machine.usability() != before;
         if let Some(rented_at) = rented_at {
             // Only what this leader rented itself tells how long a boot takes:
             // machines found running have no start to count from.
@@ -73,7 +76,7 @@
             log::info!("machine={id} is up after {took_s:.1} s");
         }
         self.apply(&id, changes, io);
-        self.changed = true;
+        self.attention.insert(id);
         true
     }
 
@@ -97,6 +100,10 @@
                 Change::Exited {
                     task, number, why, ..
                 } => self.task_ended(machine, &task, number, why, io),
+                Change::Released(task) => self.requeue(&task, io.now),
+                Change::Stranger(task) => {
+                    self.hosts.entry(task.job).or_default().insert(machine.clone());
+                }
                 Change::Vanished { task, number, .. } => {
                     if let Some(job) = self.jobs.get_mut(&task.job)
                         && let Some(gang) = job.gang.as_mut().filter(|gang| gang.number == number)
@@ -130,7 +137,7 @@
         for index in finished {
             job.waiting.remove(&index);
             if job.done.insert(index) {
-                self.writer.done(&task.job, index);
+                self.writer.done(job, index, now);
             }
         }
         if job.complete() {
@@ -197,32 +204,31 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let elsewhere = self
-            .machines
-            .values()
-            .flat_map(|machine| &machine.attempts)
-            .any(|attempt| attempt.task == *task && attempt.may_be_there());
-        if !elsewhere && !job.done.contains(&task.index) && task.index < job.spec.tasks {
-            job.waiting.insert(task.index);
-        }
-        let Some(gang) = job.gang else { return };
-        if gang.broken {
-            let grace_s = placement::grace_s(&job.spec);
-            for attempt in self
-                .machines
-                .values_mut()
-                .flat_map(|machine| &mut machine.attempts)
-            {
-                if attempt.task.job == task.job && !attempt.exited() && attempt.stop.is_none() {
+        let mut elsewhere = false;
+        let mut left = false;
+        let hosts = self.hosts.get(&task.job).into_iter().flatten();
+        let broken = job.gang.is_some_and(|gang| gang.broken);
+        let grace_s = placement::grace_s(&job.spec);
+        for host in hosts {
+            let Some(machine) = self.machines.get_mut(host) else {
+                continue;
+            };
+            for attempt in &mut machine.attempts {
+                if attempt.task.job != task.job {
+                    continue;
+                }
+                left |= attempt.may_be_there();
+                elsewhere |= attempt.task.index == task.index && attempt.may_be_there();
+                if broken && !attempt.exited() && attempt.stop.is_none() {
                     attempt.stop = Some(Stop::asked(grace_s, now));
+                    self.called_off = true;
+                    self.attention.insert(host.clone());
                 }
             }
         }
-        let left = self
-            .machines
-            .values()
-            .flat_map(|machine| &machine.attempts)
-            .any(|attempt| attempt.task.job == task.job && attempt.may_be_there());
+        if !elsewhere && !job.done.contains(&task.index) && task.index < job.spec.tasks {
+            job.waiting.insert(task.index);
+        }
         if !left {
             job.gang = None;
         }
--- a/core/src/leader/writing.rs
+++ b/core/src/leader/writing.rs
@@ -19,19 +19,25 @@
         if !self.writer.ready(io.now) {
             return;
         }
-        if self.fencing_needed(io.now)
+        if self.fence
+            && io.now >= self.bumped_at + STATE_TIMEOUT_MS
             && let Some(renewal) = leadership.renewal()
         {
             self.bumped_at = io.now;
+            self.fence = false;
             let body = self.writer.renewal(renewal);
             self.transact(body, TermCallKind::Write, io);
             return;
         }
         let most = settings.deployment.state.txn_ops.min(io.writes.available(io.now));
-        let Some((body, ops)) =
-            self.writer
-                .batch(most, settings, &mut self.machines, &self.jobs, &self.rentals)
-        else {
+        let Some((body, ops)) = self.writer.batch(
+            most,
+            settings,
+            &mut self.machines,
+            &self.jobs,
+            &self.rentals,
+            io.now,
+        ) else {
             return;
         };
         io.writes.force(ops as f64, io.now);
@@ -41,15 +47,14 @@
     /// A start that nobody answered may arrive minutes later, even for a job that
     /// has been cancelled since. A higher token, once the worker has seen it,
     /// refuses it; so the leader renews its own.
-    pub(super) fn fencing_needed(&self, now: Millis) -> bool {
-        now >= self.bumped_at + STATE_TIMEOUT_MS
-            && self.machines.values().any(|machine| {
-                !machine.returning
-                    && machine.attempts.iter().any(|attempt| {
-                        attempt.pin.is_some_and(|pin| pin.token == self.writer.token)
-                            && (attempt.stop.is_some() || attempt.exited())
-                    })
-            })
+    pub(super) fn fencing_needed(&self) -> bool {
+        self.machines.values().any(|machine| {
+            !machine.returning
+                && machine.attempts.iter().any(|attempt| {
+                    attempt.pin.is_some_and(|pin| pin.token == self.writer.token)
+                        && (attempt.stop.is_some() || attempt.exited())
+                })
+        })
     }
 
     pub(super) fn written(
@@ -67,7 +72,7 @@
             }
             return None;
         }
-        self.writer.failed(&units, &mut self.machines);
+        self.writer.failed(&units, io.now);
         match outcome {
             Outcome::Answer { status: 409, .. } => {
                 let failed = outcome
@@ -118,25 +123,34 @@
                 leadership.renewed(revision);
                 self.writer.token = revision;
             }
-            Unit::Machine { id, planned } => {
-                if let Some(machine) = self.machines.get_mut(&id) {
-                    machine.version = revision;
-                    for (task, number) in planned {
-                        if let Some(attempt) = machine.attempt_mut(&task, number) {
-                            attempt.durable = true;
-                        }
+            Unit::Shards { numbers, planned } => {
+                self.writer.shards_written(&numbers, revision);
+                for start in planned {
+                    if let Some(attempt) = self
+                        .machines
+                        .get_mut(&start.machine)
+                        .and_then(|machine| machine.attempt_mut(&start.task, start.number))
+                    {
+                        attempt.durable = true;
+                        self.attention.insert(start.machine);
                     }
                 }
             }
-            Unit::Done { job, chunk, tasks } => {
-                self.writer.done_versions.insert((job.clone(), chunk), revision);
-                for attempt in self
-                    .machines
-                    .values_mut()
-                    .flat_map(|machine| &mut machine.attempts)
-                {
-                    if attempt.exited() && attempt.task.job == job && tasks.contains(&attempt.task.index) {
-                        attempt.closed = true;
+            Unit::Done { number, tasks } => {
+                self.writer.done_version(number, revision);
+                for ((job, _), tasks) in tasks {
+                    for host in self.hosts.get(&job).into_iter().flatten() {
+                        let Some(machine) = self.machines.get_mut(host) else {
+                            continue;
+                        };
+                        for attempt in &mut machine.attempts {
+                            if attempt.exited()
+                                && attempt.task.job == job
+                                && tasks.contains(&attempt.task.index)
+                            {
+                                attempt.closed = true;
+                            }
+                        }
                     }
                 }
             }
@@ -182,15 +196,10 @@
             if version == 0 {
                 self.job_over(&JobId(Arc::from(job)), io.now);
             }
-        } else if let Some(name) = key.strip_prefix(records::MACHINES) {
-            if let Some(machine) = self.machines.get_mut(&MachineId(Arc::from(name))) {
-                machine.version = version;
-                machine.dirty = true;
-            }
-        } else if let Some((job, chunk)) = records::parse_done_key(&key) {
-            self.writer
-                .done_versions
-                .insert((JobId(Arc::from(job)), chunk), version);
+        } else if let Some(number) = records::parse_number(records::SHARDS, &key) {
+            self.writer.shard_read(number, version);
+        } else if let Some(number) = records::parse_number(records::DONE, &key) {
+            self.writer.done_version(number, version);
         }
         None
     }
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -127,6 +127,10 @@
         why: Cause,
         ran: bool,
     },
+    /// It is there, but no record speaks of it.
+    Stranger(TaskId),
+    /// It ended before, and nothing late can start it any more.
+    Released(TaskId),
     /// No longer there, and not exited: lost with a session, or never arrived.
     Vanished {
         task: TaskId,
@@ -159,18 +163,14 @@
     /// When this leader rented it, which tells how long its boot takes.
     pub rented_at: Option<Millis>,
     pub notice_until: Option<Millis>,
-    /// Version of its record; 0 while there is none.
-    pub version: u64,
-    /// The record lacks something that must be there before anything is sent.
-    pub dirty: bool,
+    /// The record that it shares with other machines, once it had work.
+    pub shard: Option<u32>,
     pub direct_in_flight: bool,
     /// The next direct command is sent even without orders: it fences former
     /// leaders and brings a report.
     pub greet: bool,
     pub greeted_at: Option<Millis>,
     pub inspecting: bool,
-    /// Known from a record only: it is asked at once.
-    pub inspect_due: bool,
     pub inspect_failed: bool,
     /// When it last failed to answer.
     pub silent_at: Millis,
@@ -207,13 +207,11 @@
             age_at_first_known: 0,
             rented_at: None,
             notice_until: None,
-            version: 0,
-            dirty: true,
+            shard: None,
             direct_in_flight: false,
             greet: false,
             greeted_at: None,
             inspecting: false,
-            inspect_due: false,
             inspect_failed: false,
             silent_at: 0,
             returning: false,
@@ -227,21 +225,18 @@
         }
     }
 
-    pub fn from_record(id: MachineId, record: &MachineRecord, version: u64, now: Millis) -> Machine {
+    pub fn from_record(record: &MachineRecord, now: Millis) -> Machine {
         let mut machine = Machine::new(
-            id,
+            MachineId(record.name.clone()),
             record.machine_type.clone(),
             record.zone.clone(),
             record.spot,
             now,
         );
         machine.addr = record.addr.clone();
-        machine.version = version;
-        machine.dirty = false;
         machine.returning = record.returning;
         machine.images = record.images.iter().cloned().collect();
         machine.greet = true;
-        machine.inspect_due = true;
         machine.attempts = record
             .starts
             .iter()
@@ -255,7 +250,7 @@
                         index: start.index,
                     },
                     start.attempt,
-                    Arc::from(start.team.as_str()),
+                    start.team.clone(),
                     start.needs,
                     Arc::from(""),
                     now,
@@ -265,9 +260,11 @@
         machine
     }
 
-    /// The record: everything that may be there, planned starts included.
-    pub fn record(&self) -> MachineRecord {
+    /// The record: everything that may be there, of planned starts those that are
+    /// `included`.
+    pub fn record(&self, mut included: impl FnMut(&Attempt) -> bool) -> MachineRecord {
         MachineRecord {
+            name: self.id.0.clone(),
             machine_type: self.machine_type.clone(),
             zone: self.zone.clone(),
             spot: self.spot,
@@ -277,12 +274,12 @@
             starts: self
                 .attempts
                 .iter()
-                .filter(|attempt| attempt.may_be_there())
+                .filter(|attempt| attempt.may_be_there() && included(attempt))
                 .map(|attempt| StartRecord {
                     job: attempt.task.job.clone(),
                     index: attempt.task.index,
                     attempt: attempt.number,
-                    team: attempt.team.to_string(),
+                    team: attempt.team.clone(),
                     needs: attempt.needs,
                 })
                 .collect(),
@@ -300,6 +297,16 @@
         self.is_up() || !self.attempts.is_empty()
     }
 
+    /// What a report may change of a machine's use, apart from its tasks.
+    pub fn usability(&self) -> (bool, bool, bool, bool) {
+        (
+            self.is_up(),
+            self.synced,
+            self.inspect_failed,
+            self.notice_until.is_some(),
+        )
+    }
+
     pub fn used(&self) -> Resources {
         let mut used = Resources::default();
         for attempt in self.attempts.iter().filter(|attempt| attempt.may_be_there()) {
@@ -344,6 +351,8 @@
         self.inspect_failed = false;
         let fenced = report.token >= first_token;
         self.synced |= fenced;
+        // Its own report has brought all that a greeting would.
+        self.greet &= !fenced;
         self.addr = Some(report.addr.clone());
         self.notice_until = report
             .notice_s
@@ -362,6 +371,10 @@
                 // A later session or a higher token refuses the old command.
                 if session > pin.session || report.token > pin.token {
                     attempt.pin = None;
+                    // Its end, known already, counts from now on.
+                    if attempt.exited() {
+                        changes.push(Change::Released(attempt.task.clone()));
+                    }
                 }
             }
             let at = listed
@@ -392,6 +405,7 @@
             stranger.closed = reported.state == TaskState::Exited;
             stranger.stop = Some(Stop::asked(0.0, now));
             stranger.observe(reported, now, &mut Vec::new());
+            changes.push(Change::Stranger(stranger.task.clone()));
             self.attempts.push(stranger);
         }
         Some(changes)
@@ -444,25 +458,29 @@
         orders
     }
 
+    /// Whether a direct command could reach it now.
+    pub fn can_be_told(&self) -> bool {
+        self.addr.is_some() && !self.direct_in_flight && !self.inspect_failed && !self.return_in_flight
+    }
+
     /// Whether a direct command is worth sending.
     pub fn wants_direct(&self, starts: bool, now: Millis) -> bool {
-        self.greet
-            || self.attempts.iter().any(|attempt| match &attempt.stop {
-                Some(stop) => {
-                    !attempt.exited()
-                        && attempt.seen.is_some()
-                        && stop.ordered_at.is_none_or(|at| now >= at + STOP_REPEAT_MS)
-                }
-                None => {
-                    starts
-                        && attempt.durable
-                        && attempt.seen.is_none()
-                        && !attempt.in_flight
-                        && !attempt.inherited
-                        && attempt.sent.is_none()
-                        && attempt.pin.is_none()
-                }
-            })
+        self.attempts.iter().any(|attempt| match &attempt.stop {
+            Some(stop) => {
+                !attempt.exited()
+                    && attempt.seen.is_some()
+                    && stop.ordered_at.is_none_or(|at| now >= at + STOP_REPEAT_MS)
+            }
+            None => {
+                starts
+                    && attempt.durable
+                    && attempt.seen.is_none()
+                    && !attempt.in_flight
+                    && !attempt.inherited
+                    && attempt.sent.is_none()
+                    && attempt.pin.is_none()
+            }
+        })
     }
 
     /// The direct command got an answer, or failed in a way that says it was not
@@ -729,14 +747,14 @@
     #[test]
     fn the_record_names_all_that_may_be_there() {
         let mut machine = machine(|attempt| attempt.durable = false);
-        assert_eq!(machine.record().starts.len(), 1);
+        assert_eq!(machine.record(|_| true).starts.len(), 1);
         machine.attempts[0].seen = Some(TaskState::Exited);
-        assert_eq!(machine.record().starts.len(), 0);
+        assert_eq!(machine.record(|_| true).starts.len(), 0);
         machine.attempts[0].pin = Some(Pin {
             session: 1,
             token: TOKEN,
         });
-        assert_eq!(machine.record().starts.len(), 1);
+        assert_eq!(machine.record(|_| true).starts.len(), 1);
     }
 
     #[test]
--- a/core/src/model.rs
+++ b/core/src/model.rs
@@ -3,7 +3,8 @@
 use crate::settings::Team;
 use crate::wire::{MachineType, Priority, Shape};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::borrow::Borrow;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 use std::ops::{AddAssign, SubAssign};
 use std::sync::Arc;
@@ -15,6 +16,12 @@
 #[serde(transparent)]
 pub struct JobId(pub Arc<str>);
 
+impl Borrow<str> for JobId {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl fmt::Display for JobId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
@@ -31,6 +38,10 @@
     }
 }
 
+/// Machines on which something of a job is or may have been: never fewer than the
+/// ledger says, so that whoever asks after a job need not look at the whole fleet.
+pub type Hosts = HashMap<JobId, BTreeSet<MachineId>>;
+
 /// One task of a job.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
--- a/core/src/node.rs
+++ b/core/src/node.rs
@@ -71,7 +71,7 @@
 
 impl Node {
     pub fn new(settings: Settings, seed: u64, now: Millis, wall_ms: u64) -> Node {
-        let mut io = Io::new(&settings.deployment, seed, now, wall_ms);
+        let mut io = Io::new(&settings, seed, now, wall_ms);
         let incarnation = io.rng.random();
         let mut members: Vec<String> = settings.peers.iter().map(|peer| peer.node.clone()).collect();
         members.push(settings.node.clone());
@@ -133,6 +133,8 @@
         }
         self.poll_types();
         self.probe_state();
+        self.users
+            .settle(4 * self.settings.deployment.state.txn_ops, &mut self.io);
         let siblings = self.hearing();
         if let Some(term) = &mut self.term {
             let news = term.settle(
@@ -165,7 +167,7 @@
         match news {
             News::Elected { token } => {
                 self.io.set_leading(true);
-                self.term = Some(Term::new(token, self.io.now));
+                self.term = Some(Term::new(token, &self.settings, self.io.now));
             }
             News::Deposed => {
                 self.io.set_leading(false);
@@ -284,9 +286,13 @@
         let news = match purpose {
             Purpose::Leadership(step) => self.leadership.answered(step, outcome, &mut self.io),
             Purpose::Term(call) => match &mut self.term {
-                Some(term) if term.first_token == call.term => {
-                    term.answered(call.kind, outcome, &mut self.leadership, &mut self.io)
-                }
+                Some(term) if term.first_token == call.term => term.answered(
+                    call.kind,
+                    outcome,
+                    &mut self.leadership,
+                    &self.settings,
+                    &mut self.io,
+                ),
                 _ => None,
             },
             Purpose::User(request, call) => {
@@ -295,6 +301,11 @@
                 self.user_done(done);
                 None
             }
+            Purpose::Polls(comparison) => {
+                let counts = self.term.as_ref().map_or(&self.told, |term| &term.counts);
+                self.users.compared(comparison, outcome, counts, &mut self.io);
+                None
+            }
             Purpose::Types => {
                 self.types_busy = false;
                 match outcome.read::<wire::Flavors>(&[200]) {
@@ -339,7 +350,11 @@
     fn note_state(&mut self, purpose: &Purpose, outcome: &Outcome) {
         let state = matches!(
             purpose,
-            Purpose::Leadership(_) | Purpose::User(..) | Purpose::StoredTypes | Purpose::Probe
+            Purpose::Leadership(_)
+                | Purpose::User(..)
+                | Purpose::Polls(_)
+                | Purpose::StoredTypes
+                | Purpose::Probe
         );
         if !state {
             return;
@@ -428,26 +443,36 @@
             .filter_map(|sibling| sibling.beat)
     }
 
+    /// A worker that loses its node goes round all of them, about a second each.
+    fn found_ms(&self) -> u64 {
+        HEARS_WORKER_MS + self.members.len() as u64 * SECOND_MS
+    }
+
     fn hearing(&self) -> Siblings {
         Siblings {
             fresh: self.fresh().count(),
             hears: self.fresh().map(|beat| beat.hears).max().unwrap_or(0),
+            found_ms: self.found_ms(),
         }
     }
 
     fn send_all(&mut self, frame: &Frame) {
-        let bytes = frame.encode();
+        self.send_bytes(&frame.encode());
+    }
+
+    fn send_bytes(&mut self, bytes: &[u8]) {
         for peer in 0..self.siblings.len() {
             self.io.effects.push(Effect::Frame {
                 peer,
-                bytes: bytes.clone(),
+                bytes: bytes.to_vec(),
             });
         }
     }
 
     fn beat(&mut self) {
         let now = self.io.now;
-        self.workers.retain(|_, at| now < *at + HEARS_WORKER_MS);
+        let hears_ms = self.found_ms();
+        self.workers.retain(|_, at| now < *at + hears_ms);
         let beat = Heartbeat {
             index: self
                 .members
@@ -461,28 +486,27 @@
         };
         self.send_all(&Frame::Heartbeat(beat));
         let Some(term) = &self.term else { return };
-        let news: Vec<(JobId, u32, u32)> = term
-            .counts
-            .iter()
-            .filter(|(job, counts)| self.sent.get(job) != Some(counts))
-            .map(|(job, (done, running))| (job.clone(), *done, *running))
-            .collect();
-        self.sent = term.counts.clone();
-        for (job, done, running) in news {
-            self.send_all(&Frame::Counts { job, done, running });
+        let mut bytes = Vec::new();
+        for (job, counts) in &term.counts {
+            if self.sent.get(job) != Some(counts) {
+                bytes.extend(counts_frame(job, *counts));
+            }
+        }
+        if !bytes.is_empty() {
+            self.sent = term.counts.clone();
+            self.send_bytes(&bytes);
         }
     }
 
     /// A sibling that has just connected knows no counts yet.
     fn tell_all(&mut self, peer: usize) {
         let Some(term) = &self.term else { return };
-        for (job, (done, running)) in &term.counts {
-            let bytes = Frame::Counts {
-                job: job.clone(),
-                done: *done,
-                running: *running,
-            }
-            .encode();
+        let bytes: Vec<u8> = term
+            .counts
+            .iter()
+            .flat_map(|(job, counts)| counts_frame(job, *counts))
+            .collect();
+        if !bytes.is_empty() {
             self.io.effects.push(Effect::Frame { peer, bytes });
         }
     }
@@ -521,6 +545,15 @@
     }
 }
 
+fn counts_frame(job: &JobId, (done, running): (u32, u32)) -> Vec<u8> {
+    Frame::Counts {
+        job: job.clone(),
+        done,
+        running,
+    }
+    .encode()
+}
+
 /// A machine type with which placement can reckon.
 fn sane(machine_type: &MachineType) -> bool {
     let amounts = [
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -2,15 +2,16 @@
 //! the ledger and returns decisions.
 
 use crate::constants::{
-    EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS, MOVES_PER_PASS,
-    PREEMPT_FOR_IMAGE_S, SETTLED_MS, SPOT_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS, GATHER_TRIES,
+    MOVES_PER_PASS, PREEMPT_FOR_IMAGE_S, ROOM_SEARCHES_PER_PASS, SETTLED_MS, SPOT_COST_S, STARTS_PER_PASS,
+    STOP_GRACE_EXTRA_S,
 };
 use crate::ledger::{Attempt, Machine};
-use crate::model::{Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
+use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
 use crate::settings::{Deployment, Team};
-use crate::wire::{MachineType, Shape};
+use crate::wire::{MachineType, Priority, Shape};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 pub type Types = BTreeMap<String, MachineType>;
@@ -21,6 +22,8 @@
     pub types: &'a Types,
     pub jobs: &'a BTreeMap<JobId, Job>,
     pub machines: &'a BTreeMap<MachineId, Machine>,
+    /// Where a job's tasks may be, so that nobody asks every machine.
+    pub hosts: &'a Hosts,
     pub now: Millis,
 }
 
@@ -55,30 +58,71 @@
 /// A task on a machine, as a possible victim.
 struct Running<'a> {
     attempt: &'a Attempt,
+    /// Its job, if that is live; looked up once a pass needs victims.
+    job: Option<&'a Job>,
     stopping: bool,
 }
 
 /// A machine with the room that is left in this pass.
 struct Room<'a> {
     machine: &'a Machine,
+    machine_type: Option<&'a MachineType>,
+    /// Positions of its type and zone, if both are known.
+    place: Option<(usize, usize)>,
     free: Resources,
     /// Room of tasks that are being stopped, for those it is being made for.
     leaving: Resources,
     running: Vec<Running<'a>>,
     usable: bool,
-    images: BTreeSet<Arc<str>>,
+    /// Images that it has or fetches, by their number in this pass.
+    images: Vec<u32>,
+    /// Different images that it is fetching.
+    fetching: u32,
 }
 
-/// Where a job's tasks are: number by zone.
-type Zones = BTreeMap<String, u32>;
+/// Where a job's tasks are: number by position of the zone; the last stands for
+/// zones that the settings do not name.
+type Zones = Vec<u32>;
+
+/// Which zones may take a task, by position.
+type Open = Vec<bool>;
+
+/// What a job asks of a machine, worked out once a pass.
+struct Ask<'a> {
+    job: &'a Job,
+    /// By type, zone and kind: see `Pass::slot`.
+    eligible: Vec<bool>,
+    image: Option<u32>,
+    start_within_s: f64,
+    /// Machines on which its tasks failed are avoided.
+    distrusts: bool,
+}
+
+/// Jobs that ask for the same find room, or none, in the same places.
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Alike {
+    needs: [u64; 3],
+    eligible: Vec<bool>,
+    one_zone: bool,
+}
 
 struct Pass<'a> {
     site: &'a Site<'a>,
     rooms: Vec<Room<'a>>,
-    usage: HashMap<Arc<str>, Resources>,
-    zones: HashMap<JobId, Zones>,
+    types: Vec<&'a MachineType>,
+    images: HashMap<&'a str, u32>,
+    usage: Vec<(Arc<str>, Resources)>,
     /// Jobs within their team's guarantee.
     within: BTreeSet<JobId>,
+    /// For what no room is left, and the fewest tasks that found none.
+    full: HashMap<Alike, u32>,
+    /// For what no room can be made either.
+    stuck: HashSet<(Alike, Priority, String, bool)>,
+    /// The lowest priority of which anything is placed.
+    lowest: Option<Priority>,
+    any_leaving: bool,
+    jobs_known: bool,
+    searches: usize,
     plan: Plan,
     starts: usize,
 }
@@ -126,7 +170,7 @@
         .values()
         .filter(|job| !job.waiting.is_empty() && job.held_until <= site.now)
         .collect();
-    order.sort_by_key(|job| {
+    order.sort_by_cached_key(|job| {
         (
             job.spec.priority,
             !pass.within.contains(&job.spec.id),
@@ -150,52 +194,92 @@
 
 impl<'a> Pass<'a> {
     fn new(site: &'a Site<'a>) -> Pass<'a> {
-        let mut usage: HashMap<Arc<str>, Resources> = HashMap::new();
-        let mut zones: HashMap<JobId, Zones> = HashMap::new();
+        let types: Vec<&MachineType> = site.types.values().collect();
+        let mut usage: Vec<(Arc<str>, Resources)> = Vec::new();
+        let mut images: HashMap<&'a str, u32> = HashMap::new();
+        let mut any_leaving = false;
         let mut rooms = Vec::with_capacity(site.machines.len());
         for machine in site.machines.values() {
             let mut leaving = Resources::default();
-            let mut running = Vec::new();
-            let mut images: BTreeSet<Arc<str>> =
-                machine.images.iter().map(|(name, _)| name.clone()).collect();
+            let mut used = Resources::default();
+            let mut running = Vec::with_capacity(machine.attempts.len());
+            let mut held: Vec<u32> = Vec::with_capacity(machine.images.len() + 1);
+            let mut hold = |image: &'a Arc<str>, held: &mut Vec<u32>| {
+                let next = images.len() as u32;
+                let number = *images.entry(image).or_insert(next);
+                if !held.contains(&number) {
+                    held.push(number);
+                }
+            };
+            for (image, _) in &machine.images {
+                hold(image, &mut held);
+            }
+            let mut fetching: Vec<&Option<Arc<str>>> = Vec::new();
             for attempt in machine.attempts.iter().filter(|attempt| attempt.may_be_there()) {
-                *usage.entry(attempt.team.clone()).or_default() += attempt.needs;
-                *zones
-                    .entry(attempt.task.job.clone())
-                    .or_default()
-                    .entry(machine.zone.clone())
-                    .or_default() += 1;
+                used += attempt.needs;
+                add_usage(&mut usage, &attempt.team, attempt.needs);
                 let stopping = attempt.stop.is_some();
                 if stopping {
                     leaving += attempt.needs;
+                    any_leaving = true;
                 }
-                images.extend(attempt.image.clone());
-                running.push(Running { attempt, stopping });
-            }
-            let free = match site.types.get(&machine.machine_type) {
-                Some(machine_type) => {
-                    let mut free = machine_type.resources();
-                    free -= machine.used();
-                    free
+                if let Some(image) = &attempt.image {
+                    hold(image, &mut held);
                 }
-                None => Resources::default(),
-            };
-            let usable = usable(machine, site.now);
+                if !attempt.exited() && attempt.running_since.is_none() && !fetching.contains(&&attempt.image)
+                {
+                    fetching.push(&attempt.image);
+                }
+                running.push(Running {
+                    attempt,
+                    job: None,
+                    stopping,
+                });
+            }
+            let kind = types
+                .iter()
+                .position(|machine_type| machine_type.name == machine.machine_type);
+            let zone = site
+                .deployment
+                .zones
+                .iter()
+                .position(|zone| *zone == machine.zone);
+            let machine_type = kind.map(|kind| types[kind]);
+            let mut free = machine_type.map(MachineType::resources).unwrap_or_default();
+            if machine_type.is_some() {
+                free -= used;
+            }
             rooms.push(Room {
                 machine,
+                machine_type,
+                place: kind.zip(zone),
                 free,
                 leaving,
                 running,
-                usable,
-                images,
+                usable: usable(machine, site.now),
+                images: held,
+                fetching: fetching.len() as u32,
             });
         }
+        let lowest = site
+            .jobs
+            .values()
+            .filter(|job| job.waiting.len() + job.done.len() < job.spec.tasks as usize)
+            .map(|job| job.spec.priority)
+            .max();
         Pass {
             site,
             rooms,
+            types,
+            images,
             usage,
-            zones,
             within: within_guarantee(site.deployment, site.jobs, site.now),
+            full: HashMap::new(),
+            stuck: HashSet::new(),
+            lowest,
+            any_leaving,
+            jobs_known: false,
+            searches: 0,
             plan: Plan::default(),
             starts: 0,
         }
@@ -205,12 +289,20 @@
         self.site.deployment.teams.iter().find(|team| team.name == name)
     }
 
+    fn used_by(&self, team: &str) -> Resources {
+        self.usage
+            .iter()
+            .find(|(name, _)| **name == *team)
+            .map(|(_, used)| *used)
+            .unwrap_or_default()
+    }
+
     /// How many more tasks of the job its team's limit allows.
     fn quota_left(&self, spec: &JobSpec, most: u32) -> u32 {
         let Some(team) = self.team(&spec.team) else {
             return 0;
         };
-        let mut used = self.usage.get(spec.team.as_str()).copied().unwrap_or_default();
+        let mut used = self.used_by(&spec.team);
         let mut left = 0;
         while left < most {
             used += spec.needs;
@@ -222,94 +314,139 @@
         left
     }
 
-    /// Zones into which one more task of the job may go.
-    fn open_zones(&self, spec: &JobSpec) -> Vec<String> {
-        let none = Zones::new();
-        let taken = self.zones.get(&spec.id).unwrap_or(&none);
-        self.site
+    /// Position of a type, zone and kind in `Ask::eligible`.
+    fn slot(&self, (kind, zone): (usize, usize), spot: bool) -> usize {
+        (kind * self.site.deployment.zones.len() + zone) * 2 + usize::from(spot)
+    }
+
+    fn ask(&self, job: &'a Job) -> Ask<'a> {
+        let mut eligible = Vec::with_capacity(self.types.len() * self.site.deployment.zones.len() * 2);
+        for machine_type in &self.types {
+            for zone in &self.site.deployment.zones {
+                for spot in [false, true] {
+                    eligible.push(job.spec.eligible(machine_type, zone, spot));
+                }
+            }
+        }
+        // How long the job's class may wait to start, if its users say so.
+        let start_within_s = self
+            .site
             .deployment
-            .zones
+            .objectives
             .iter()
-            .filter(|zone| !spec.one_zone || taken.iter().all(|(other, count)| *count == 0 || other == *zone))
-            .filter(|zone| taken.get(*zone).copied().unwrap_or(0) < spec.zone_cap())
-            .cloned()
+            .filter(|objective| {
+                objective.kind == "wait" && objective.class.as_deref() == Some(&job.spec.class)
+            })
+            .filter_map(|objective| objective.within_s)
+            .fold(f64::INFINITY, f64::min);
+        Ask {
+            job,
+            eligible,
+            image: self.images.get(&*job.spec.image).copied(),
+            start_within_s,
+            distrusts: !job.to_blame() && !job.failed_on.is_empty(),
+        }
+    }
+
+    fn alike(&self, ask: &Ask<'_>) -> Alike {
+        let needs = ask.job.spec.needs;
+        Alike {
+            needs: [needs.cpus, needs.gpus, needs.memory_gb].map(f64::to_bits),
+            eligible: ask.eligible.clone(),
+            one_zone: ask.job.spec.one_zone,
+        }
+    }
+
+    /// Where tasks of the job are or may be.
+    fn zones_of(&self, job: &JobId) -> Zones {
+        let zones = &self.site.deployment.zones;
+        let mut taken = vec![0; zones.len() + 1];
+        for id in self.site.hosts.get(job).into_iter().flatten() {
+            let Some(machine) = self.site.machines.get(id) else {
+                continue;
+            };
+            let there = machine
+                .attempts
+                .iter()
+                .filter(|attempt| attempt.task.job == *job && attempt.may_be_there())
+                .count() as u32;
+            let at = zones.iter().position(|zone| *zone == machine.zone);
+            taken[at.unwrap_or(zones.len())] += there;
+        }
+        taken
+    }
+
+    /// Zones into which one more task of the job may go.
+    fn open_zones(&self, spec: &JobSpec, taken: &Zones) -> Open {
+        (0..self.site.deployment.zones.len())
+            .map(|zone| {
+                let alone = taken
+                    .iter()
+                    .enumerate()
+                    .all(|(other, count)| *count == 0 || other == zone);
+                (!spec.one_zone || alone) && taken[zone] < spec.zone_cap()
+            })
             .collect()
     }
 
-    fn allowed(&self, job: &Job, at: usize, zones: &[String]) -> bool {
-        let spec = &job.spec;
+    fn zone_names(&self, open: &Open) -> Vec<String> {
+        let zones = self.site.deployment.zones.iter().zip(open);
+        zones
+            .filter(|(_, open)| **open)
+            .map(|(zone, _)| zone.clone())
+            .collect()
+    }
+
+    fn allowed(&self, ask: &Ask<'_>, at: usize, zones: &Open) -> bool {
         let room = &self.rooms[at];
-        let distrusted = !job.to_blame() && job.failed_on.contains(&room.machine.id);
+        let Some(place) = room.place else { return false };
         room.usable
-            && !distrusted
-            && zones.contains(&room.machine.zone)
-            && self
-                .site
-                .types
-                .get(&room.machine.machine_type)
-                .is_some_and(|machine_type| {
-                    spec.eligible(machine_type, &room.machine.zone, room.machine.spot)
-                })
+            && zones[place.1]
+            && ask.eligible[self.slot(place, room.machine.spot)]
+            && !(ask.distrusts && ask.job.failed_on.contains(&room.machine.id))
+    }
+
+    fn has_image(&self, ask: &Ask<'_>, at: usize) -> bool {
+        ask.image
+            .is_some_and(|image| self.rooms[at].images.contains(&image))
     }
 
     /// Time until the machine has the job's image, in s. Images fetched at the same
     /// time may share its rate.
-    fn fetch_s(&self, job: &Job, at: usize) -> f64 {
-        let room = &self.rooms[at];
-        if room.images.contains(&job.spec.image) {
+    fn fetch_s(&self, ask: &Ask<'_>, at: usize) -> f64 {
+        if self.has_image(ask, at) {
             return 0.0;
         }
-        let fetching: BTreeSet<&Option<Arc<str>>> = room
-            .running
-            .iter()
-            .filter(|running| !running.attempt.exited() && running.attempt.running_since.is_none())
-            .map(|running| &running.attempt.image)
-            .collect();
-        let rate = self
-            .site
-            .types
-            .get(&room.machine.machine_type)
-            .map_or(1.0, |machine_type| {
-                machine_type.fetch_gb_per_s.max(f64::MIN_POSITIVE)
-            });
-        job.spec.image_gb / rate * (1.0 + fetching.len() as f64)
-    }
-
-    /// How long the job's class may wait to start, in s, if its users say so.
-    fn start_within_s(&self, job: &Job) -> f64 {
-        self.site
-            .deployment
-            .objectives
-            .iter()
-            .filter(|objective| {
-                objective.kind == "wait" && objective.class.as_deref() == Some(&job.spec.class)
-            })
-            .filter_map(|objective| objective.within_s)
-            .fold(f64::INFINITY, f64::min)
+        let room = &self.rooms[at];
+        let rate = room.machine_type.map_or(1.0, |machine_type| {
+            machine_type.fetch_gb_per_s.max(f64::MIN_POSITIVE)
+        });
+        ask.job.spec.image_gb / rate * (1.0 + f64::from(room.fetching))
     }
 
     /// Lower is better: the wait for the image, then a spot machine for those who
     /// may use one, then the fullest, so that others fall idle.
-    fn cost(&self, job: &Job, at: usize) -> f64 {
+    fn cost(&self, ask: &Ask<'_>, at: usize) -> f64 {
         let room = &self.rooms[at];
-        let machine_type = self.site.types.get(&room.machine.machine_type);
-        let mut cost = self.fetch_s(job, at);
-        if job.spec.spot && !room.machine.spot {
+        let mut cost = self.fetch_s(ask, at);
+        if ask.job.spec.spot && !room.machine.spot {
             cost += SPOT_COST_S;
         }
         if !room.machine.errors.is_empty() {
             cost += ERRORS_COST_S;
         }
-        if let Some(machine_type) = machine_type {
-            let whole = machine_type.resources();
-            cost += EMPTY_COST_S * room.free.share_of(&whole);
+        if let Some(machine_type) = room.machine_type {
+            cost += EMPTY_COST_S * room.free.share_of(&machine_type.resources());
         }
         cost
     }
 
-    fn best(&self, job: &Job, zones: &[String], attempt: Option<u64>) -> Option<usize> {
-        (0..self.rooms.len())
-            .filter(|at| job.spec.needs.fits_in(&self.rooms[*at].free) && self.allowed(job, *at, zones))
+    /// Machines that can take a task now, the best first. Whichever takes one only
+    /// becomes better by it: its image is there, and it is fuller. So tasks without
+    /// further conditions fill them in this order.
+    fn candidates(&self, ask: &Ask<'_>, zones: &Open, attempt: Option<u64>) -> Vec<(f64, usize)> {
+        let mut found: Vec<(f64, usize)> = (0..self.rooms.len())
+            .filter(|at| ask.job.spec.needs.fits_in(&self.rooms[*at].free) && self.allowed(ask, *at, zones))
             // A worker that still lists an exited task under the same attempt
             // ignores another start of it.
             .filter(|at| {
@@ -318,171 +455,238 @@
                         .machine
                         .attempts
                         .iter()
-                        .any(|old| old.number == number && old.exited() && old.task.job == job.spec.id)
+                        .any(|old| old.number == number && old.exited() && old.task.job == ask.job.spec.id)
                 })
             })
-            .map(|at| (self.cost(job, at), at))
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, at)| at)
+            .map(|at| (self.cost(ask, at), at))
+            .collect();
+        found.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        found
     }
 
-    fn take(&mut self, job: &Job, index: u32, at: usize) {
+    fn take(&mut self, ask: &mut Ask<'a>, index: u32, at: usize) {
+        let spec = &ask.job.spec;
+        let next = self.images.len() as u32;
+        let image = *self.images.entry(&spec.image).or_insert(next);
+        ask.image = Some(image);
         let room = &mut self.rooms[at];
-        room.free -= job.spec.needs;
-        room.images.insert(job.spec.image.clone());
-        let zone = room.machine.zone.clone();
-        *self
-            .zones
-            .entry(job.spec.id.clone())
-            .or_default()
-            .entry(zone)
-            .or_default() += 1;
-        *self.usage.entry(Arc::from(job.spec.team.as_str())).or_default() += job.spec.needs;
+        room.free -= spec.needs;
+        if !room.images.contains(&image) {
+            room.images.push(image);
+        }
+        let machine = room.machine.id.clone();
+        match self.usage.iter_mut().find(|(name, _)| **name == *spec.team) {
+            Some((_, used)) => *used += spec.needs,
+            None => self.usage.push((Arc::from(spec.team.as_str()), spec.needs)),
+        }
         self.starts += 1;
         self.plan.decisions.push(Decision::Start {
             task: TaskId {
-                job: job.spec.id.clone(),
+                job: spec.id.clone(),
                 index,
             },
-            machine: self.rooms[at].machine.id.clone(),
+            machine,
         });
     }
 
-    fn place_tasks(&mut self, job: &Job) {
+    fn place_tasks(&mut self, job: &'a Job) {
         let allowed = self.quota_left(&job.spec, job.waiting.len() as u32);
-        let mut zones = self.open_zones(&job.spec);
+        if allowed == 0 {
+            return;
+        }
+        let mut ask = self.ask(job);
+        let alike = self.alike(&ask);
+        let mut taken = self.zones_of(&job.spec.id);
+        let mut zones = self.open_zones(&job.spec, &taken);
         let mut left = allowed;
-        for index in job.waiting.iter().take(allowed as usize) {
-            if self.starts >= STARTS_PER_PASS {
-                return;
-            }
-            let Some(at) = self.best(job, &zones, None) else {
+        let mut waiting = job.waiting.iter().take(allowed as usize).copied().peekable();
+        let bound = job.spec.spread || job.spec.one_zone;
+        let full = self.full.get(&alike).is_some_and(|least| *least <= 1);
+        while waiting.peek().is_some() && !full {
+            let candidates = self.candidates(&ask, &zones, None);
+            if candidates.is_empty() {
+                if !ask.distrusts && zones.iter().all(|open| *open) {
+                    self.full.insert(alike.clone(), 1);
+                }
                 break;
-            };
-            // A fetch would make the start late: room beside the image is worth the
-            // little work that is stopped for it.
-            if self.fetch_s(job, at) > self.start_within_s(job)
-                && self.make_room(job, &zones, Some(PREEMPT_FOR_IMAGE_S))
-            {
-                left -= 1;
-                continue;
             }
-            self.take(job, *index, at);
-            left -= 1;
-            if job.spec.spread || job.spec.one_zone {
-                zones = self.open_zones(&job.spec);
+            for (_, at) in candidates {
+                while job.spec.needs.fits_in(&self.rooms[at].free) {
+                    if self.starts >= STARTS_PER_PASS {
+                        return;
+                    }
+                    let Some(index) = waiting.next() else { break };
+                    left -= 1;
+                    // A fetch would make the start late: room beside the image is
+                    // worth the little work that is stopped for it.
+                    if self.fetch_s(&ask, at) > ask.start_within_s
+                        && self.make_room(&ask, &zones, Some(PREEMPT_FOR_IMAGE_S))
+                    {
+                        continue;
+                    }
+                    self.take(&mut ask, index, at);
+                    if bound {
+                        if let Some((_, zone)) = self.rooms[at].place {
+                            taken[zone] += 1;
+                        }
+                        break;
+                    }
+                }
+                if bound {
+                    break;
+                }
             }
-        }
-        let mut unplaced = 0;
-        for _ in 0..left {
-            if !self.make_room(job, &zones, None) {
-                unplaced += 1;
+            if bound {
+                zones = self.open_zones(&job.spec, &taken);
             }
         }
-        self.note_unplaced(job, unplaced, zones);
+        let mut unplaced = left;
+        while unplaced > 0 && self.make_room(&ask, &zones, None) {
+            unplaced -= 1;
+        }
+        self.note_unplaced(job, unplaced, &zones);
     }
 
-    fn note_unplaced(&mut self, job: &Job, tasks: u32, zones: Vec<String>) {
-        if tasks > 0 && !zones.is_empty() {
+    fn note_unplaced(&mut self, job: &Job, tasks: u32, open: &Open) {
+        if tasks > 0 && open.iter().any(|open| *open) {
             self.plan.unplaced.push(Unplaced {
                 job: job.spec.id.clone(),
                 tasks,
-                zones,
+                zones: self.zone_names(open),
             });
         }
     }
 
     /// All missing tasks of the gang at once, or none.
-    fn place_gang(&mut self, job: &Job) {
-        let present: u32 = self
-            .zones
-            .get(&job.spec.id)
-            .map_or(0, |zones| zones.values().sum());
+    fn place_gang(&mut self, job: &'a Job) {
+        let taken = self.zones_of(&job.spec.id);
         let attempt = match &job.gang {
             // A replacement joins an attempt that has not started.
             Some(attempt) if attempt.open() => Some(attempt.number),
             Some(_) => return,
             // Nothing of an old attempt may be left anywhere.
-            None if present > 0 => return,
+            None if taken.iter().any(|count| *count > 0) => return,
             None => None,
         };
         let missing: Vec<u32> = job.waiting.iter().copied().collect();
-        if self.quota_left(&job.spec, missing.len() as u32) < missing.len() as u32 {
+        let tasks = missing.len() as u32;
+        if self.quota_left(&job.spec, tasks) < tasks {
             return;
         }
-        let zones = self.open_zones(&job.spec);
-        let choices: Vec<Vec<String>> = if job.spec.one_zone {
-            zones.iter().map(|zone| vec![zone.clone()]).collect()
-        } else {
-            vec![zones.clone()]
-        };
+        let mut ask = self.ask(job);
+        let alike = self.alike(&ask);
+        let zones = self.open_zones(&job.spec, &taken);
         let mut best: Option<(f64, Vec<usize>)> = None;
-        for choice in &choices {
-            if let Some((cost, picked)) = self.try_gang(job, missing.len(), choice, attempt)
-                && best.as_ref().is_none_or(|(least, _)| cost < *least)
-            {
-                best = Some((cost, picked));
+        if self.full.get(&alike).is_none_or(|least| tasks < *least) {
+            for choice in self.zone_choices(&job.spec, &zones) {
+                if let Some((cost, picked)) = self.try_gang(&ask, missing.len(), &choice, &taken, attempt)
+                    && best.as_ref().is_none_or(|(least, _)| cost < *least)
+                {
+                    best = Some((cost, picked));
+                }
+            }
+            let general = attempt.is_none() && !ask.distrusts && !job.spec.spread;
+            if best.is_none() && general && zones.iter().all(|open| *open) {
+                self.full.insert(alike, tasks);
             }
         }
         match best {
             Some((_, picked)) => {
                 for (index, at) in missing.into_iter().zip(picked) {
-                    self.take(job, index, at);
+                    self.take(&mut ask, index, at);
                 }
             }
             None => {
-                let tasks = missing.len() as u32;
                 // Room for a larger gang is made by renting: stopping others for a
                 // part of it would waste their work without starting it.
-                if tasks == 1 && self.make_room(job, &zones, None) {
+                if tasks == 1 && self.make_room(&ask, &zones, None) {
                     return;
                 }
-                self.note_unplaced(job, tasks, zones);
+                self.note_unplaced(job, tasks, &zones);
             }
         }
     }
 
-    /// Tries to fit all missing tasks; leaves the rooms as they were.
+    /// Each open zone alone where all tasks must share one, else all at once.
+    fn zone_choices(&self, spec: &JobSpec, open: &Open) -> Vec<Open> {
+        if !spec.one_zone {
+            return vec![open.clone()];
+        }
+        let zones = (0..open.len()).filter(|zone| open[*zone]);
+        zones
+            .map(|only| (0..open.len()).map(|zone| zone == only).collect())
+            .collect()
+    }
+
+    /// Tries to fit all missing tasks; changes nothing.
     fn try_gang(
-        &mut self,
-        job: &Job,
+        &self,
+        ask: &Ask<'_>,
         tasks: usize,
-        zones: &[String],
+        zones: &Open,
+        taken: &Zones,
         attempt: Option<u64>,
     ) -> Option<(f64, Vec<usize>)> {
-        let needs = job.spec.needs;
+        let needs = ask.job.spec.needs;
         let mut picked: Vec<usize> = Vec::with_capacity(tasks);
-        let mut cost: f64 = 0.0;
-        let mut by_zone = self.zones.get(&job.spec.id).cloned().unwrap_or_default();
-        let mut open = zones.to_vec();
-        while picked.len() < tasks {
-            let Some(at) = self.best(job, &open, attempt) else {
-                break;
+        let mut most: f64 = 0.0;
+        let mut by_zone = taken.clone();
+        for (cost, at) in self.candidates(ask, zones, attempt) {
+            let Some((_, zone)) = self.rooms[at].place else {
+                continue;
             };
-            // The gang starts when its slowest image is there.
-            cost = cost.max(self.cost(job, at));
-            self.rooms[at].free -= needs;
-            let count = by_zone.entry(self.rooms[at].machine.zone.clone()).or_default();
-            *count += 1;
-            if *count >= job.spec.zone_cap() {
-                open.retain(|zone| *zone != self.rooms[at].machine.zone);
+            let mut free = self.rooms[at].free;
+            while picked.len() < tasks && by_zone[zone] < ask.job.spec.zone_cap() && needs.fits_in(&free) {
+                free -= needs;
+                by_zone[zone] += 1;
+                // The gang starts when its slowest image is there.
+                most = most.max(cost);
+                picked.push(at);
+            }
+            if picked.len() == tasks {
+                return Some((most, picked));
             }
-            picked.push(at);
-        }
-        for at in &picked {
-            self.rooms[*at].free += needs;
         }
-        (picked.len() == tasks).then_some((cost, picked))
+        None
+    }
+
+    /// Whether anything runs that could ever give way to the job.
+    fn may_displace(&self, job: &Job) -> bool {
+        let lower = self.lowest.is_some_and(|lowest| lowest > job.spec.priority);
+        let guaranteed = self.within.contains(&job.spec.id);
+        lower
+            || guaranteed
+                && self
+                    .site
+                    .deployment
+                    .teams
+                    .iter()
+                    .any(|team| team.name != job.spec.team && self.over_guarantee(&team.name))
     }
 
     /// Finds room for one task among what is leaving, or makes some by stopping
     /// work that may be stopped for it. Claims it for the rest of the pass. With
     /// `most_lost_s`, only beside the job's image and at no higher cost.
-    fn make_room(&mut self, job: &Job, zones: &[String], most_lost_s: Option<f64>) -> bool {
+    fn make_room(&mut self, ask: &Ask<'_>, zones: &Open, most_lost_s: Option<f64>) -> bool {
+        let job = ask.job;
+        let displaces = self.may_displace(job);
+        if !displaces && !self.any_leaving {
+            return false;
+        }
+        let stuck = (
+            self.alike(ask),
+            job.spec.priority,
+            job.spec.team.clone(),
+            self.within.contains(&job.spec.id),
+        );
+        if self.stuck.contains(&stuck) || self.searches >= ROOM_SEARCHES_PER_PASS {
+            return false;
+        }
+        self.searches += 1;
         let needs = job.spec.needs;
         let candidates: Vec<usize> = (0..self.rooms.len())
-            .filter(|at| self.allowed(job, *at, zones))
-            .filter(|at| most_lost_s.is_none() || self.rooms[*at].images.contains(&job.spec.image))
+            .filter(|at| self.allowed(ask, *at, zones))
+            .filter(|at| most_lost_s.is_none() || self.has_image(ask, *at))
             .collect();
         for at in &candidates {
             let room = &self.rooms[*at];
@@ -494,15 +698,21 @@
             }
         }
         let mut best: Option<(f64, usize, Vec<usize>)> = None;
-        for at in candidates {
-            if let Some((cost, victims)) = self.victims(job, at)
-                && most_lost_s.is_none_or(|most| cost <= most)
-                && best.as_ref().is_none_or(|(least, _, _)| cost < *least)
-            {
-                best = Some((cost, at, victims));
+        if displaces {
+            self.learn_jobs();
+            for at in candidates {
+                if let Some((cost, victims)) = self.victims(ask, at)
+                    && most_lost_s.is_none_or(|most| cost <= most)
+                    && best.as_ref().is_none_or(|(least, _, _)| cost < *least)
+                {
+                    best = Some((cost, at, victims));
+                }
             }
         }
         let Some((_, at, victims)) = best else {
+            if most_lost_s.is_none() && !ask.distrusts && zones.iter().all(|open| *open) {
+                self.stuck.insert(stuck);
+            }
             return false;
         };
         for victim in victims {
@@ -511,12 +721,23 @@
             let attempt = running.attempt;
             let machine = self.rooms[at].machine.id.clone();
             self.rooms[at].leaving += attempt.needs;
+            self.any_leaving = true;
             self.stop(attempt, machine);
         }
         self.claim(at, needs);
         true
     }
 
+    /// Looks up the job of everything that runs, the first time that it matters.
+    fn learn_jobs(&mut self) {
+        if std::mem::replace(&mut self.jobs_known, true) {
+            return;
+        }
+        for running in self.rooms.iter_mut().flat_map(|room| &mut room.running) {
+            running.job = self.site.jobs.get(&running.attempt.task.job);
+        }
+    }
+
     fn claim(&mut self, at: usize, needs: Resources) {
         let room = &mut self.rooms[at];
         room.leaving -= needs;
@@ -564,14 +785,15 @@
     }
 
     /// The cheapest tasks on a machine whose stop makes room, with the work lost.
-    fn victims(&self, job: &Job, at: usize) -> Option<(f64, Vec<usize>)> {
+    fn victims(&self, ask: &Ask<'_>, at: usize) -> Option<(f64, Vec<usize>)> {
+        let job = ask.job;
         let room = &self.rooms[at];
         let mut options: Vec<(f64, usize)> = Vec::new();
         for (index, running) in room.running.iter().enumerate() {
             if running.stopping || running.attempt.exited() {
                 continue;
             }
-            let Some(victim) = self.site.jobs.get(&running.attempt.task.job) else {
+            let Some(victim) = running.job else {
                 continue;
             };
             let lower = victim.spec.priority > job.spec.priority;
@@ -599,11 +821,11 @@
             victims.push(index);
         }
         (job.spec.needs.fits_in(&free) && !victims.is_empty())
-            .then(|| (cost + self.fetch_s(job, at) * FETCH_WEIGHT, victims))
+            .then(|| (cost + self.fetch_s(ask, at) * FETCH_WEIGHT, victims))
     }
 
     fn over_guarantee(&self, team: &str) -> bool {
-        let used = self.usage.get(team).copied().unwrap_or_default();
+        let used = self.used_by(team);
         self.team(team).is_some_and(|team| !team.guarantees(&used))
     }
 
@@ -624,7 +846,7 @@
         if !GATHER_REPLICAS || waiting || !self.plan.decisions.is_empty() {
             return;
         }
-        let used_share = |room: &Room<'_>| match self.site.types.get(&room.machine.machine_type) {
+        let used_share = |room: &Room<'_>| match room.machine_type {
             Some(machine_type) => 1.0 - room.free.share_free(&machine_type.resources()),
             None => 1.0,
         };
@@ -633,7 +855,7 @@
             .map(|at| (used_share(&self.rooms[at]), at))
             .collect();
         emptiest.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (share, from) in emptiest {
+        for (share, from) in emptiest.into_iter().take(GATHER_TRIES) {
             if share > GATHER_BELOW {
                 return;
             }
@@ -666,17 +888,20 @@
                 return None;
             }
             // Where one zone holds too many already, the spread decides, not this.
-            let zones = match job.spec.spread && job.spec.tasks > 1 {
-                true => vec![room.machine.zone.clone()],
-                false => self.open_zones(&job.spec),
+            let ask = self.ask(job);
+            let zones: Open = match (job.spec.spread && job.spec.tasks > 1, room.place) {
+                (true, Some((_, own))) => (0..self.site.deployment.zones.len())
+                    .map(|zone| zone == own)
+                    .collect(),
+                _ => self.open_zones(&job.spec, &self.zones_of(&job.spec.id)),
             };
             let to = (0..self.rooms.len()).find(|to| {
                 *to != from
-                    && self.allowed(job, *to, &zones)
-                    && self.rooms[*to].images.contains(&job.spec.image)
+                    && job.spec.needs.fits_in(&free[*to])
+                    && self.allowed(&ask, *to, &zones)
+                    && self.has_image(&ask, *to)
                     && self.rooms[*to].free.gpus.max(0.0) <= room.free.gpus
                     && self.rooms[*to].free.cpus <= room.free.cpus
-                    && job.spec.needs.fits_in(&free[*to])
             })?;
             free[to] -= job.spec.needs;
             moves.push(running.attempt);
@@ -715,6 +940,16 @@
     }
 }
 
+fn add_usage(usage: &mut Vec<(Arc<str>, Resources)>, team: &Arc<str>, needs: Resources) {
+    let known = usage
+        .iter_mut()
+        .find(|(name, _)| Arc::ptr_eq(name, team) || name == team);
+    match known {
+        Some((_, used)) => *used += needs,
+        None => usage.push((team.clone(), needs)),
+    }
+}
+
 /// Different jobs have failed there: mostly the machine is to blame.
 pub fn faulty(machine: &Machine) -> bool {
     machine.errors.len() >= FAULTY_AFTER
--- a/core/src/records.rs
+++ b/core/src/records.rs
@@ -5,10 +5,13 @@
 //! | `leader` | [`LeaderRecord`], on a lease; its version is the token | the claimant |
 //! | `j/<job>` | [`JobSpec`] of a live job | any node, on acceptance |
 //! | `e/<job>` | [`EndedRecord`] of a job that is over | the leader (done), any node (cancelled) |
-//! | `d/<job>/<chunk>` | bitmap of completed tasks, base64 | the leader |
-//! | `m/<machine>` | [`MachineRecord`]: what may be on a machine | the leader |
+//! | `d/<number>` | [`DoneRecord`]: completed tasks of many jobs, a bitmap each | the leader |
+//! | `s/<number>` | [`ShardRecord`]: what may be on each of many machines | the leader |
 //! | `h/<request>` | a rental sent to the cloud | the leader |
 //! | `types` | machine types, for nodes that start while the cloud is down | the leader |
+//!
+//! The state service counts changed keys, not bytes. So machines, and completed
+//! tasks, share values: dozens of machines that get work at once cost a few changes.
 
 use crate::constants::DONE_CHUNK;
 use crate::model::{JobId, JobSpec, Resources};
@@ -17,7 +20,8 @@
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::BTreeSet;
+use serde_json::value::RawValue;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -26,7 +30,7 @@
 pub const JOBS: &str = "j/";
 pub const ENDED: &str = "e/";
 pub const DONE: &str = "d/";
-pub const MACHINES: &str = "m/";
+pub const SHARDS: &str = "s/";
 pub const RENTALS: &str = "h/";
 
 pub fn job_key(job: &str) -> String {
@@ -37,12 +41,17 @@
     format!("{ENDED}{job}")
 }
 
-pub fn done_key(job: &JobId, chunk: u32) -> String {
-    format!("{DONE}{job}/{chunk}")
+pub fn done_key(number: u32) -> String {
+    format!("{DONE}{number}")
+}
+
+pub fn shard_key(number: u32) -> String {
+    format!("{SHARDS}{number}")
 }
 
-pub fn machine_key(machine: &str) -> String {
-    format!("{MACHINES}{machine}")
+/// The number in a key `<prefix><number>`.
+pub fn parse_number(prefix: &str, key: &str) -> Option<u32> {
+    key.strip_prefix(prefix)?.parse().ok()
 }
 
 pub fn rental_key(request: &str) -> String {
@@ -76,29 +85,165 @@
 /// A start that was or may have been sent to a machine. Team and needs stand
 /// beside it because the job itself may be over, and its record gone, while the
 /// task still takes its team's quota.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct StartRecord {
     pub job: JobId,
     pub index: u32,
     pub attempt: u64,
-    pub team: String,
+    pub team: Arc<str>,
     pub needs: Resources,
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct MachineRecord {
+    pub name: Arc<str>,
     pub machine_type: String,
     pub zone: String,
     pub spot: bool,
     pub addr: Option<String>,
     pub starts: Vec<StartRecord>,
     /// Images it is thought to hold, with their size in GB, the latest used last.
-    #[serde(default)]
     pub images: Vec<(Arc<str>, f64)>,
     /// It is being given back: nothing may be placed there any more.
     pub returning: bool,
 }
 
+/// What may be on each of some machines. Names and jobs stand once and are meant by
+/// their position, as a value has little room (`value_kb`).
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ShardRecord {
+    names: Vec<Arc<str>>,
+    jobs: Vec<JobEntry>,
+    machines: Vec<MachineEntry>,
+}
+
+/// A job and what each of its tasks takes: job, team, CPUs, GPUs, memory in GB.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct JobEntry(JobId, usize, f64, f64, f64);
+
+/// Name, type, zone, spot, returning, address, images, starts (job, index, attempt).
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct MachineEntry(
+    Arc<str>,
+    usize,
+    usize,
+    bool,
+    bool,
+    Option<String>,
+    Vec<(usize, f64)>,
+    Vec<(usize, u32, u64)>,
+);
+
+impl ShardRecord {
+    pub fn of(machines: &[MachineRecord]) -> ShardRecord {
+        let mut shard = ShardRecord::default();
+        let mut names: HashMap<Arc<str>, usize> = HashMap::new();
+        let mut jobs: HashMap<(JobId, Arc<str>), usize> = HashMap::new();
+        for machine in machines {
+            let mut name = |text: &str| match names.get(text) {
+                Some(at) => *at,
+                None => {
+                    let text: Arc<str> = Arc::from(text);
+                    shard.names.push(text.clone());
+                    names.insert(text, shard.names.len() - 1);
+                    shard.names.len() - 1
+                }
+            };
+            let machine_type = name(&machine.machine_type);
+            let zone = name(&machine.zone);
+            let images = machine
+                .images
+                .iter()
+                .map(|(image, gb)| (name(image), *gb))
+                .collect();
+            let mut starts = Vec::with_capacity(machine.starts.len());
+            for start in &machine.starts {
+                let team = name(&start.team);
+                let at = *jobs
+                    .entry((start.job.clone(), start.team.clone()))
+                    .or_insert_with(|| {
+                        let needs = start.needs;
+                        shard.jobs.push(JobEntry(
+                            start.job.clone(),
+                            team,
+                            needs.cpus,
+                            needs.gpus,
+                            needs.memory_gb,
+                        ));
+                        shard.jobs.len() - 1
+                    });
+                starts.push((at, start.index, start.attempt));
+            }
+            shard.machines.push(MachineEntry(
+                machine.name.clone(),
+                machine_type,
+                zone,
+                machine.spot,
+                machine.returning,
+                machine.addr.clone(),
+                images,
+                starts,
+            ));
+        }
+        shard
+    }
+
+    /// The machines' records; an error if a position names nothing.
+    pub fn machines(self) -> Result<Vec<MachineRecord>, RecordError> {
+        let absent = |at: usize| RecordError(format!("nothing stands at position {at}"));
+        let name = |at: usize| self.names.get(at).ok_or_else(|| absent(at));
+        let mut machines = Vec::with_capacity(self.machines.len());
+        for MachineEntry(machine, machine_type, zone, spot, returning, addr, images, starts) in &self.machines
+        {
+            let mut record = MachineRecord {
+                name: machine.clone(),
+                machine_type: name(*machine_type)?.to_string(),
+                zone: name(*zone)?.to_string(),
+                spot: *spot,
+                addr: addr.clone(),
+                starts: Vec::with_capacity(starts.len()),
+                images: Vec::with_capacity(images.len()),
+                returning: *returning,
+            };
+            for (image, gb) in images {
+                record.images.push((name(*image)?.clone(), *gb));
+            }
+            for (job, index, attempt) in starts {
+                let JobEntry(job, team, cpus, gpus, memory_gb) =
+                    self.jobs.get(*job).ok_or_else(|| absent(*job))?;
+                record.starts.push(StartRecord {
+                    job: job.clone(),
+                    index: *index,
+                    attempt: *attempt,
+                    team: name(*team)?.clone(),
+                    needs: Resources {
+                        cpus: *cpus,
+                        gpus: *gpus,
+                        memory_gb: *memory_gb,
+                    },
+                });
+            }
+            machines.push(record);
+        }
+        Ok(machines)
+    }
+}
+
+/// Completed tasks: a bitmap for each `<job>/<chunk>`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct DoneRecord(pub BTreeMap<String, String>);
+
+/// The name of a job's chunk in a [`DoneRecord`].
+pub fn chunk_name(job: &JobId, chunk: u32) -> String {
+    format!("{job}/{chunk}")
+}
+
+/// Most bytes that a chunk of a job with so many tasks ever takes in a record.
+pub fn chunk_bytes(tasks: u32) -> usize {
+    tasks.min(DONE_CHUNK).div_ceil(8) as usize * 4 / 3 + 48
+}
+
 macro_rules! record {
     ($kind:ty) => {
         impl Record for $kind {}
@@ -113,6 +258,11 @@
         serde_json::to_value(self).unwrap_or(Value::Null)
     }
 
+    /// The record as text, for the writer: large ones are serialised once only.
+    fn to_text(&self) -> Box<RawValue> {
+        serde_json::value::to_raw_value(self).unwrap_or_default()
+    }
+
     fn from_value(value: &Value) -> Result<Self, RecordError> {
         Self::deserialize(value).map_err(|error| RecordError(error.to_string()))
     }
@@ -120,7 +270,8 @@
 
 record!(LeaderRecord);
 record!(EndedRecord);
-record!(MachineRecord);
+record!(ShardRecord);
+record!(DoneRecord);
 record!(JobSpec);
 record!(RentalRequest);
 record!(Flavors);
@@ -131,7 +282,7 @@
 }
 
 /// The completed tasks of one chunk as a bitmap.
-pub fn encode_done(done: &BTreeSet<u32>, chunk: u32) -> Value {
+pub fn encode_done(done: &BTreeSet<u32>, chunk: u32) -> String {
     let start = chunk * DONE_CHUNK;
     let mut bits: Vec<u8> = Vec::new();
     for task in done.range(start..start + DONE_CHUNK) {
@@ -141,14 +292,11 @@
         }
         bits[at / 8] |= 1 << (at % 8);
     }
-    Value::String(STANDARD_NO_PAD.encode(bits))
+    STANDARD_NO_PAD.encode(bits)
 }
 
 /// Adds the completed tasks of a chunk's record to `done`.
-pub fn decode_done(value: &Value, chunk: u32, done: &mut BTreeSet<u32>) -> Result<(), RecordError> {
-    let text = value
-        .as_str()
-        .ok_or_else(|| RecordError("a bitmap is not a string".to_owned()))?;
+pub fn decode_done(text: &str, chunk: u32, done: &mut BTreeSet<u32>) -> Result<(), RecordError> {
     let bits = STANDARD_NO_PAD
         .decode(text)
         .map_err(|error| RecordError(error.to_string()))?;
@@ -166,9 +314,9 @@
     Ok(())
 }
 
-/// Splits `d/<job>/<chunk>` into its parts.
-pub fn parse_done_key(key: &str) -> Option<(&str, u32)> {
-    let (job, chunk) = key.strip_prefix(DONE)?.rsplit_once('/')?;
+/// Splits `<job>/<chunk>` into its parts.
+pub fn parse_chunk_name(name: &str) -> Option<(&str, u32)> {
+    let (job, chunk) = name.rsplit_once('/')?;
     Some((job, chunk.parse().ok()?))
 }
 
@@ -191,8 +339,53 @@
         #[test]
         fn any_string_is_a_bitmap_or_an_error(text in ".{0,40}", chunk in any::<u32>()) {
             let mut read = BTreeSet::new();
-            let _ = decode_done(&Value::String(text), chunk, &mut read);
+            let _ = decode_done(&text, chunk, &mut read);
             prop_assert!(read.len() <= DONE_CHUNK as usize);
         }
     }
+
+    fn machine(name: &str, starts: Vec<StartRecord>) -> MachineRecord {
+        MachineRecord {
+            name: Arc::from(name),
+            machine_type: "small".to_owned(),
+            zone: "east".to_owned(),
+            spot: name.ends_with('2'),
+            addr: (!starts.is_empty()).then(|| "10.0.0.1:9000".to_owned()),
+            images: vec![(Arc::from("img-1"), 2.5)],
+            returning: starts.is_empty(),
+            starts,
+        }
+    }
+
+    #[test]
+    fn a_shard_keeps_its_machines() {
+        let start = |job: &str, index, team: &str, gpus| StartRecord {
+            job: JobId(Arc::from(job)),
+            index,
+            attempt: 7 + u64::from(index),
+            team: Arc::from(team),
+            needs: Resources {
+                gpus,
+                ..Resources::default()
+            },
+        };
+        // A stranger of a known job stands beside it with a team of its own.
+        let machines = vec![
+            machine(
+                "m-1",
+                vec![start("wk-1", 0, "red", 1.0), start("wk-1", 3, "red", 1.0)],
+            ),
+            machine("m-2", Vec::new()),
+            machine(
+                "m-3",
+                vec![start("wk-1", 1, "", 0.0), start("wk-2", 0, "blue", 2.0)],
+            ),
+        ];
+        let value = ShardRecord::of(&machines).to_value();
+        let read = ShardRecord::from_value(&value).unwrap().machines().unwrap();
+        assert_eq!(read, machines);
+        let mut broken = value;
+        broken["names"] = serde_json::json!([]);
+        assert!(ShardRecord::from_value(&broken).unwrap().machines().is_err());
+    }
 }
--- a/core/src/users.rs
+++ b/core/src/users.rs
@@ -9,7 +9,7 @@
 use crate::wire::{
     Change, Condition, JobAnswer, JobStatus, StoredItem, Transaction, TransactionAnswer, paths,
 };
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// What a user wants.
 #[derive(Debug, Clone)]
@@ -30,6 +30,13 @@
     Move,
 }
 
+/// Polls whose jobs were live when last seen: one comparison of their versions tells
+/// whether they still are.
+#[derive(Debug)]
+pub struct Comparison {
+    polls: Vec<(RequestId, JobId)>,
+}
+
 #[derive(Debug)]
 struct Waiting {
     job: JobId,
@@ -54,6 +61,11 @@
     waiting: HashMap<RequestId, Waiting>,
     ended: HashMap<JobId, EndedRecord>,
     ended_order: VecDeque<JobId>,
+    /// Versions of live jobs' records, as last seen.
+    live: HashMap<JobId, u64>,
+    /// Polls that gather for the next comparison, and since when.
+    polls: Vec<(RequestId, JobId)>,
+    polls_since: Millis,
 }
 
 /// Most rounds of reading a job again before its user is asked to come back.
@@ -65,11 +77,16 @@
             answer_ended(request, &job, ended, io);
             return;
         }
-        let reserve = if matches!(wish, Wish::Poll) {
-            POLL_RESERVE
-        } else {
-            0.0
-        };
+        let poll = matches!(wish, Wish::Poll);
+        if poll && self.waiting.len() < MAX_WAITING_REQUESTS && self.live.contains_key(&job) {
+            if self.polls.is_empty() {
+                self.polls_since = io.now;
+            }
+            self.polls.push((request, job.clone()));
+            self.wait(request, job, wish, io.now);
+            return;
+        }
+        let reserve = if poll { POLL_RESERVE } else { 0.0 };
         if self.waiting.len() >= MAX_WAITING_REQUESTS || !io.state.take(1.0, reserve, io.now) {
             io.reply_later(request, RETRY_AFTER_S, "too many requests, come back later");
             return;
@@ -79,16 +96,103 @@
         } else {
             UserCall::ReadLive
         };
+        self.wait(request, job, wish, io.now);
+        self.step(request, first, 0, io);
+    }
+
+    fn wait(&mut self, request: RequestId, job: JobId, wish: Wish, now: Millis) {
         self.waiting.insert(
             request,
             Waiting {
                 job,
                 wish,
-                since: io.now,
+                since: now,
                 rounds: 0,
             },
         );
-        self.step(request, first, 0, io);
+    }
+
+    /// Sends the comparisons that are due: `most` conditions each.
+    pub fn settle(&mut self, most: usize, io: &mut Io) {
+        while !self.polls.is_empty()
+            && (self.polls.len() >= most || io.now >= self.polls_since + POLL_GATHER_MS)
+        {
+            let rest = self.polls.split_off(self.polls.len().min(most));
+            let polls = std::mem::replace(&mut self.polls, rest);
+            if !io.state.take(1.0, 0.0, io.now) {
+                for (request, _) in polls {
+                    self.waiting.remove(&request);
+                    io.reply_later(request, RETRY_AFTER_S, "too many requests, come back later");
+                }
+                continue;
+            }
+            let mut conditions: Vec<Condition> = Vec::with_capacity(polls.len());
+            for (_, job) in &polls {
+                let key = records::job_key(&job.0);
+                if let Some(version) = self.live.get(job)
+                    && conditions.iter().all(|condition| condition.key != key)
+                {
+                    conditions.push(Condition {
+                        key,
+                        version: *version,
+                    });
+                }
+            }
+            let body: Transaction = Transaction {
+                conditions,
+                changes: Vec::new(),
+            };
+            io.call(
+                crate::io::Destination::State,
+                Method::Post,
+                paths::TRANSACTION.to_owned(),
+                json(&body),
+                USER_STATE_TIMEOUT_MS,
+                Purpose::Polls(Comparison { polls }),
+            );
+        }
+    }
+
+    /// Jobs whose version is as it was are live still. Of the others, and where the
+    /// answer does not say which they are, the records are read one by one.
+    pub fn compared(&mut self, comparison: Comparison, outcome: &Outcome, counts: &Counts, io: &mut Io) {
+        let failed: Option<HashSet<String>> = match outcome.status() {
+            Some(200) => Some(HashSet::new()),
+            Some(409) => outcome
+                .read::<TransactionAnswer>(&[409])
+                .map(|answer| answer.failed.into_iter().collect()),
+            _ => None,
+        };
+        let all = outcome.status() == Some(200);
+        for (request, job) in comparison.polls {
+            let Some(failed) = &failed else {
+                self.give_up(request, io);
+                continue;
+            };
+            let over = failed.contains(&records::job_key(&job.0));
+            if over {
+                self.live.remove(&job);
+            }
+            if all {
+                self.waiting.remove(&request);
+                answer_live(request, &job, counts, io);
+            } else if over || failed.is_empty() || !self.live.contains_key(&job) {
+                self.next(request, UserCall::ReadLive, 0, io);
+            } else {
+                // The answer need not name every condition that failed.
+                if self.polls.is_empty() {
+                    self.polls_since = io.now;
+                }
+                self.polls.push((request, job));
+            }
+        }
+    }
+
+    fn saw_live(&mut self, job: &JobId, version: u64) {
+        if self.live.len() >= LIVE_CACHE {
+            self.live.clear();
+        }
+        self.live.insert(job.clone(), version);
     }
 
     /// Sends the next call for a request.
@@ -105,7 +209,7 @@
             UserCall::ReadEnded => (Method::Get, paths::key(&records::ended_key(job)), Vec::new()),
             UserCall::Create => {
                 let Wish::Submit(spec) = &waiting.wish else { return };
-                let body = Transaction {
+                let body: Transaction = Transaction {
                     conditions: vec![
                         Condition {
                             key: records::job_key(job),
@@ -129,7 +233,7 @@
                     end: Ending::Cancelled,
                     tasks: 0,
                 };
-                let body = Transaction {
+                let body: Transaction = Transaction {
                     conditions: vec![Condition {
                         key: records::job_key(job),
                         version,
@@ -179,6 +283,9 @@
                     .read::<TransactionAnswer>(&[200])
                     .map_or(0, |answer| answer.revision);
                 let waiting = self.waiting.remove(&request)?;
+                if version > 0 {
+                    self.saw_live(&job, version);
+                }
                 io.reply(
                     request,
                     201,
@@ -205,6 +312,7 @@
                     self.next(request, UserCall::Move, item.version, io);
                 } else {
                     self.waiting.remove(&request);
+                    self.saw_live(&job, item.version);
                     answer_live(request, &job, counts, io);
                 }
             }
@@ -265,6 +373,7 @@
 
     /// Final states never change, so they may be kept.
     pub fn remember(&mut self, job: JobId, ended: EndedRecord) {
+        self.live.remove(&job);
         if self.ended.insert(job.clone(), ended).is_none() {
             self.ended_order.push_back(job);
         }
--- a/core/src/wire.rs
+++ b/core/src/wire.rs
@@ -16,7 +16,7 @@
     Service,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Priority {
     #[serde(rename = "critical")]
     Production,
@@ -341,14 +341,15 @@
     pub version: u64,
 }
 
+/// A change of one key. Its value is a tree, or text that is JSON already.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
-pub enum Change {
+pub enum Change<V = serde_json::Value> {
     Put {
         #[serde(rename = "Put")]
         key: String,
         #[serde(rename = "V")]
-        value: serde_json::Value,
+        value: V,
         #[serde(rename = "Permit", skip_serializing_if = "Option::is_none", default)]
         lease: Option<u64>,
     },
@@ -359,11 +360,11 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Transaction {
+pub struct Transaction<V = serde_json::Value> {
     #[serde(rename = "If")]
     pub conditions: Vec<Condition>,
-    #[serde(rename = "Then")]
-    pub changes: Vec<Change>,
+    #[serde(rename = "Then", default = "Vec::new", skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<Change<V>>,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/core/src/writer.rs
+++ b/core/src/writer.rs
@@ -1,30 +1,43 @@
 //! The leader's writes: gathered in batches, one transaction under way at a time,
 //! each guarded by the leader's key and by the versions of what it replaces, so
-//! that a late one dies.
+//! that a late one dies. Machines share records ("shards"), and so do completed
+//! tasks: the state service counts changed keys, and a fleet starts dozens of tasks
+//! a second on as many machines.
 
 use crate::constants::*;
 use crate::io::json;
 use crate::leader::Rental;
 use crate::ledger::Machine;
 use crate::model::{Job, JobId, MachineId, Millis, TaskId};
-use crate::records::{self, EndedRecord, Ending, Record};
+use crate::records::{self, DoneRecord, EndedRecord, Ending, MachineRecord, Record, ShardRecord};
 use crate::settings::Settings;
 use crate::wire::{Change, Condition, Transaction};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use serde_json::value::RawValue;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+/// A start that a transaction makes durable.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Planned {
+    pub machine: MachineId,
+    pub task: TaskId,
+    pub number: u64,
+}
 
 /// One thing that a transaction writes.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Unit {
     /// A new version of the leader's key, and so a higher token.
     Renewal,
-    Machine {
-        id: MachineId,
-        planned: Vec<(TaskId, u64)>,
+    /// Shards that are written together, with the starts that they hold for the
+    /// first time.
+    Shards {
+        /// With each, whether its key was deleted, as nothing is left to say.
+        numbers: Vec<(u32, bool)>,
+        planned: Vec<Planned>,
     },
     Done {
-        job: JobId,
-        chunk: u32,
-        tasks: BTreeSet<u32>,
+        number: u32,
+        tasks: BTreeMap<(JobId, u32), BTreeSet<u32>>,
     },
     Finish {
         job: JobId,
@@ -42,14 +55,49 @@
     pub fn keys(&self) -> Vec<String> {
         match self {
             Unit::Renewal => vec![records::LEADER.to_owned()],
-            Unit::Machine { id, .. } => vec![records::machine_key(&id.0)],
-            Unit::Done { job, chunk, .. } => vec![records::done_key(job, *chunk)],
+            Unit::Shards { numbers, .. } => numbers
+                .iter()
+                .map(|(number, _)| records::shard_key(*number))
+                .collect(),
+            Unit::Done { number, .. } => vec![records::done_key(*number)],
             Unit::Finish { job } => vec![records::job_key(&job.0)],
             Unit::Rental { .. } | Unit::Garbage { .. } => Vec::new(),
         }
     }
 }
 
+/// A record shared by several machines.
+#[derive(Debug, Default)]
+struct Shard {
+    version: u64,
+    machines: BTreeSet<MachineId>,
+    /// It waits among the urgent ones.
+    queued: bool,
+    /// Half of its machines moved to that shard, and nobody knows yet whether this
+    /// is recorded: until then both are written in one transaction only, so that
+    /// at no time a start stands in neither.
+    split_to: Option<u32>,
+    split_from: Option<u32>,
+}
+
+impl Shard {
+    fn splitting(&self) -> bool {
+        self.split_to.is_some() || self.split_from.is_some()
+    }
+}
+
+/// A record shared by several jobs' completed tasks.
+#[derive(Debug, Default)]
+struct DoneShard {
+    version: u64,
+    chunks: BTreeMap<(JobId, u32), usize>,
+    /// Most bytes that its chunks ever take.
+    bytes: usize,
+    /// Completed tasks that are not recorded yet, and since when there are any.
+    pending: BTreeMap<(JobId, u32), BTreeSet<u32>>,
+    since: Millis,
+}
+
 #[derive(Debug)]
 pub struct Writer {
     pub token: u64,
@@ -60,9 +108,6 @@
     reread_at: Millis,
     /// Jobs all of whose tasks are done.
     pub finishing: BTreeSet<JobId>,
-    /// Completed tasks that are not recorded yet.
-    done: BTreeMap<(JobId, u32), BTreeSet<u32>>,
-    pub done_versions: HashMap<(JobId, u32), u64>,
     /// Rentals to be recorded.
     pub rentals: BTreeSet<String>,
     /// Keys that nobody needs any more.
@@ -70,12 +115,20 @@
     /// Jobs recorded as done since this was last emptied.
     pub finished: Vec<JobId>,
     ended: HashMap<JobId, u64>,
+    shards: BTreeMap<u32, Shard>,
+    /// Shards that must be written before something is sent, the oldest first.
+    urgent: VecDeque<u32>,
+    /// Shards that name machines which are gone: written when there is room.
+    stale: BTreeSet<u32>,
+    done: BTreeMap<u32, DoneShard>,
+    done_in: HashMap<(JobId, u32), u32>,
+    most_bytes: usize,
 }
 
 /// A transaction being put together.
 struct Batch {
     units: Vec<Unit>,
-    body: Transaction,
+    body: Transaction<Box<RawValue>>,
     conditioned: BTreeSet<String>,
     bytes: usize,
     most_ops: usize,
@@ -84,12 +137,16 @@
 
 impl Batch {
     /// Adds a unit if it fits.
-    fn add(&mut self, unit: Unit, conditions: Vec<Condition>, changes: Vec<Change>) -> bool {
+    fn add(&mut self, unit: Unit, conditions: Vec<Condition>, changes: Vec<Change<Box<RawValue>>>) -> bool {
         let conditions: Vec<Condition> = conditions
             .into_iter()
             .filter(|condition| !self.conditioned.contains(&condition.key))
             .collect();
-        let bytes = json(&conditions).len() + json(&changes).len();
+        let bytes = conditions
+            .iter()
+            .map(|condition| condition.key.len() + 40)
+            .sum::<usize>()
+            + changes.iter().map(change_bytes).sum::<usize>();
         let fits = self.body.changes.len() + changes.len() <= self.most_ops
             && self.body.conditions.len() + conditions.len() <= self.most_conditions
             && self.bytes + bytes <= TXN_BYTES;
@@ -103,10 +160,102 @@
         }
         fits
     }
+
+    fn full(&self) -> bool {
+        self.body.changes.len() >= self.most_ops
+    }
+}
+
+fn put(key: String, value: &impl Record) -> Change<Box<RawValue>> {
+    Change::Put {
+        key,
+        value: value.to_text(),
+        lease: None,
+    }
+}
+
+/// What a change takes of a transaction's body, at most.
+fn change_bytes(change: &Change<Box<RawValue>>) -> usize {
+    match change {
+        Change::Put { key, value, .. } => key.len() + value.get().len() + 32,
+        Change::Delete { key } => key.len() + 32,
+    }
+}
+
+/// What the shards of one transaction say, and on which conditions.
+#[derive(Default)]
+struct ShardEntries {
+    conditions: Vec<Condition>,
+    /// Jobs met so far, and whether a start of theirs may be recorded.
+    live: HashMap<JobId, bool>,
+    planned: Vec<Planned>,
+    /// The transaction had no conditions left for some start.
+    left_out: bool,
+}
+
+impl ShardEntries {
+    fn of(
+        &mut self,
+        shard: &Shard,
+        batch: &Batch,
+        machines: &BTreeMap<MachineId, Machine>,
+        jobs: &BTreeMap<JobId, Job>,
+    ) -> Vec<MachineRecord> {
+        let machines = shard.machines.iter().filter_map(|id| machines.get(id));
+        machines
+            .map(|machine| {
+                machine.record(|attempt| {
+                    let included = attempt.durable || self.may_start(&attempt.task.job, batch, jobs);
+                    if included && !attempt.durable {
+                        self.planned.push(Planned {
+                            machine: machine.id.clone(),
+                            task: attempt.task.clone(),
+                            number: attempt.number,
+                        });
+                    }
+                    included
+                })
+            })
+            .collect()
+    }
+
+    /// A start is recorded only while its job is live.
+    fn may_start(&mut self, id: &JobId, batch: &Batch, jobs: &BTreeMap<JobId, Job>) -> bool {
+        if let Some(may) = self.live.get(id) {
+            return *may;
+        }
+        let may = match jobs.get(id) {
+            None => false,
+            Some(job) => {
+                let key = records::job_key(&id.0);
+                // Two are kept for the shards' own versions.
+                let taken = batch.body.conditions.len() + self.conditions.len() + 2;
+                let free = batch.conditioned.contains(&key);
+                let room = free || taken < batch.most_conditions;
+                self.left_out |= !room;
+                if room && !free {
+                    self.conditions.push(Condition {
+                        key,
+                        version: job.version,
+                    });
+                }
+                room
+            }
+        };
+        self.live.insert(id.clone(), may);
+        may
+    }
+}
+
+fn texts(parts: &[(u32, Vec<MachineRecord>)]) -> Vec<Box<RawValue>> {
+    parts
+        .iter()
+        .map(|(_, records)| ShardRecord::of(records).to_text())
+        .collect()
 }
 
 impl Writer {
-    pub fn new(token: u64) -> Writer {
+    pub fn new(token: u64, settings: &Settings) -> Writer {
         Writer {
             token,
             in_flight: None,
@@ -115,46 +264,129 @@
             rereading: false,
             reread_at: 0,
             finishing: BTreeSet::new(),
-            done: BTreeMap::new(),
-            done_versions: HashMap::new(),
             rentals: BTreeSet::new(),
             garbage: BTreeSet::new(),
             finished: Vec::new(),
             ended: HashMap::new(),
+            shards: BTreeMap::new(),
+            urgent: VecDeque::new(),
+            stale: BTreeSet::new(),
+            done: BTreeMap::new(),
+            done_in: HashMap::new(),
+            most_bytes: (settings.deployment.state.value_kb * 1024.0 * VALUE_SHARE) as usize,
         }
     }
 
+    // ---- shards of machines --------------------------------------------------
+
+    /// Something about this machine is to be recorded before anything is sent.
+    pub fn record(&mut self, machine: &mut Machine) {
+        let number = match machine.shard {
+            Some(number) => number,
+            None => {
+                let most = (self.most_bytes / SHARD_MACHINE_BYTES).max(1);
+                let number = self
+                    .shards
+                    .iter()
+                    .find(|(_, shard)| shard.machines.len() < most && !shard.splitting())
+                    .map_or_else(|| self.next_shard(), |(number, _)| *number);
+                self.join(machine, number, 0);
+                number
+            }
+        };
+        self.queue(number);
+    }
+
+    /// As read from the records.
+    pub fn join(&mut self, machine: &mut Machine, number: u32, version: u64) {
+        let shard = self.shards.entry(number).or_default();
+        shard.machines.insert(machine.id.clone());
+        shard.version = shard.version.max(version);
+        machine.shard = Some(number);
+    }
+
+    fn next_shard(&self) -> u32 {
+        self.shards.last_key_value().map_or(0, |(number, _)| number + 1)
+    }
+
+    fn queue(&mut self, number: u32) {
+        let shard = self.shards.entry(number).or_default();
+        if !std::mem::replace(&mut shard.queued, true) {
+            self.urgent.push_back(number);
+        }
+    }
+
+    pub fn machine_gone(&mut self, machine: &Machine) {
+        if let Some(number) = machine.shard
+            && let Some(shard) = self.shards.get_mut(&number)
+        {
+            shard.machines.remove(&machine.id);
+            self.stale.insert(number);
+        }
+    }
+
+    // ---- completed tasks -----------------------------------------------------
+
     /// A task is done and must be recorded before its worker forgets it.
-    pub fn done(&mut self, job: &JobId, task: u32) {
-        self.done
-            .entry((job.clone(), records::chunk_of(task)))
-            .or_default()
-            .insert(task);
+    pub fn done(&mut self, job: &Job, task: u32, now: Millis) {
+        let chunk = (job.spec.id.clone(), records::chunk_of(task));
+        let bytes = records::chunk_bytes(job.spec.tasks);
+        let number = match self.done_in.get(&chunk) {
+            Some(number) => *number,
+            None => {
+                let room = self
+                    .done
+                    .iter()
+                    .find(|(_, shard)| shard.bytes + bytes + 2 <= self.most_bytes)
+                    .map(|(number, _)| *number);
+                let next = self.done.last_key_value().map_or(0, |(number, _)| number + 1);
+                room.unwrap_or(next)
+            }
+        };
+        self.join_done(chunk.clone(), bytes, number, 0);
+        if let Some(shard) = self.done.get_mut(&number) {
+            if shard.pending.is_empty() {
+                shard.since = now;
+            }
+            shard.pending.entry(chunk).or_default().insert(task);
+        }
     }
 
-    pub fn ready(&self, now: Millis) -> bool {
-        self.in_flight.is_none() && self.rereads.is_empty() && now >= self.retry_at
+    /// A chunk's place, as chosen or as read from the records.
+    pub fn join_done(&mut self, chunk: (JobId, u32), bytes: usize, number: u32, version: u64) {
+        let shard = self.done.entry(number).or_default();
+        shard.version = shard.version.max(version);
+        if shard.chunks.insert(chunk.clone(), bytes).is_none() {
+            shard.bytes += bytes;
+        }
+        self.done_in.insert(chunk, number);
     }
 
-    /// Writes fail: planning more starts would only pile them up.
-    pub fn stalled(&self, now: Millis) -> bool {
-        now < self.retry_at || !self.rereads.is_empty()
+    /// A record of completed tasks was read, whatever stands in it.
+    pub fn done_read(&mut self, number: u32, version: u64) {
+        let shard = self.done.entry(number).or_default();
+        shard.version = shard.version.max(version);
     }
 
-    /// A job is over; nothing of it will be written any more.
+    // ---- jobs ----------------------------------------------------------------
+
+    /// A job is over; nothing of it will be written any more. What a record still
+    /// says of it goes when the record is next written.
     pub fn job_over(&mut self, id: &JobId, job: &Job) {
         self.ended.insert(id.clone(), job.version);
         self.finishing.remove(id);
-        self.done.retain(|(other, _), _| other != id);
-        let chunks: Vec<u32> = self
-            .done_versions
-            .keys()
-            .filter(|(other, _)| other == id)
-            .map(|(_, chunk)| *chunk)
-            .collect();
-        for chunk in chunks {
-            self.done_versions.remove(&(id.clone(), chunk));
-            self.garbage.insert(records::done_key(id, chunk));
+        for chunk in 0..=records::chunk_of(job.spec.tasks.saturating_sub(1)) {
+            let chunk = (id.clone(), chunk);
+            if let Some(shard) = self
+                .done_in
+                .remove(&chunk)
+                .and_then(|number| self.done.get_mut(&number))
+            {
+                shard.pending.remove(&chunk);
+                if let Some(bytes) = shard.chunks.remove(&chunk) {
+                    shard.bytes -= bytes;
+                }
+            }
         }
     }
 
@@ -164,10 +396,15 @@
         self.ended.get(id).copied().unwrap_or(0)
     }
 
-    pub fn machine_gone(&mut self, id: &MachineId, version: u64) {
-        if version > 0 || self.in_flight.is_some() {
-            self.garbage.insert(records::machine_key(&id.0));
-        }
+    // ---- transactions --------------------------------------------------------
+
+    pub fn ready(&self, now: Millis) -> bool {
+        self.in_flight.is_none() && self.rereads.is_empty() && now >= self.retry_at
+    }
+
+    /// Writes fail: planning more starts would only pile them up.
+    pub fn stalled(&self, now: Millis) -> bool {
+        now < self.retry_at || !self.rereads.is_empty()
     }
 
     fn leader_condition(&self) -> Condition {
@@ -185,7 +422,8 @@
         })
     }
 
-    /// Puts the next transaction together and counts it as under way.
+    /// Puts the next transaction together and counts it as under way. What others
+    /// wait for comes first; starts take what is left, which is most of it.
     pub(crate) fn batch(
         &mut self,
         most_ops: usize,
@@ -193,6 +431,7 @@
         machines: &mut BTreeMap<MachineId, Machine>,
         jobs: &BTreeMap<JobId, Job>,
         rentals: &BTreeMap<String, Rental>,
+        now: Millis,
     ) -> Option<(Vec<u8>, usize)> {
         if most_ops == 0 {
             return None;
@@ -210,36 +449,40 @@
             most_conditions: 4 * settings.deployment.state.txn_ops,
         };
         self.add_finished(&mut batch, jobs);
-        self.add_machines(&mut batch, settings, machines, jobs);
-        for request in std::mem::take(&mut self.rentals) {
-            let Some(rental) = rentals.get(&request) else {
-                continue;
-            };
-            let change = Change::Put {
-                key: records::rental_key(&request),
-                value: rental.request.to_value(),
-                lease: None,
+        self.add_rentals(&mut batch, rentals);
+        self.add_done(&mut batch, jobs, now);
+        for _ in 0..self.urgent.len() {
+            if batch.full() {
+                break;
+            }
+            let Some(number) = self.urgent.pop_front() else {
+                break;
             };
-            if !batch.add(
-                Unit::Rental {
-                    request: request.clone(),
-                },
-                Vec::new(),
-                vec![change],
-            ) {
-                self.rentals.insert(request);
+            if let Some(shard) = self.shards.get_mut(&number) {
+                shard.queued = false;
+                if !self.add_shard(&mut batch, number, machines, jobs) {
+                    // It takes the first place in the next batch.
+                    if let Some(shard) = self.shards.get_mut(&number) {
+                        shard.queued = true;
+                    }
+                    self.urgent.push_front(number);
+                    break;
+                }
             }
         }
-        self.add_done(&mut batch, jobs);
-        for key in std::mem::take(&mut self.garbage) {
-            if !batch.add(
-                Unit::Garbage { key: key.clone() },
-                Vec::new(),
-                vec![Change::Delete { key: key.clone() }],
-            ) {
+        while let Some(key) = self.garbage.pop_first() {
+            let delete = vec![Change::Delete { key: key.clone() }];
+            if batch.full() || !batch.add(Unit::Garbage { key: key.clone() }, Vec::new(), delete) {
                 self.garbage.insert(key);
+                break;
             }
         }
+        if !batch.full()
+            && let Some(number) = self.stale.first().copied()
+            && self.add_shard(&mut batch, number, machines, jobs)
+        {
+            self.stale.remove(&number);
+        }
         if batch.units.is_empty() {
             return None;
         }
@@ -259,111 +502,167 @@
             };
             let changes = vec![
                 Change::Delete { key: key.clone() },
-                Change::Put {
-                    key: records::ended_key(&id.0),
-                    value: record.to_value(),
-                    lease: None,
-                },
+                put(records::ended_key(&id.0), &record),
             ];
-            if !batch.add(
-                Unit::Finish { job: id.clone() },
-                vec![Condition {
-                    key,
-                    version: job.version,
-                }],
-                changes,
-            ) {
+            let condition = Condition {
+                key,
+                version: job.version,
+            };
+            if batch.full() || !batch.add(Unit::Finish { job: id.clone() }, vec![condition], changes) {
                 self.finishing.insert(id);
             }
         }
     }
 
-    fn add_machines(
+    fn add_rentals(&mut self, batch: &mut Batch, rentals: &BTreeMap<String, Rental>) {
+        for request in std::mem::take(&mut self.rentals) {
+            let Some(rental) = rentals.get(&request) else {
+                continue;
+            };
+            let change = put(records::rental_key(&request), &rental.request);
+            let unit = Unit::Rental {
+                request: request.clone(),
+            };
+            if batch.full() || !batch.add(unit, Vec::new(), vec![change]) {
+                self.rentals.insert(request);
+            }
+        }
+    }
+
+    /// Writes a shard with as many of its planned starts as the transaction has
+    /// conditions for; false if it does not fit any more.
+    fn add_shard(
         &mut self,
         batch: &mut Batch,
-        settings: &Settings,
+        number: u32,
         machines: &mut BTreeMap<MachineId, Machine>,
         jobs: &BTreeMap<JobId, Job>,
-    ) {
-        let most_bytes = (settings.deployment.state.value_kb * 1024.0) as usize;
-        for machine in machines.values_mut().filter(|machine| machine.dirty) {
-            let planned: Vec<(TaskId, u64)> = machine
-                .attempts
-                .iter()
-                .filter(|attempt| !attempt.durable)
-                .map(|attempt| (attempt.task.clone(), attempt.number))
-                .collect();
-            let key = records::machine_key(&machine.id.0);
-            let mut conditions = vec![Condition {
-                key: key.clone(),
-                version: machine.version,
-            }];
-            // A start is recorded only while its job is live.
-            let live: BTreeSet<&JobId> = planned.iter().map(|(task, _)| &task.job).collect();
-            for id in live {
-                let version = jobs.get(id).map_or(0, |job| job.version);
-                conditions.push(Condition {
-                    key: records::job_key(&id.0),
-                    version,
-                });
-            }
-            let value = machine.record().to_value();
-            if json(&value).len() > most_bytes {
-                log::error!("machine={} has too many tasks for its record", machine.id);
+    ) -> bool {
+        let number = self
+            .shards
+            .get(&number)
+            .and_then(|shard| shard.split_from)
+            .unwrap_or(number);
+        let Some(shard) = self.shards.get(&number) else {
+            return true;
+        };
+        let mut entries = ShardEntries::default();
+        let split_to = shard.split_to;
+        let mut parts = vec![(number, entries.of(shard, batch, machines, jobs))];
+        if let Some(next) = split_to
+            && let Some(shard) = self.shards.get(&next)
+        {
+            parts.push((next, entries.of(shard, batch, machines, jobs)));
+        }
+        let mut sizes: Vec<Box<RawValue>> = texts(&parts);
+        if split_to.is_none() && sizes[0].get().len() > self.most_bytes && parts[0].1.len() > 1 {
+            let half = parts[0].1.len() / 2;
+            let others = parts[0].1.split_off(half);
+            let next = self.next_shard();
+            log::info!("shard {number} is full: half of its machines move to shard {next}");
+            self.split(number, next, &others, machines);
+            parts.push((next, others));
+            sizes = texts(&parts);
+        }
+        if sizes.iter().any(|text| text.get().len() > self.most_bytes) {
+            log::error!("shard {number} is too large for its record");
+            return true;
+        }
+        let mut numbers = Vec::new();
+        let mut changes = Vec::new();
+        for ((number, records), value) in parts.iter().zip(sizes) {
+            let version = self.shards.get(number).map_or(0, |shard| shard.version);
+            let key = records::shard_key(*number);
+            if records.is_empty() && version == 0 {
                 continue;
             }
-            let change = Change::Put {
-                key,
-                value,
-                lease: None,
-            };
-            if batch.add(
-                Unit::Machine {
-                    id: machine.id.clone(),
-                    planned,
-                },
-                conditions,
-                vec![change],
-            ) {
-                machine.dirty = false;
+            entries.conditions.push(Condition {
+                key: key.clone(),
+                version,
+            });
+            numbers.push((*number, records.is_empty()));
+            changes.push(if records.is_empty() {
+                Change::Delete { key }
+            } else {
+                Change::Put {
+                    key,
+                    value,
+                    lease: None,
+                }
+            });
+        }
+        if numbers.is_empty() {
+            return true;
+        }
+        for (number, _) in &numbers {
+            self.stale.remove(number);
+        }
+        let unit = Unit::Shards {
+            numbers,
+            planned: entries.planned,
+        };
+        if !batch.add(unit, entries.conditions, changes) {
+            return false;
+        }
+        if entries.left_out {
+            self.queue(number);
+        }
+        true
+    }
+
+    fn split(
+        &mut self,
+        number: u32,
+        next: u32,
+        moved: &[MachineRecord],
+        machines: &mut BTreeMap<MachineId, Machine>,
+    ) {
+        let mut shard = Shard {
+            split_from: Some(number),
+            ..Shard::default()
+        };
+        for record in moved {
+            let id = MachineId(record.name.clone());
+            if let Some(machine) = machines.get_mut(&id) {
+                machine.shard = Some(next);
+            }
+            if let Some(old) = self.shards.get_mut(&number) {
+                old.split_to = Some(next);
+                old.machines.remove(&id);
             }
+            shard.machines.insert(id);
         }
+        self.shards.insert(next, shard);
     }
 
-    fn add_done(&mut self, batch: &mut Batch, jobs: &BTreeMap<JobId, Job>) {
-        for ((id, chunk), tasks) in std::mem::take(&mut self.done) {
-            let Some(job) = jobs.get(&id) else { continue };
-            if job.complete() {
-                // Its end is recorded instead.
+    fn add_done(&mut self, batch: &mut Batch, jobs: &BTreeMap<JobId, Job>, now: Millis) {
+        for (number, shard) in &mut self.done {
+            if batch.full() {
+                return;
+            }
+            if shard.pending.is_empty() || now < shard.since + DONE_GATHER_MS {
                 continue;
             }
-            let key = records::done_key(&id, chunk);
-            let version = self.done_versions.get(&(id.clone(), chunk)).copied().unwrap_or(0);
-            let conditions = vec![
-                Condition {
-                    key: key.clone(),
-                    version,
-                },
-                Condition {
-                    key: records::job_key(&id.0),
-                    version: job.version,
-                },
-            ];
-            let change = Change::Put {
-                key,
-                value: records::encode_done(&job.done, chunk),
-                lease: None,
+            let mut record = DoneRecord::default();
+            for (id, chunk) in shard.chunks.keys() {
+                if let Some(job) = jobs.get(id) {
+                    record.0.insert(
+                        records::chunk_name(id, *chunk),
+                        records::encode_done(&job.done, *chunk),
+                    );
+                }
+            }
+            let key = records::done_key(*number);
+            let own = Condition {
+                key: key.clone(),
+                version: shard.version,
             };
-            if !batch.add(
-                Unit::Done {
-                    job: id.clone(),
-                    chunk,
-                    tasks: tasks.clone(),
-                },
-                conditions,
-                vec![change],
-            ) {
-                self.done.insert((id, chunk), tasks);
+            let unit = Unit::Done {
+                number: *number,
+                tasks: shard.pending.clone(),
+            };
+            if batch.add(unit, vec![own], vec![put(key, &record)]) {
+                shard.pending.clear();
             }
         }
     }
@@ -372,19 +671,55 @@
         self.in_flight.take().unwrap_or_default()
     }
 
+    /// Shards were written under this revision.
+    pub fn shards_written(&mut self, numbers: &[(u32, bool)], version: u64) {
+        for (number, deleted) in numbers {
+            if let Some(shard) = self.shards.get_mut(number) {
+                shard.version = if *deleted { 0 } else { version };
+                shard.split_to = None;
+                shard.split_from = None;
+            }
+        }
+    }
+
+    /// What a reading says of a shard; it is written again.
+    pub fn shard_read(&mut self, number: u32, version: u64) {
+        if let Some(shard) = self.shards.get_mut(&number) {
+            shard.version = version;
+            self.queue(number);
+        }
+    }
+
+    pub fn done_version(&mut self, number: u32, version: u64) {
+        if let Some(shard) = self.done.get_mut(&number) {
+            shard.version = version;
+        }
+    }
+
     /// The transaction was not, or may not have been, carried out: its units are
     /// written again.
-    pub fn failed(&mut self, units: &[Unit], machines: &mut BTreeMap<MachineId, Machine>) {
+    pub fn failed(&mut self, units: &[Unit], now: Millis) {
         for unit in units {
             match unit {
                 Unit::Renewal => (),
-                Unit::Machine { id, .. } => {
-                    if let Some(machine) = machines.get_mut(id) {
-                        machine.dirty = true;
+                Unit::Shards { numbers, .. } => {
+                    for (number, _) in numbers {
+                        self.queue(*number);
                     }
                 }
-                Unit::Done { job, chunk, tasks } => {
-                    self.done.entry((job.clone(), *chunk)).or_default().extend(tasks)
+                Unit::Done { number, tasks } => {
+                    let Some(shard) = self.done.get_mut(number) else {
+                        continue;
+                    };
+                    if shard.pending.is_empty() {
+                        shard.since = now;
+                    }
+                    for (chunk, tasks) in tasks {
+                        // A job that ended meanwhile has no place there any more.
+                        if shard.chunks.contains_key(chunk) {
+                            shard.pending.entry(chunk.clone()).or_default().extend(tasks);
+                        }
+                    }
                 }
                 Unit::Finish { job } => {
                     self.finishing.insert(job.clone());
--- a/core/tests/sim/mod.rs
+++ b/core/tests/sim/mod.rs
@@ -16,7 +16,7 @@
 pub use script::run;
 use serde_json::Value;
 use state::{Reply, StateService};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use worker::{GANG_PEER_MS, Worker};
 
 /// Grain of simulated time, in ms.
@@ -169,10 +169,35 @@
     probes: Vec<(String, u16)>,
     broken: Vec<String>,
     most_refused: u32,
+    /// GPUs that each team may use, in place of the settings'.
+    gpus_max: Option<f64>,
+    calls: Calls,
+}
+
+/// Calls of the controllers, for what is to stay small however large the fleet is.
+#[derive(Debug, Default)]
+struct Calls {
+    /// By destination, the calls of the last second, and the most in any second.
+    recent: BTreeMap<&'static str, (VecDeque<u64>, usize)>,
+}
+
+impl Calls {
+    fn note(&mut self, kind: &'static str, count: usize, now: u64) {
+        let (times, most) = self.recent.entry(kind).or_default();
+        times.extend(std::iter::repeat_n(now, count));
+        while times.front().is_some_and(|at| *at + 1_000 <= now) {
+            times.pop_front();
+        }
+        *most = (*most).max(times.len());
+    }
+
+    fn most(&self, kind: &str) -> usize {
+        self.recent.get(kind).map_or(0, |(_, most)| *most)
+    }
 }
 
 impl World {
-    fn new() -> World {
+    fn new(gpus_max: Option<f64>) -> World {
         let mut world = World {
             now: 0,
             queue: BTreeMap::new(),
@@ -192,6 +217,8 @@
             probes: Vec::new(),
             broken: Vec::new(),
             most_refused: 0,
+            gpus_max,
+            calls: Calls::default(),
         };
         let flavors: Flavors = serde_json::from_str(include_str!("../support/flavors.json")).unwrap();
         world.cloud.types = flavors.types;
@@ -221,6 +248,12 @@
         names.retain(|peer| peer.node != settings.node);
         names.sort_by(|a, b| a.node.cmp(&b.node));
         settings.peers = names;
+        if let Some(most) = self.gpus_max {
+            for team in &mut settings.deployment.teams {
+                team.gpus = most / 2.0;
+                team.gpus_max = most;
+            }
+        }
         let (now, wall) = (self.now, self.wall());
         let controller = &mut self.nodes[index];
         controller.life += 1;
@@ -303,7 +336,10 @@
         for index in 0..NODES {
             self.step_node(index);
         }
-        self.check_rules();
+        // Looking at thousands of tasks takes time, and nothing lasts only 10 ms.
+        if self.workers.len() < 200 || self.now.is_multiple_of(200) {
+            self.check_rules();
+        }
     }
 
     fn step_node(&mut self, index: usize) {
@@ -491,6 +527,12 @@
         body: Vec<u8>,
     ) {
         let from = host(&to);
+        let kind = match &to {
+            Destination::State => "requests",
+            Destination::Cloud => "cloud",
+            Destination::Worker(_) => "workers",
+        };
+        self.calls.note(kind, 1, self.now);
         let mut silent = false;
         let mishap = self.mishaps.iter().position(|mishap| {
             let (Mishap::LoseAnswer { path: wanted } | Mishap::Late { path: wanted, .. }) = mishap;
@@ -520,7 +562,11 @@
                 if self.state.outage || self.refused.get(&node).is_some_and(|until| self.now < *until) {
                     Some((503, Value::Null))
                 } else {
-                    match self.state.handle(method, &path, &body, self.now) {
+                    let (changes, now) = (self.state.changes, self.now);
+                    let reply = self.state.handle(method, &path, &body, now);
+                    self.calls
+                        .note("changes", (self.state.changes - changes) as usize, now);
+                    match reply {
                         Reply::Now(status, value) => Some((status, value)),
                         Reply::Wait { prefix, after, until } => {
                             self.watches.push(Watch {
@@ -692,6 +738,9 @@
 
     /// Gangs start together, end together and notice a lost member.
     fn step_gangs(&mut self) {
+        if self.jobs.values().all(|job| job.shape != "gang") {
+            return;
+        }
         let mut gangs: BTreeMap<(String, u64), Vec<TaskState>> = BTreeMap::new();
         for worker in self.workers.values() {
             let hung = self.now < worker.hung_until;
@@ -892,6 +941,7 @@
             self.breach("ran_cancelled", name);
         }
         for (team, limit) in [("red", 16.0), ("blue", 32.0)] {
+            let limit = self.gpus_max.unwrap_or(limit);
             let used = used.get(team).copied().unwrap_or(0.0);
             if used > limit {
                 self.breach("quota", format!("{team} uses {used} GPUs"));
--- a/core/tests/sim/script.rs
+++ b/core/tests/sim/script.rs
@@ -1,5 +1,6 @@
 //! Reads and plays a scenario. A line is `at SECONDS VERB …`, `expect …` (checked
-//! at the end) or `until SECONDS`; `#` starts a comment.
+//! at the end), `teams GPUS` (what each may use, for a large fleet) or `until
+//! SECONDS`; `#` starts a comment.
 
 use super::{Cut, Event, JobFacts, Mishap, NODES, UserKind, World};
 use indigopath_core::wire::TaskState;
@@ -10,6 +11,7 @@
     let mut actions: BTreeMap<(u64, usize), String> = BTreeMap::new();
     let mut expects = Vec::new();
     let mut until = 0;
+    let mut gpus_max = None;
     for (number, line) in text.lines().enumerate() {
         let line = line.split('#').next().unwrap_or("").trim();
         let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
@@ -23,6 +25,7 @@
                 actions.insert(((at * 1000.0) as u64, number), action.to_owned());
             }
             "expect" => expects.push(rest.to_owned()),
+            "teams" => gpus_max = Some(rest.parse::<f64>().map_err(|error| error.to_string())?),
             "until" => until = rest.parse::<u64>().map_err(|error| error.to_string())? * 1000,
             other => return Err(format!("line {}: unknown word {other}", number + 1)),
         }
@@ -30,7 +33,7 @@
     if expects.is_empty() || until == 0 {
         return Err("a scenario needs `expect` and `until`".to_owned());
     }
-    let mut world = World::new();
+    let mut world = World::new(gpus_max);
     while world.now < until {
         while let Some(entry) = actions.first_entry().filter(|entry| entry.key().0 <= world.now) {
             let action = entry.remove();
@@ -162,9 +165,18 @@
     match arg(0)? {
         "submit" => {
             let id = arg(1)?;
-            let (_, facts) = body(id, &keyed)?;
-            world.jobs.insert(id.to_owned(), facts);
-            world.user_at.insert(id.to_owned(), world.now);
+            // With `count=`, that many alike, numbered from the name's own number, ten
+            // a second.
+            let count = keyed.get("count").map_or(Ok(1.0), |count| number(count))? as u64;
+            for more in 0..count {
+                let id = match id.strip_prefix("wk-").and_then(|own| own.parse::<u64>().ok()) {
+                    Some(own) => format!("wk-{}", own + more),
+                    None => id.to_owned(),
+                };
+                let (_, facts) = body(&id, &keyed)?;
+                world.jobs.insert(id.clone(), facts);
+                world.user_at.insert(id, world.now + more * 100);
+            }
         }
         "withdraw" => world.jobs.get_mut(arg(1)?).ok_or("no such job")?.wants_cancel = true,
         // A submission again, with another body: its job's state, never a refusal.
@@ -314,6 +326,17 @@
         }
     };
     match words.as_slice() {
+        ["all", "done"] => match world
+            .jobs
+            .values()
+            .filter(|job| job.done_told_at.is_none())
+            .count()
+        {
+            0 => Ok(()),
+            left => Err(format!("{left} are not")),
+        },
+        // The most calls of a kind (changes, requests, cloud, workers) in any second.
+        ["most", kind, sign, want] => compare(world.calls.most(kind) as f64, sign, want),
         ["machines", sign, want] => compare(world.workers.len() as f64, sign, want),
         ["rented", sign, want] => compare(f64::from(world.cloud.rentals), sign, want),
         ["fenced", sign, want] => compare(f64::from(world.state.fenced), sign, want),
--- a/core/tests/sim/state.rs
+++ b/core/tests/sim/state.rs
@@ -20,6 +20,8 @@
     outage_began: Option<u64>,
     /// Transactions that met a condition on the leader's key that no longer held.
     pub fenced: u32,
+    /// Puts and deletes so far.
+    pub changes: u64,
 }
 
 /// An answer, or a watch that goes on waiting.
@@ -261,7 +263,8 @@
             self.fenced += u32::from(!claim && failed.iter().any(|key| key == "leader"));
             return Reply::Now(409, json!({ "failed": failed, "Ledger": self.revision }));
         }
-        self.revision += 1;
+        self.revision += u64::from(!transaction.changes.is_empty());
+        self.changes += transaction.changes.len() as u64;
         for change in transaction.changes {
             match change {
                 Change::Put { key, value, lease } => {
--- a/indigopath/src/event_loop.rs
+++ b/indigopath/src/event_loop.rs
@@ -24,9 +24,12 @@
 /// How long a client may take to send a whole request, in ms.
 const REQUEST_MS: u64 = 10_000;
 
-/// How long a client may keep an unused connection, in ms. Users poll every 5 s
-/// and workers report every few seconds, so an unused one is forgotten.
-const IDLE_MS: u64 = 120_000;
+/// How long a client may keep an unused connection, in ms, or this many report
+/// intervals if that is longer. Users poll every 5 s and workers report every few
+/// seconds, so an unused one is forgotten: a machine that is gone often closes
+/// nothing, and with fleets of thousands such connections would use up the sockets.
+const IDLE_MS: u64 = 30_000;
+const IDLE_REPORTS: f64 = 4.0;
 
 /// How long an unused connection to another system is kept, in ms.
 const SPARE_MS: u64 = 20_000;
@@ -42,7 +45,10 @@
 
 /// Sockets kept free of clients, for calls, workers, siblings and the files that
 /// a process has open anyway.
-const RESERVED_SOCKETS: usize = 300;
+const RESERVED_SOCKETS: usize = 400;
+
+/// Unused connections to workers that are kept at most.
+const SPARE_WORKERS: usize = 100;
 
 /// Bytes read from a socket at once.
 const READ_CHUNK: usize = 16 * 1024;
@@ -96,6 +102,9 @@
     connections: Slab<Connection>,
     client_count: usize,
     most_clients: usize,
+    idle_ms: u64,
+    /// Unused connections to workers.
+    spare_workers: usize,
     requests: HashMap<RequestId, usize>,
     next_request: u64,
     spare: HashMap<Destination, Vec<usize>>,
@@ -141,6 +150,8 @@
             connections: Slab::new(),
             client_count: 0,
             most_clients: sockets.saturating_sub(RESERVED_SOCKETS).max(sockets / 2),
+            idle_ms: IDLE_MS.max((settings.deployment.workers.report_s * IDLE_REPORTS * 1_000.0) as u64),
+            spare_workers: 0,
             requests: HashMap::new(),
             next_request: 1,
             spare: HashMap::new(),
@@ -295,6 +306,7 @@
 
     fn call_connection(&mut self, to: &Destination, addr: SocketAddrV4, now: u64) -> io::Result<usize> {
         while let Some(key) = self.spare.get_mut(to).and_then(Vec::pop) {
+            self.spare_workers -= usize::from(matches!(to, Destination::Worker(_)));
             if self.connections.contains(key) {
                 return Ok(key);
             }
@@ -401,7 +413,7 @@
                 Role::Client { waiting: Some(_), .. } => false,
                 Role::Client { waiting: None, .. } => {
                     let busy = !connection.input.is_empty() || !connection.output.is_empty();
-                    now >= connection.since + if busy { REQUEST_MS } else { IDLE_MS }
+                    now >= connection.since + if busy { REQUEST_MS } else { self.idle_ms }
                 }
                 Role::Call {
                     call: Some(_),
@@ -445,7 +457,14 @@
             }
             Role::Call { call: None, to, .. } => {
                 if let Some(spare) = self.spare.get_mut(&to) {
+                    let before = spare.len();
                     spare.retain(|other| *other != key);
+                    if matches!(to, Destination::Worker(_)) {
+                        self.spare_workers -= before - spare.len();
+                    }
+                    if spare.is_empty() {
+                        self.spare.remove(&to);
+                    }
                 }
             }
             Role::FromPeer => (),
@@ -655,7 +674,9 @@
                     body: answer.body,
                 };
                 self.queue.push(Command::Answer { call: id, outcome });
-                if reusable {
+                let worker = matches!(to, Destination::Worker(_));
+                if reusable && !(worker && self.spare_workers >= SPARE_WORKERS) {
+                    self.spare_workers += usize::from(worker);
                     self.spare.entry(to).or_default().push(key);
                     Fate::Keep
                 } else {
