Idle machines go back after 10 s; spot is feared, and left to arrays, where it counts

A quarter of the money went on machines with one or two tasks left. An idle machine that a waiting gang could use is no surplus any more: it was given back while the gang waited for the other half (scenario gang_stop_keeps_progress).

--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -248,7 +248,7 @@
 pub const FLEET_LOOP_MS: u64 = 500;
 
 /// How long a machine must be idle, in ms, before it is surplus.
-pub const IDLE_RETURN_MS: u64 = 25_000;
+pub const IDLE_RETURN_MS: u64 = 10_000;
 
 /// Interval, in ms, between scheduling passes when nothing changed: wakes
 /// backed-off jobs and moves stops along.
@@ -310,6 +310,33 @@
 /// What an ordinary machine costs a placement that may use a spot one, in s.
 pub const SPOT_COST_S: f64 = 2.0;
 
+/// What a spot machine costs a placement whose task could not be run again in time,
+/// in s: more than any fetch.
+pub const SPOT_RISK_COST_S: f64 = 40.0;
+
+/// Chance that a machine is lost during a task, above which a task that could not be
+/// run again in time stays off it.
+pub const SPOT_RISK: f64 = 0.05;
+
+/// Spot machines assumed lost, per second and machine, before any was seen: one an
+/// hour. It weighs as much as `SPOT_LOSS_PRIOR_S` seconds of one machine.
+pub const SPOT_LOSS_PRIOR: f64 = 1.0 / 3_600.0;
+pub const SPOT_LOSS_PRIOR_S: f64 = 3_600.0;
+
+/// Runs, by the owner's estimate, that must fit into what is left of a job's time, or
+/// a lost task comes too late: estimates are often wrong by half.
+pub const RUNS_TO_SPARE: f64 = 2.5;
+
+/// What a machine that the task holds wholly longer than others do costs a placement,
+/// in s.
+pub const OUTLAST_COST_S: f64 = 5.0;
+
+/// For how long, in s, a task without an estimate counts as holding its machine.
+pub const HELD_LASTING_S: f64 = 400.0;
+
+/// For how long, in s, a task that has run past its estimate does.
+pub const HELD_LEAST_S: f64 = 10.0;
+
 /// What an empty machine costs a placement, in s: work gathers on few machines, so
 /// that others fall idle and go back.
 pub const EMPTY_COST_S: f64 = 3.0;
--- a/core/src/leader/machines.rs
+++ b/core/src/leader/machines.rs
@@ -142,6 +142,12 @@
         self.greet(io);
         let mut inspect = Vec::new();
         let mut lapsed = Vec::new();
+        let spot_up = self
+            .machines
+            .values()
+            .filter(|machine| machine.spot && machine.is_up())
+            .count();
+        self.spot.up(spot_up, io.now);
         for machine in self.machines.values_mut() {
             if machine.can_be_told() && machine.synced && machine.wants_direct(true, io.now) {
                 self.attention.insert(machine.id.clone());
--- a/core/src/leader/mod.rs
+++ b/core/src/leader/mod.rs
@@ -25,7 +25,7 @@
 };
 use crate::writer::{Unit, Writer};
 use rand::RngExt;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 /// A call made in a term; its answer is dropped in any other.
@@ -83,6 +83,30 @@
     retry_at: Millis,
 }
 
+/// How often spot machines are lost, as seen in this term.
+#[derive(Debug, Default)]
+struct SpotLosses {
+    machine_s: f64,
+    lost: u32,
+    at: Millis,
+}
+
+impl SpotLosses {
+    /// So many spot machines have been up since the last call.
+    fn up(&mut self, machines: usize, now: Millis) {
+        let since_s = now.saturating_sub(self.at) as f64 / SECOND_MS as f64;
+        if self.at > 0 {
+            self.machine_s += machines as f64 * since_s;
+        }
+        self.at = now;
+    }
+
+    /// Losses per second and machine.
+    fn loss(&self) -> f64 {
+        (f64::from(self.lost) + SPOT_LOSS_PRIOR * SPOT_LOSS_PRIOR_S) / (self.machine_s + SPOT_LOSS_PRIOR_S)
+    }
+}
+
 /// Start-up reading: prefix by prefix, page by page.
 #[derive(Debug, Default)]
 struct Load {
@@ -122,6 +146,9 @@
     indexed_at: Millis,
     gone: HashMap<MachineId, Millis>,
     refused: HashMap<RentKind, Millis>,
+    /// Kinds of machines that waiting work could use: none of them is surplus.
+    wanted: HashSet<RentKind>,
+    spot: SpotLosses,
     boot_s: HashMap<String, f64>,
     give_back_s: f64,
     next_attempt: u64,
@@ -170,6 +197,8 @@
             indexed_at: now,
             gone: HashMap::new(),
             refused: HashMap::new(),
+            wanted: HashSet::new(),
+            spot: SpotLosses::default(),
             boot_s: HashMap::new(),
             give_back_s: GIVE_BACK_MS as f64 / SECOND_MS as f64,
             next_attempt: 0,
@@ -291,6 +320,7 @@
                     Some(job) => {
                         job.waiting.remove(&attempt.task.index);
                         attempt.image = Some(job.spec.image.clone());
+                        attempt.estimate_s = job.spec.estimate_s;
                         if job.spec.shape == Shape::Gang {
                             // Whether it has started is not recorded: the reports
                             // tell, and until then nothing joins it.
@@ -527,6 +557,7 @@
             jobs: &self.jobs,
             machines: &self.machines,
             hosts: &self.hosts,
+            spot_loss: self.spot.loss(),
             now: io.now,
         };
         let plan = placement::plan(&site);
@@ -591,14 +622,17 @@
             .map_or(0.0, |machine_type| machine_type.cache_gb);
         machine.touch_image(&job.spec.image, job.spec.image_gb, cache_gb);
         self.hosts.entry(task.job.clone()).or_default().insert(id.clone());
-        machine.attempts.push(Attempt::planned(
-            task,
-            number,
-            Arc::from(job.spec.team.as_str()),
-            job.spec.needs,
-            job.spec.image.clone(),
-            now,
-        ));
+        machine.attempts.push(Attempt {
+            estimate_s: job.spec.estimate_s,
+            ..Attempt::planned(
+                task,
+                number,
+                Arc::from(job.spec.team.as_str()),
+                job.spec.needs,
+                job.spec.image.clone(),
+                now,
+            )
+        });
         self.writer.record(machine);
     }
 
--- a/core/src/leader/renting.rs
+++ b/core/src/leader/renting.rs
@@ -19,6 +19,7 @@
             return;
         }
         self.refused.retain(|_, until| *until > io.now);
+        self.wanted = self.wanted_kinds(types);
         let mut coming = self.coming(types);
         let mut in_zone: HashMap<&str, usize> = HashMap::new();
         for machine in self.machines.values() {
@@ -34,8 +35,9 @@
             if tasks == 0 {
                 continue;
             }
-            let Some((machine_type, spot, mut zones)) = self.kind_for(&job.spec, &unplaced.zones, types)
-            else {
+            let fears = placement::fears_spot(job, &settings.deployment, self.spot.loss(), io.now);
+            let kind = self.kind_for(&job.spec, &unplaced.zones, fears, types);
+            let Some((machine_type, spot, mut zones)) = kind else {
                 continue;
             };
             if job.spec.one_zone {
@@ -70,6 +72,29 @@
         }
     }
 
+    /// Kinds of machines that some waiting task could use. A gang for which there are
+    /// too few must not lose those that stand ready for it.
+    fn wanted_kinds(&self, types: &Types) -> HashSet<RentKind> {
+        let mut wanted = HashSet::new();
+        for unplaced in &self.unplaced {
+            let Some(job) = self.jobs.get(&unplaced.job) else {
+                continue;
+            };
+            for machine_type in types.values() {
+                for (zone, spot) in unplaced
+                    .zones
+                    .iter()
+                    .flat_map(|zone| [(zone, false), (zone, true)])
+                {
+                    if job.spec.eligible(machine_type, zone, spot) {
+                        wanted.insert((machine_type.name.clone(), zone.clone(), spot));
+                    }
+                }
+            }
+        }
+        wanted
+    }
+
     /// Machines that are idle, booting or being rented.
     pub(super) fn coming(&self, types: &Types) -> Vec<Coming> {
         let machines = self.machines.values().filter(|machine| {
@@ -102,14 +127,16 @@
         coming
     }
 
-    /// The cheapest kind of machine, per task, that the cloud may have.
+    /// The cheapest kind of machine, per task, that the cloud may have; for a job that
+    /// fears spot machines, an ordinary one if there is any.
     pub(super) fn kind_for<'a>(
         &self,
         spec: &JobSpec,
         zones: &[String],
+        fears_spot: bool,
         types: &'a Types,
     ) -> Option<(&'a wire::MachineType, bool, Vec<String>)> {
-        let mut best: Option<(f64, &wire::MachineType, bool, Vec<String>)> = None;
+        let mut best: Option<((bool, f64), &wire::MachineType, bool, Vec<String>)> = None;
         for machine_type in types.values() {
             for spot in [true, false] {
                 let open: Vec<String> = zones
@@ -133,7 +160,7 @@
                 } else {
                     machine_type.price
                 };
-                let cost = price / per_machine;
+                let cost = (spot && fears_spot, price / per_machine);
                 if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                     best = Some((cost, machine_type, spot, open));
                 }
@@ -329,7 +356,10 @@
             let idle = machine.is_up()
                 && machine.synced
                 && machine.is_empty()
-                && machine.idle_since.is_some_and(|since| io.now >= since + idle_ms);
+                && machine.idle_since.is_some_and(|since| io.now >= since + idle_ms)
+                && !self
+                    .wanted
+                    .contains(&(machine.machine_type.clone(), machine.zone.clone(), machine.spot));
             let useless =
                 machine.is_up() && machine.is_empty() && (faulty(machine) || machine.notice_until.is_some());
             let why = if machine.returning {
@@ -396,6 +426,8 @@
                     continue;
                 };
                 self.gone.insert(id.clone(), io.now);
+                let taken = machine.inspect_failed || machine.notice_until.is_some();
+                self.spot.lost += u32::from(machine.spot && machine.is_up() && taken);
                 self.writer.machine_gone(&machine);
                 let changes = machine.clear();
                 self.apply(&id, changes, io);
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -45,6 +45,8 @@
     pub team: Arc<str>,
     pub needs: Resources,
     pub image: Option<Arc<str>>,
+    /// Its owner's estimate of its run time; 0 for none.
+    pub estimate_s: f64,
     /// Its start is recorded in the state service; only then is it sent.
     pub durable: bool,
     /// Read from a former leader's record: it may have been sent by that one.
@@ -78,6 +80,7 @@
             team,
             needs,
             image: Some(image),
+            estimate_s: 0.0,
             durable: false,
             inherited: false,
             sent: None,
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -3,8 +3,9 @@
 
 use crate::constants::{
     EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS, GATHER_TRIES,
-    MOVES_PER_PASS, PREEMPT_FOR_IMAGE_S, ROOM_SEARCHES_PER_PASS, SETTLED_MS, SPOT_COST_S, STARTS_PER_PASS,
-    STOP_GRACE_EXTRA_S,
+    HELD_LASTING_S, HELD_LEAST_S, MOVES_PER_PASS, OUTLAST_COST_S, PREEMPT_FOR_IMAGE_S,
+    ROOM_SEARCHES_PER_PASS, RUNS_TO_SPARE, SECOND_MS, SETTLED_MS, SPOT_COST_S, SPOT_RISK, SPOT_RISK_COST_S,
+    STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
 };
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
@@ -24,6 +25,8 @@
     pub machines: &'a BTreeMap<MachineId, Machine>,
     /// Where a job's tasks may be, so that nobody asks every machine.
     pub hosts: &'a Hosts,
+    /// Spot machines lost, per second and machine.
+    pub spot_loss: f64,
     pub now: Millis,
 }
 
@@ -78,6 +81,8 @@
     images: Vec<u32>,
     /// Different images that it is fetching.
     fetching: u32,
+    /// For how long, in s, what is on it will hold it, by its owners' estimates.
+    held_s: f64,
 }
 
 /// Where a job's tasks are: number by position of the zone; the last stands for
@@ -96,6 +101,10 @@
     start_within_s: f64,
     /// Machines on which its tasks failed are avoided.
     distrusts: bool,
+    hurried: bool,
+    /// A task lost with a spot machine could not be run again in time, and a loss is
+    /// likely enough to matter.
+    fears_spot: bool,
 }
 
 /// Jobs that ask for the same find room, or none, in the same places.
@@ -104,6 +113,7 @@
     needs: [u64; 3],
     eligible: Vec<bool>,
     one_zone: bool,
+    hurried: bool,
 }
 
 struct Pass<'a> {
@@ -118,6 +128,9 @@
     full: HashMap<Alike, u32>,
     /// For what no room can be made either.
     stuck: HashSet<(Alike, Priority, String, bool)>,
+    /// Work that may not use spot machines found no room: who may use them leaves the
+    /// ordinary ones to it.
+    ordinary_short: bool,
     /// The lowest priority of which anything is placed.
     lowest: Option<Priority>,
     any_leaving: bool,
@@ -136,6 +149,26 @@
     }
 }
 
+/// Whether a task of the job that starts now, if it is lost with its machine, could
+/// not be run again in time for what its class expects.
+pub fn hurried(job: &Job, deployment: &Deployment, now: Millis) -> bool {
+    let within_s = deployment
+        .objectives
+        .iter()
+        .filter(|objective| {
+            objective.kind == "finished" && objective.class.as_deref() == Some(&job.spec.class)
+        })
+        .filter_map(|objective| objective.within_s)
+        .fold(f64::INFINITY, f64::min);
+    let age_s = job.age_ms(now) as f64 / SECOND_MS as f64;
+    !job.spec.saves() && age_s + RUNS_TO_SPARE * job.spec.estimate_s > within_s
+}
+
+/// Whether the job had better stay off spot machines, which are lost at this rate.
+pub fn fears_spot(job: &Job, deployment: &Deployment, spot_loss: f64, now: Millis) -> bool {
+    job.spec.estimate_s * spot_loss > SPOT_RISK && hurried(job, deployment, now)
+}
+
 /// Jobs that fit into their team's guarantee together with its earlier ones.
 pub fn within_guarantee(
     deployment: &Deployment,
@@ -215,6 +248,7 @@
                 hold(image, &mut held);
             }
             let mut fetching: Vec<&Option<Arc<str>>> = Vec::new();
+            let mut held_s: f64 = 0.0;
             for attempt in machine.attempts.iter().filter(|attempt| attempt.may_be_there()) {
                 used += attempt.needs;
                 add_usage(&mut usage, &attempt.team, attempt.needs);
@@ -230,6 +264,12 @@
                 {
                     fetching.push(&attempt.image);
                 }
+                let left_s = if attempt.estimate_s > 0.0 {
+                    (attempt.estimate_s - attempt.ran_s(site.now)).max(HELD_LEAST_S)
+                } else {
+                    HELD_LASTING_S
+                };
+                held_s = held_s.max(left_s);
                 running.push(Running {
                     attempt,
                     job: None,
@@ -250,6 +290,7 @@
                 free -= used;
             }
             rooms.push(Room {
+                held_s,
                 machine,
                 machine_type,
                 place: kind.zip(zone),
@@ -276,6 +317,7 @@
             within: within_guarantee(site.deployment, site.jobs, site.now),
             full: HashMap::new(),
             stuck: HashSet::new(),
+            ordinary_short: false,
             lowest,
             any_leaving,
             jobs_known: false,
@@ -345,6 +387,8 @@
             image: self.images.get(&*job.spec.image).copied(),
             start_within_s,
             distrusts: !job.to_blame() && !job.failed_on.is_empty(),
+            hurried: hurried(job, self.site.deployment, self.site.now),
+            fears_spot: fears_spot(job, self.site.deployment, self.site.spot_loss, self.site.now),
         }
     }
 
@@ -354,6 +398,7 @@
             needs: [needs.cpus, needs.gpus, needs.memory_gb].map(f64::to_bits),
             eligible: ask.eligible.clone(),
             one_zone: ask.job.spec.one_zone,
+            hurried: ask.hurried,
         }
     }
 
@@ -404,6 +449,7 @@
             && zones[place.1]
             && ask.eligible[self.slot(place, room.machine.spot)]
             && !(ask.distrusts && ask.job.failed_on.contains(&room.machine.id))
+            && !(self.ordinary_short && ask.job.spec.spot && !ask.hurried && !room.machine.spot)
     }
 
     fn has_image(&self, ask: &Ask<'_>, at: usize) -> bool {
@@ -429,9 +475,16 @@
     fn cost(&self, ask: &Ask<'_>, at: usize) -> f64 {
         let room = &self.rooms[at];
         let mut cost = self.fetch_s(ask, at);
-        if ask.job.spec.spot && !room.machine.spot {
+        if ask.fears_spot {
+            if room.machine.spot {
+                cost += SPOT_RISK_COST_S;
+            }
+        } else if ask.job.spec.spot && !room.machine.spot {
             cost += SPOT_COST_S;
         }
+        // What holds the machine longer than it is held anyway costs its time.
+        let needs_s = lasts_s(&ask.job.spec);
+        cost += OUTLAST_COST_S * (1.0 - room.held_s / needs_s).max(0.0);
         if !room.machine.errors.is_empty() {
             cost += ERRORS_COST_S;
         }
@@ -471,6 +524,7 @@
         ask.image = Some(image);
         let room = &mut self.rooms[at];
         room.free -= spec.needs;
+        room.held_s = room.held_s.max(lasts_s(spec));
         if !room.images.contains(&image) {
             room.images.push(image);
         }
@@ -602,6 +656,7 @@
                 if tasks == 1 && self.make_room(&ask, &zones, None) {
                     return;
                 }
+                self.ordinary_short |= !job.spec.spot;
                 self.note_unplaced(job, tasks, &zones);
             }
         }
@@ -940,6 +995,15 @@
     }
 }
 
+/// For how long a task holds its machine, in s, as far as its owner says.
+fn lasts_s(spec: &JobSpec) -> f64 {
+    if spec.estimate_s > 0.0 {
+        spec.estimate_s
+    } else {
+        HELD_LASTING_S
+    }
+}
+
 fn add_usage(usage: &mut Vec<(Arc<str>, Resources)>, team: &Arc<str>, needs: Resources) {
     let known = usage
         .iter_mut()
