A gathered poll never takes back a cancellation; arrays do not count on short machines

Cause: a cancellation at the same node between a poll and its comparison removed the job's version, so the comparison went out without it and its 200 said nothing. Excluded: another node's stale answer; both requests were served by one node. Now the version stands with the poll, and what the node has told of a job's end comes first. Three tests in users.rs.

--- a/core/src/leader/renting.rs
+++ b/core/src/leader/renting.rs
@@ -21,6 +21,14 @@
         self.refused.retain(|_, until| *until > io.now);
         self.wanted = self.wanted_kinds(types);
         let mut coming = self.coming(types);
+        // Work that may use spot machines does not count on ordinary ones that others
+        // wait for. Spot machines stand first.
+        let ordinary_short = self.unplaced.iter().any(|unplaced| {
+            self.jobs
+                .get(&unplaced.job)
+                .is_some_and(|job| !job.spec.spot && job.spec.shape == Shape::Gang)
+        });
+        let spot_ones = coming.iter().filter(|machine| machine.spot).count();
         let mut in_zone: HashMap<&str, usize> = HashMap::new();
         for machine in self.machines.values() {
             *in_zone.entry(&machine.zone).or_default() += 1;
@@ -31,7 +39,18 @@
                 continue;
             };
             // Machines that are idle or coming take what they may, of whatever kind.
-            let tasks = fleet::left_over(&mut coming, &job.spec, &unplaced.zones, unplaced.tasks, types);
+            let most = if ordinary_short && job.spec.spot {
+                spot_ones
+            } else {
+                coming.len()
+            };
+            let tasks = fleet::left_over(
+                &mut coming[..most],
+                &job.spec,
+                &unplaced.zones,
+                unplaced.tasks,
+                types,
+            );
             if tasks == 0 {
                 continue;
             }
@@ -136,7 +155,8 @@
         fears_spot: bool,
         types: &'a Types,
     ) -> Option<(&'a wire::MachineType, bool, Vec<String>)> {
-        let mut best: Option<((bool, f64), &wire::MachineType, bool, Vec<String>)> = None;
+        let mut best = None;
+        let mut least = (true, f64::INFINITY);
         for machine_type in types.values() {
             for spot in [true, false] {
                 let open: Vec<String> = zones
@@ -161,12 +181,13 @@
                     machine_type.price
                 };
                 let cost = (spot && fears_spot, price / per_machine);
-                if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                    best = Some((cost, machine_type, spot, open));
+                if cost < least {
+                    least = cost;
+                    best = Some((machine_type, spot, open));
                 }
             }
         }
-        best.map(|(_, machine_type, spot, zones)| (machine_type, spot, zones))
+        best
     }
 
     /// Spreads `count` machines over the zones with the fewest of the site's.
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -449,7 +449,7 @@
             && zones[place.1]
             && ask.eligible[self.slot(place, room.machine.spot)]
             && !(ask.distrusts && ask.job.failed_on.contains(&room.machine.id))
-            && !(self.ordinary_short && ask.job.spec.spot && !ask.hurried && !room.machine.spot)
+            && (room.machine.spot || !self.ordinary_short || !ask.job.spec.spot || ask.hurried)
     }
 
     fn has_image(&self, ask: &Ask<'_>, at: usize) -> bool {
--- a/core/src/users.rs
+++ b/core/src/users.rs
@@ -34,7 +34,15 @@
 /// whether they still are.
 #[derive(Debug)]
 pub struct Comparison {
-    polls: Vec<(RequestId, JobId)>,
+    polls: Vec<Gathered>,
+}
+
+/// A poll that waits for a comparison, with the version to compare.
+#[derive(Debug)]
+struct Gathered {
+    request: RequestId,
+    job: JobId,
+    version: u64,
 }
 
 #[derive(Debug)]
@@ -64,7 +72,7 @@
     /// Versions of live jobs' records, as last seen.
     live: HashMap<JobId, u64>,
     /// Polls that gather for the next comparison, and since when.
-    polls: Vec<(RequestId, JobId)>,
+    polls: Vec<Gathered>,
     polls_since: Millis,
 }
 
@@ -78,11 +86,11 @@
             return;
         }
         let poll = matches!(wish, Wish::Poll);
-        if poll && self.waiting.len() < MAX_WAITING_REQUESTS && self.live.contains_key(&job) {
-            if self.polls.is_empty() {
-                self.polls_since = io.now;
-            }
-            self.polls.push((request, job.clone()));
+        if poll
+            && self.waiting.len() < MAX_WAITING_REQUESTS
+            && let Some(version) = self.live.get(&job).copied()
+        {
+            self.gather(request, job.clone(), version, io.now);
             self.wait(request, job, wish, io.now);
             return;
         }
@@ -112,6 +120,17 @@
         );
     }
 
+    fn gather(&mut self, request: RequestId, job: JobId, version: u64, now: Millis) {
+        if self.polls.is_empty() {
+            self.polls_since = now;
+        }
+        self.polls.push(Gathered {
+            request,
+            job,
+            version,
+        });
+    }
+
     /// Sends the comparisons that are due: `most` conditions each.
     pub fn settle(&mut self, most: usize, io: &mut Io) {
         while !self.polls.is_empty()
@@ -120,22 +139,20 @@
             let rest = self.polls.split_off(self.polls.len().min(most));
             let polls = std::mem::replace(&mut self.polls, rest);
             if !io.state.take(1.0, 0.0, io.now) {
-                for (request, _) in polls {
-                    self.waiting.remove(&request);
-                    io.reply_later(request, RETRY_AFTER_S, "too many requests, come back later");
+                for poll in polls {
+                    self.waiting.remove(&poll.request);
+                    io.reply_later(poll.request, RETRY_AFTER_S, "too many requests, come back later");
                 }
                 continue;
             }
             let mut conditions: Vec<Condition> = Vec::with_capacity(polls.len());
-            for (_, job) in &polls {
-                let key = records::job_key(&job.0);
-                if let Some(version) = self.live.get(job)
-                    && conditions.iter().all(|condition| condition.key != key)
-                {
-                    conditions.push(Condition {
-                        key,
-                        version: *version,
-                    });
+            for poll in &polls {
+                let condition = Condition {
+                    key: records::job_key(&poll.job.0),
+                    version: poll.version,
+                };
+                if !conditions.contains(&condition) {
+                    conditions.push(condition);
                 }
             }
             let body: Transaction = Transaction {
@@ -164,7 +181,12 @@
             _ => None,
         };
         let all = outcome.status() == Some(200);
-        for (request, job) in comparison.polls {
+        for poll in comparison.polls {
+            let Gathered {
+                request,
+                job,
+                version,
+            } = poll;
             let Some(failed) = &failed else {
                 self.give_up(request, io);
                 continue;
@@ -175,20 +197,29 @@
             }
             if all {
                 self.waiting.remove(&request);
-                answer_live(request, &job, counts, io);
-            } else if over || failed.is_empty() || !self.live.contains_key(&job) {
+                self.tell_live(request, &job, counts, io);
+            } else if over || failed.is_empty() {
                 self.next(request, UserCall::ReadLive, 0, io);
             } else {
                 // The answer need not name every condition that failed.
-                if self.polls.is_empty() {
-                    self.polls_since = io.now;
-                }
-                self.polls.push((request, job));
+                self.gather(request, job, version, io.now);
             }
         }
     }
 
+    /// The job was live when the state service was asked. If this node has told
+    /// somebody meanwhile that it is over, that answer stands.
+    fn tell_live(&self, request: RequestId, job: &JobId, counts: &Counts, io: &mut Io) {
+        match self.ended.get(job) {
+            Some(ended) => answer_ended(request, job, *ended, io),
+            None => answer_live(request, job, counts, io),
+        }
+    }
+
     fn saw_live(&mut self, job: &JobId, version: u64) {
+        if self.ended.contains_key(job) {
+            return;
+        }
         if self.live.len() >= LIVE_CACHE {
             self.live.clear();
         }
@@ -313,7 +344,7 @@
                 } else {
                     self.waiting.remove(&request);
                     self.saw_live(&job, item.version);
-                    answer_live(request, &job, counts, io);
+                    self.tell_live(request, &job, counts, io);
                 }
             }
             (UserCall::ReadLive, Some(404)) => self.next(request, UserCall::ReadEnded, 0, io),
@@ -473,3 +504,132 @@
         Some(_) => Route::Refuse(404),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::io::Effect;
+    use crate::settings::Settings;
+
+    const JOB: &str = "wk-1";
+
+    fn io() -> Io {
+        let settings = Settings::parse(include_str!("../tests/support/settings.json")).unwrap();
+        Io::new(&settings, 1, 1_000, 0)
+    }
+
+    fn answer(status: u16, body: serde_json::Value) -> Outcome {
+        Outcome::Answer {
+            status,
+            body: body.to_string().into_bytes(),
+        }
+    }
+
+    /// The last reply's body.
+    fn told(io: &mut Io) -> serde_json::Value {
+        let replies = std::mem::take(&mut io.effects);
+        let body = replies.into_iter().rev().find_map(|effect| match effect {
+            Effect::Reply { body, .. } => Some(body),
+            _ => None,
+        });
+        serde_json::from_slice(&body.expect("a reply")).unwrap()
+    }
+
+    /// The conditions of the one call made, and what it is for.
+    fn comparison(io: &mut Io) -> (serde_json::Value, Comparison) {
+        let mut calls = std::mem::take(&mut io.effects)
+            .into_iter()
+            .filter_map(|effect| match effect {
+                Effect::Call { call, body, .. } => Some((call, body)),
+                _ => None,
+            });
+        let (call, body) = calls.next().expect("a call");
+        assert!(calls.next().is_none());
+        let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
+        match io.settle(call) {
+            Some(Purpose::Polls(comparison)) => (body, comparison),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// A node that has seen the job live and has a poll for it gathered.
+    fn polled(io: &mut Io) -> Users {
+        let mut users = Users::default();
+        let job = JobId(std::sync::Arc::from(JOB));
+        users.saw_live(&job, 7);
+        users.begin(RequestId(1), job, Wish::Poll, io);
+        assert!(io.effects.is_empty());
+        users
+    }
+
+    fn cancel(users: &mut Users) {
+        let ended = EndedRecord {
+            end: Ending::Cancelled,
+            tasks: 0,
+        };
+        users.remember(JobId(std::sync::Arc::from(JOB)), ended);
+    }
+
+    #[test]
+    fn gathered_polls_are_answered_by_one_comparison() {
+        let mut io = io();
+        let mut users = polled(&mut io);
+        users.begin(
+            RequestId(2),
+            JobId(std::sync::Arc::from(JOB)),
+            Wish::Poll,
+            &mut io,
+        );
+        io.now += POLL_GATHER_MS;
+        users.settle(48, &mut io);
+        let (body, comparison) = comparison(&mut io);
+        assert_eq!(
+            body,
+            serde_json::json!({ "If": [{ "Path": "j/wk-1", "Stamp": 7 }] })
+        );
+        users.compared(
+            comparison,
+            &answer(200, serde_json::json!({ "Ledger": 9 })),
+            &Counts::new(),
+            &mut io,
+        );
+        assert_eq!(io.effects.len(), 2);
+        assert_eq!(told(&mut io)["Status"], "pending");
+    }
+
+    // Its user was told "cancelled", then "running" by the poll that had gathered: the
+    // comparison went out without the job, which was live no longer.
+    #[test]
+    fn a_cancellation_between_poll_and_comparison_is_not_taken_back() {
+        let mut io = io();
+        let mut users = polled(&mut io);
+        cancel(&mut users);
+        io.now += POLL_GATHER_MS;
+        users.settle(48, &mut io);
+        let (body, comparison) = comparison(&mut io);
+        assert_eq!(body["If"][0]["Stamp"], 7, "the job is compared all the same");
+        users.compared(
+            comparison,
+            &answer(200, serde_json::json!({ "Ledger": 9 })),
+            &Counts::new(),
+            &mut io,
+        );
+        assert_eq!(told(&mut io)["Status"], "cancelled");
+    }
+
+    #[test]
+    fn a_job_that_is_over_elsewhere_is_read_again() {
+        let mut io = io();
+        let mut users = polled(&mut io);
+        io.now += POLL_GATHER_MS;
+        users.settle(48, &mut io);
+        let (_, comparison) = comparison(&mut io);
+        let failed = answer(409, serde_json::json!({ "failed": ["j/wk-1"], "Ledger": 9 }));
+        users.compared(comparison, &failed, &Counts::new(), &mut io);
+        let path = io.effects.iter().find_map(|effect| match effect {
+            Effect::Call { path, .. } => Some(path.clone()),
+            _ => None,
+        });
+        assert_eq!(path.as_deref(), Some("/store/j/wk-1"));
+    }
+}
