--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -337,6 +337,10 @@
 /// For how long, in s, a task that has run past its estimate does.
 pub const HELD_LEAST_S: f64 = 10.0;
 
+/// Runs that must still fit for a task to wait for a spot machine while ordinary ones
+/// are short: its own, and some for a wrong estimate.
+pub const RUNS_TO_WAIT: f64 = 1.3;
+
 /// What an empty machine costs a placement, in s: work gathers on few machines, so
 /// that others fall idle and go back.
 pub const EMPTY_COST_S: f64 = 3.0;
--- a/core/src/leader/reports.rs
+++ b/core/src/leader/reports.rs
@@ -95,8 +95,15 @@
                     task,
                     number,
                     why: Cause::Done,
-                    ..
-                } => self.task_done(machine, &task, number, io.now),
+                    ran_s,
+                } => {
+                    log::debug!(
+                        "job={} machine={machine} task {} is done after {ran_s:.1} s",
+                        task.job,
+                        task.index
+                    );
+                    self.task_done(machine, &task, number, io.now);
+                }
                 Change::Exited {
                     task, number, why, ..
                 } => self.task_ended(machine, &task, number, why, io),
@@ -104,7 +111,7 @@
                 Change::Stranger(task) => {
                     self.hosts.entry(task.job).or_default().insert(machine.clone());
                 }
-                Change::Vanished { task, number, .. } => {
+                Change::Vanished { task, number } => {
                     if let Some(job) = self.jobs.get_mut(&task.job)
                         && let Some(gang) = job.gang.as_mut().filter(|gang| gang.number == number)
                     {
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -128,7 +128,8 @@
         task: TaskId,
         number: u64,
         why: Cause,
-        ran: bool,
+        /// For how long it was seen running.
+        ran_s: f64,
     },
     /// It is there, but no record speaks of it.
     Stranger(TaskId),
@@ -138,7 +139,6 @@
     Vanished {
         task: TaskId,
         number: u64,
-        ran: bool,
     },
 }
 
@@ -512,7 +512,6 @@
             .into_iter()
             .filter(|attempt| !attempt.exited())
             .map(|attempt| Change::Vanished {
-                ran: attempt.running_since.is_some(),
                 task: attempt.task,
                 number: attempt.number,
             })
@@ -537,7 +536,7 @@
                     task: self.task.clone(),
                     number: self.number,
                     why,
-                    ran: self.running_since.is_some(),
+                    ran_s: self.ran_s(now),
                 });
             }
             _ => (),
@@ -567,7 +566,6 @@
         changes.push(Change::Vanished {
             task: self.task.clone(),
             number: self.number,
-            ran: self.running_since.is_some(),
         });
         false
     }
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -4,8 +4,8 @@
 use crate::constants::{
     EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS, GATHER_TRIES,
     HELD_LASTING_S, HELD_LEAST_S, MOVES_PER_PASS, OUTLAST_COST_S, PREEMPT_FOR_IMAGE_S,
-    ROOM_SEARCHES_PER_PASS, RUNS_TO_SPARE, SECOND_MS, SETTLED_MS, SPOT_COST_S, SPOT_RISK, SPOT_RISK_COST_S,
-    STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    ROOM_SEARCHES_PER_PASS, RUNS_TO_SPARE, RUNS_TO_WAIT, SECOND_MS, SETTLED_MS, SPOT_COST_S, SPOT_RISK,
+    SPOT_RISK_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
 };
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
@@ -101,7 +101,8 @@
     start_within_s: f64,
     /// Machines on which its tasks failed are avoided.
     distrusts: bool,
-    hurried: bool,
+    /// It would be late if it waited for another machine.
+    urgent: bool,
     /// A task lost with a spot machine could not be run again in time, and a loss is
     /// likely enough to matter.
     fears_spot: bool,
@@ -113,7 +114,7 @@
     needs: [u64; 3],
     eligible: Vec<bool>,
     one_zone: bool,
-    hurried: bool,
+    urgent: bool,
 }
 
 struct Pass<'a> {
@@ -149,9 +150,9 @@
     }
 }
 
-/// Whether a task of the job that starts now, if it is lost with its machine, could
-/// not be run again in time for what its class expects.
-pub fn hurried(job: &Job, deployment: &Deployment, now: Millis) -> bool {
+/// Whether so many runs, by the owner's estimate, no longer fit into the time in which
+/// the job's class expects to be done.
+fn short_of_time(job: &Job, runs: f64, deployment: &Deployment, now: Millis) -> bool {
     let within_s = deployment
         .objectives
         .iter()
@@ -161,12 +162,14 @@
         .filter_map(|objective| objective.within_s)
         .fold(f64::INFINITY, f64::min);
     let age_s = job.age_ms(now) as f64 / SECOND_MS as f64;
-    !job.spec.saves() && age_s + RUNS_TO_SPARE * job.spec.estimate_s > within_s
+    age_s + runs * job.spec.estimate_s > within_s
 }
 
 /// Whether the job had better stay off spot machines, which are lost at this rate.
 pub fn fears_spot(job: &Job, deployment: &Deployment, spot_loss: f64, now: Millis) -> bool {
-    job.spec.estimate_s * spot_loss > SPOT_RISK && hurried(job, deployment, now)
+    !job.spec.saves()
+        && job.spec.estimate_s * spot_loss > SPOT_RISK
+        && short_of_time(job, RUNS_TO_SPARE, deployment, now)
 }
 
 /// Jobs that fit into their team's guarantee together with its earlier ones.
@@ -387,7 +390,7 @@
             image: self.images.get(&*job.spec.image).copied(),
             start_within_s,
             distrusts: !job.to_blame() && !job.failed_on.is_empty(),
-            hurried: hurried(job, self.site.deployment, self.site.now),
+            urgent: short_of_time(job, RUNS_TO_WAIT, self.site.deployment, self.site.now),
             fears_spot: fears_spot(job, self.site.deployment, self.site.spot_loss, self.site.now),
         }
     }
@@ -398,7 +401,7 @@
             needs: [needs.cpus, needs.gpus, needs.memory_gb].map(f64::to_bits),
             eligible: ask.eligible.clone(),
             one_zone: ask.job.spec.one_zone,
-            hurried: ask.hurried,
+            urgent: ask.urgent,
         }
     }
 
@@ -449,7 +452,7 @@
             && zones[place.1]
             && ask.eligible[self.slot(place, room.machine.spot)]
             && !(ask.distrusts && ask.job.failed_on.contains(&room.machine.id))
-            && (room.machine.spot || !self.ordinary_short || !ask.job.spec.spot || ask.hurried)
+            && (room.machine.spot || !self.ordinary_short || !ask.job.spec.spot || ask.urgent)
     }
 
     fn has_image(&self, ask: &Ask<'_>, at: usize) -> bool {
