--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -248,7 +248,14 @@
 pub const FLEET_LOOP_MS: u64 = 500;
 
 /// How long a machine must be idle, in ms, before it is surplus.
-pub const IDLE_RETURN_MS: u64 = 10_000;
+pub const IDLE_RETURN_MS: u64 = 25_000;
+
+/// Idle machines of a kind that are kept so long. Of a large fleet many are idle at a
+/// time, and the next job needs few of them: the others are surplus sooner.
+pub const IDLE_KEPT: usize = 3;
+
+/// How long, in ms, a machine must be idle to be surplus while more than that are.
+pub const IDLE_MANY_MS: u64 = 10_000;
 
 /// Interval, in ms, between scheduling passes when nothing changed: wakes
 /// backed-off jobs and moves stops along.
--- a/core/src/leader/renting.rs
+++ b/core/src/leader/renting.rs
@@ -356,6 +356,14 @@
                     .doubting_since
                     .is_none_or(|since| io.now < since + SUSPECT_SELF_MS + siblings.found_ms));
         let doubting = doubting || !self.others_answer();
+        let mut idle_alike: HashMap<RentKind, usize> = HashMap::new();
+        for machine in self
+            .machines
+            .values()
+            .filter(|machine| machine.idle_since.is_some())
+        {
+            *idle_alike.entry(machine.kind()).or_default() += 1;
+        }
         let mut names = Vec::new();
         for machine in self.machines.values_mut() {
             if machine.return_in_flight || names.len() >= RETURN_MAX {
@@ -377,10 +385,16 @@
             let idle = machine.is_up()
                 && machine.synced
                 && machine.is_empty()
-                && machine.idle_since.is_some_and(|since| io.now >= since + idle_ms)
-                && !self
-                    .wanted
-                    .contains(&(machine.machine_type.clone(), machine.zone.clone(), machine.spot));
+                && machine.idle_since.is_some_and(|since| {
+                    let kind = machine.kind();
+                    let alike = idle_alike.get_mut(&kind).filter(|alike| **alike > IDLE_KEPT);
+                    let many = alike.is_some() && io.now >= since + idle_ms.min(IDLE_MANY_MS);
+                    let goes = (many || io.now >= since + idle_ms) && !self.wanted.contains(&kind);
+                    if goes && let Some(alike) = alike {
+                        *alike -= 1;
+                    }
+                    goes
+                });
             let useless =
                 machine.is_up() && machine.is_empty() && (faulty(machine) || machine.notice_until.is_some());
             let why = if machine.returning {
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -310,6 +310,11 @@
         )
     }
 
+    /// What it is to the cloud: its type, its zone, and whether it is a spot machine.
+    pub fn kind(&self) -> (String, String, bool) {
+        (self.machine_type.clone(), self.zone.clone(), self.spot)
+    }
+
     pub fn used(&self) -> Resources {
         let mut used = Resources::default();
         for attempt in self.attempts.iter().filter(|attempt| attempt.may_be_there()) {
