Replicas are gathered also while tasks start, as many as the fleet's size allows

Cause: replicas moved off nearly empty machines only while nothing at all waited and started, which at 60 starts a second is hardly ever; after the last submissions machines were 0.40 full for two minutes.

--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -362,6 +362,10 @@
 /// Replicas moved in one pass: a job's users notice a few at a time at most.
 pub const MOVES_PER_PASS: usize = 2;
 
+/// Replicas moved in one pass as a share of the machines, where that is more: a move
+/// takes its replica away for half a second, out of thousands.
+pub const MOVES_SHARE: f64 = 0.004;
+
 /// How long a replica must have run, in ms, before it is moved: an early stop would
 /// make its start worthless to its users (protocol: 30 s).
 pub const SETTLED_MS: u64 = 35_000;
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -3,7 +3,7 @@
 
 use crate::constants::{
     EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS, GATHER_TRIES,
-    HELD_LASTING_S, HELD_LEAST_S, MOVES_PER_PASS, OUTLAST_COST_S, PREEMPT_FOR_IMAGE_S,
+    HELD_LASTING_S, HELD_LEAST_S, MOVES_PER_PASS, MOVES_SHARE, OUTLAST_COST_S, PREEMPT_FOR_IMAGE_S,
     ROOM_SEARCHES_PER_PASS, RUNS_TO_SPARE, RUNS_TO_WAIT, SECOND_MS, SETTLED_MS, SPOT_COST_S, SPOT_RISK,
     SPOT_RISK_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
 };
@@ -900,10 +900,12 @@
     /// that hold their image, so that it falls idle and goes back. With the image
     /// there a move takes a fraction of a second.
     fn gather_replicas(&mut self) {
-        let waiting = self.site.jobs.values().any(|job| !job.waiting.is_empty());
-        if !GATHER_REPLICAS || waiting || !self.plan.decisions.is_empty() {
+        let stops = |decision: &Decision| matches!(decision, Decision::Stop { .. });
+        let busy = !self.plan.unplaced.is_empty() || self.plan.decisions.iter().any(stops);
+        if !GATHER_REPLICAS || busy {
             return;
         }
+        let most = MOVES_PER_PASS.max((MOVES_SHARE * self.rooms.len() as f64) as usize);
         let used_share = |room: &Room<'_>| match room.machine_type {
             Some(machine_type) => 1.0 - room.free.share_free(&machine_type.resources()),
             None => 1.0,
@@ -913,25 +915,52 @@
             .map(|at| (used_share(&self.rooms[at]), at))
             .collect();
         emptiest.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (share, from) in emptiest.into_iter().take(GATHER_TRIES) {
-            if share > GATHER_BELOW {
+        let mut free: Vec<Resources> = self.rooms.iter().map(|room| room.free).collect();
+        let mut targets = HashSet::new();
+        let mut left = most;
+        for (share, from) in emptiest.into_iter().take(GATHER_TRIES * most) {
+            if share > GATHER_BELOW || left == 0 {
                 return;
             }
-            if let Some(moves) = self.replica_moves(from) {
-                let machine = self.rooms[from].machine.id.clone();
-                for attempt in moves.into_iter().take(MOVES_PER_PASS) {
-                    self.stop(attempt, machine.clone());
-                }
-                return;
+            // What others are moving to stays.
+            if targets.contains(&from) {
+                continue;
+            }
+            let Some(moves) = self.replica_moves(from, &mut free) else {
+                continue;
+            };
+            let machine = self.rooms[from].machine.id.clone();
+            // It takes nothing itself any more.
+            free[from] = Resources::default();
+            for (attempt, to) in moves.into_iter().take(left) {
+                targets.insert(to);
+                left -= 1;
+                self.stop(attempt, machine.clone());
             }
         }
     }
 
-    /// The replicas of a machine, if all of them can move to fuller ones.
-    fn replica_moves(&self, from: usize) -> Option<Vec<&'a Attempt>> {
+    /// The replicas of a machine and where they fit, if all of them can move to fuller
+    /// ones. Takes the room there.
+    fn replica_moves(&self, from: usize, free: &mut [Resources]) -> Option<Vec<(&'a Attempt, usize)>> {
+        let mut moves: Vec<(&Attempt, usize, Resources)> = Vec::new();
+        let complete = self.find_moves(from, free, &mut moves);
+        if complete.is_none() || moves.is_empty() {
+            for (_, to, needs) in moves {
+                free[to] += needs;
+            }
+            return None;
+        }
+        Some(moves.into_iter().map(|(attempt, to, _)| (attempt, to)).collect())
+    }
+
+    fn find_moves(
+        &self,
+        from: usize,
+        free: &mut [Resources],
+        moves: &mut Vec<(&'a Attempt, usize, Resources)>,
+    ) -> Option<()> {
         let room = &self.rooms[from];
-        let mut free: Vec<Resources> = self.rooms.iter().map(|room| room.free).collect();
-        let mut moves = Vec::new();
         for running in &room.running {
             let job = self.site.jobs.get(&running.attempt.task.job)?;
             if job.spec.shape != Shape::Service {
@@ -962,9 +991,9 @@
                     && self.rooms[*to].free.cpus <= room.free.cpus
             })?;
             free[to] -= job.spec.needs;
-            moves.push(running.attempt);
+            moves.push((running.attempt, to, job.spec.needs));
         }
-        (!moves.is_empty()).then_some(moves)
+        Some(())
     }
 
     /// Moves what can be moved off machines that the cloud is about to take, or
