--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -79,6 +79,10 @@
 /// machine types only.
 pub const CLOUD_SHARE: f64 = 0.8;
 
+/// Part of the cloud's bucket that rentals and listings leave to returns: a silent
+/// machine's tasks wait for its return.
+pub const RENT_RESERVE: f64 = 0.3;
+
 /// Part of a bucket that polls must leave for submissions and cancellations.
 pub const POLL_RESERVE: f64 = 0.25;
 
--- a/core/src/leader/mod.rs
+++ b/core/src/leader/mod.rs
@@ -79,6 +79,8 @@
 pub(crate) struct Rental {
     pub(crate) request: RentalRequest,
     pub(crate) recorded: bool,
+    /// It may have been sent, by this leader or a former one.
+    sent: bool,
     in_flight: bool,
     retry_at: Millis,
 }
@@ -375,6 +377,7 @@
                 Rental {
                     request,
                     recorded: true,
+                    sent: true,
                     in_flight: false,
                     retry_at: 0,
                 },
--- a/core/src/leader/renting.rs
+++ b/core/src/leader/renting.rs
@@ -233,6 +233,7 @@
                     Rental {
                         request,
                         recorded: false,
+                        sent: false,
                         in_flight: false,
                         retry_at: 0,
                     },
@@ -248,8 +249,9 @@
             if rental.recorded
                 && !rental.in_flight
                 && io.now >= rental.retry_at
-                && io.cloud.take(1.0, 0.0, io.now)
+                && io.cloud.take(1.0, RENT_RESERVE, io.now)
             {
+                rental.sent = true;
                 rental.in_flight = true;
                 sends.push(rental.request.clone());
             }
@@ -334,12 +336,30 @@
             (request.machine_type.clone(), request.zone.clone(), request.spot),
             io.now + REFUSED_MS,
         );
+        // What has not been sent of the same kind would be refused too, a call each.
+        let in_vain: Vec<String> = self
+            .rentals
+            .values()
+            .filter(|rental| {
+                let other = &rental.request;
+                !rental.sent
+                    && other.spot == request.spot
+                    && other.zone == request.zone
+                    && other.machine_type == request.machine_type
+            })
+            .map(|rental| rental.request.request.clone())
+            .collect();
+        for key in in_vain {
+            self.end_rental(&key);
+        }
     }
 
     pub(super) fn end_rental(&mut self, key: &str) {
         self.rentals.remove(key);
-        self.writer.rentals.remove(key);
-        self.writer.garbage.insert(records::rental_key(key));
+        let unrecorded = self.writer.rentals.remove(key);
+        if !unrecorded {
+            self.writer.garbage.insert(records::rental_key(key));
+        }
     }
 
     pub(super) fn give_back(&mut self, types: &Types, settings: &Settings, siblings: Siblings, io: &mut Io) {
@@ -484,7 +504,7 @@
     }
 
     pub(super) fn poll_listing(&mut self, io: &mut Io) {
-        if self.listing || io.now < self.list_at || !io.cloud.take(1.0, 0.0, io.now) {
+        if self.listing || io.now < self.list_at || !io.cloud.take(1.0, RENT_RESERVE, io.now) {
             return;
         }
         self.listing = true;
--- a/core/tests/sim/mod.rs
+++ b/core/tests/sim/mod.rs
@@ -179,10 +179,12 @@
 struct Calls {
     /// By destination, the calls of the last second, and the most in any second.
     recent: BTreeMap<&'static str, (VecDeque<u64>, usize)>,
+    total: BTreeMap<&'static str, usize>,
 }
 
 impl Calls {
     fn note(&mut self, kind: &'static str, count: usize, now: u64) {
+        *self.total.entry(kind).or_default() += count;
         let (times, most) = self.recent.entry(kind).or_default();
         times.extend(std::iter::repeat_n(now, count));
         while times.front().is_some_and(|at| *at + 1_000 <= now) {
--- a/core/tests/sim/script.rs
+++ b/core/tests/sim/script.rs
@@ -337,6 +337,10 @@
         },
         // The most calls of a kind (changes, requests, cloud, workers) in any second.
         ["most", kind, sign, want] => compare(world.calls.most(kind) as f64, sign, want),
+        ["total", kind, sign, want] => {
+            let total = world.calls.total.get(*kind).copied().unwrap_or(0);
+            compare(total as f64, sign, want)
+        }
         ["machines", sign, want] => compare(world.workers.len() as f64, sign, want),
         ["rented", sign, want] => compare(f64::from(world.cloud.rentals), sign, want),
         ["fenced", sign, want] => compare(f64::from(world.state.fenced), sign, want),
