A machine that a greeting cannot reach is silent: a cut zone's go back after a take-over

Cause: after a take-over the leader greeted some 390 machines of a cut zone every second, which used up the questions (50 a second) that would have found them silent; they waited for their leases, 35 s longer.

--- a/core/src/leader/machines.rs
+++ b/core/src/leader/machines.rs
@@ -38,7 +38,9 @@
         }
         due.sort();
         for (_, id) in due {
-            if !self.questions.take(1.0, 0.0, now) {
+            // Machines that nobody can reach must not use up the questions that would
+            // prove it.
+            if !self.questions.take(1.0, QUESTIONS_RESERVE, now) {
                 return;
             }
             self.direct(&id, true, false, io);
@@ -115,7 +117,13 @@
             (Outcome::NotSent, _) | (_, Some(400 | 409)) => machine.direct_settled(false),
             _ => machine.direct_unanswered(token, session),
         }
-        let report = outcome.read::<Report>(&[200, 409])?;
+        let Some(report) = outcome.read::<Report>(&[200, 409]) else {
+            let waited = machine.greeted_at.map_or(0, |at| io.now.saturating_sub(at));
+            if greeting && waited >= INSPECT_TIMEOUT_MS {
+                self.found_silent(&id, io.now);
+            }
+            return None;
+        };
         if report.machine != *id.0 {
             // Another machine has this address now.
             return None;
@@ -240,18 +248,23 @@
             Some(report) => {
                 self.absorb(&report, io);
             }
-            None => {
-                if !machine.inspect_failed {
-                    log::info!("machine={id} is silent and does not answer");
-                    machine.silent_at = io.now;
-                }
-                machine.inspect_failed = true;
-                self.changed = true;
-            }
+            None => self.found_silent(id, io.now),
         }
         None
     }
 
+    /// It was asked and did not answer in time.
+    fn found_silent(&mut self, id: &MachineId, now: Millis) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            if !machine.inspect_failed {
+                log::info!("machine={id} is silent and does not answer");
+                machine.silent_at = now;
+            }
+            machine.inspect_failed = true;
+            self.changed = true;
+        }
+    }
+
     /// Machines fall silent one after the other, as their reports fall due, also
     /// when it is the leader who is cut off. So whenever one is newly silent, some of
     /// the others, spread over the fleet, are asked before it is given back.
--- a/core/tests/sim/mod.rs
+++ b/core/tests/sim/mod.rs
@@ -297,7 +297,11 @@
     /// Sends an event between two hosts, through whatever cuts there are.
     fn send(&mut self, from: &str, to: &str, event: Event) {
         let matches = |pattern: &str, host: &str| {
-            pattern == "*" || pattern == host || (pattern == "workers" && host.starts_with("m-"))
+            let in_zone = |zone: &str| self.workers.get(host).is_some_and(|worker| worker.zone == zone);
+            pattern == "*"
+                || pattern == host
+                || (pattern == "workers" && host.starts_with("m-"))
+                || pattern.strip_prefix("zone:").is_some_and(in_zone)
         };
         let cut = self
             .cuts
