--- a/core/src/forecast.rs
+++ b/core/src/forecast.rs
@@ -5,18 +5,15 @@
 use crate::ledger::Machine;
 use crate::model::{Job, JobId, MachineId, Millis};
 use crate::placement::Types;
-use crate::settings::{Objective, Settings};
+use crate::settings::{Deployment, Settings};
 use crate::wire::Shape;
 use std::collections::{BTreeMap, HashMap};
 
 /// What a job is to be complete within, in s, and who says so.
-fn limits<'a>(job: &Job, objectives: &'a [Objective]) -> Vec<(f64, &'a str)> {
-    let mut limits: Vec<(f64, &str)> = objectives
-        .iter()
-        .filter(|objective| {
-            objective.kind == "finished" && objective.class.as_deref() == Some(&job.spec.class)
-        })
-        .filter_map(|objective| Some((objective.within_s?, "objective")))
+fn limits(job: &Job, deployment: &Deployment) -> Vec<(f64, &'static str)> {
+    let mut limits: Vec<(f64, &str)> = deployment
+        .within_s("finished", &job.spec.class)
+        .map(|within_s| (within_s, "objective"))
         .collect();
     limits.extend(job.spec.deadline_s.map(|deadline| (deadline, "deadline")));
     limits.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -97,7 +94,7 @@
             boot_s,
             fetch_s,
         );
-        for (limit_s, what) in limits(job, &settings.deployment.objectives) {
+        for (limit_s, what) in limits(job, &settings.deployment) {
             if age_s <= limit_s && age_s + left_s > limit_s {
                 log::warn!(
                     "job={} class={} is forecast to miss its {what} of {limit_s:.0} s: {age_s:.0} s old, about {left_s:.0} s to go, {why}",
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -154,12 +154,7 @@
 /// the job's class expects to be done.
 fn short_of_time(job: &Job, runs: f64, deployment: &Deployment, now: Millis) -> bool {
     let within_s = deployment
-        .objectives
-        .iter()
-        .filter(|objective| {
-            objective.kind == "finished" && objective.class.as_deref() == Some(&job.spec.class)
-        })
-        .filter_map(|objective| objective.within_s)
+        .within_s("finished", &job.spec.class)
         .fold(f64::INFINITY, f64::min);
     let age_s = job.age_ms(now) as f64 / SECOND_MS as f64;
     age_s + runs * job.spec.estimate_s > within_s
@@ -377,12 +372,7 @@
         let start_within_s = self
             .site
             .deployment
-            .objectives
-            .iter()
-            .filter(|objective| {
-                objective.kind == "wait" && objective.class.as_deref() == Some(&job.spec.class)
-            })
-            .filter_map(|objective| objective.within_s)
+            .within_s("wait", &job.spec.class)
             .fold(f64::INFINITY, f64::min);
         Ask {
             job,
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -176,6 +176,16 @@
     }
 }
 
+impl Deployment {
+    /// Times, in s, that the objectives of this kind give jobs of a class.
+    pub fn within_s<'a>(&'a self, kind: &'a str, class: &'a str) -> impl Iterator<Item = f64> + 'a {
+        self.objectives
+            .iter()
+            .filter(move |objective| objective.kind == kind && objective.class.as_deref() == Some(class))
+            .filter_map(|objective| objective.within_s)
+    }
+}
+
 impl Settings {
     pub fn parse(text: &str) -> Result<Settings, SettingsError> {
         let mut input = serde_json::Deserializer::from_str(text);
