Read once more: one place for a job's attempts, stops, kinds and objectives

Said twice, now once: asking for a stop (Attention::stop) and going through a job's attempts (each_attempt), three times each; a machine's kind (MachineKind); the tightest objective (Deployment::tightest_s); whether a direct command is due (Machine::direct_due); numbering an image and a team's use in a pass; what makes completed tasks wait; the stand-ins' calls. Derived now rather than kept: whether a shard is queued, the bytes of a record of completed tasks. Boot times are looked up only for machines that are not up. The nested breaks of placing bound tasks are one labelled loop. Comments on gathering say when it happens now.

--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -356,7 +356,7 @@
 /// that others fall idle and go back.
 pub const EMPTY_COST_S: f64 = 3.0;
 
-/// Whether replicas are gathered on few machines while nothing waits. Long-lived
+/// Whether replicas are gathered on few machines while all that waits finds room. Long-lived
 /// replicas otherwise hold many machines, each nearly empty, that cannot go back.
 pub const GATHER_REPLICAS: bool = true;
 
--- a/core/src/leader/machines.rs
+++ b/core/src/leader/machines.rs
@@ -7,12 +7,10 @@
     /// Sends what is due to the machines that something happened to.
     pub(super) fn send_direct(&mut self, certain: bool, io: &mut Io) {
         while self.directs < DIRECTS_IN_FLIGHT
-            && let Some(id) = self.attention.pop_first()
+            && let Some(id) = self.attention.machines.pop_first()
         {
-            let Some(machine) = self.machines.get_mut(&id) else {
-                continue;
-            };
-            if machine.can_be_told() && machine.synced && machine.wants_direct(certain, io.now) {
+            let machine = self.machines.get(&id);
+            if machine.is_some_and(|machine| machine.direct_due(certain, io.now)) {
                 self.direct(&id, false, certain, io);
             }
         }
@@ -109,7 +107,7 @@
         machine.direct_in_flight = false;
         if *outcome != Outcome::NotSent {
             // Else there is no socket, or nobody listens: the next check tries again.
-            self.attention.insert(id.clone());
+            self.attention.machines.insert(id.clone());
         }
         let status = outcome.status();
         match (outcome, status) {
@@ -157,8 +155,8 @@
             .count();
         self.spot.up(spot_up, io.now);
         for machine in self.machines.values_mut() {
-            if machine.can_be_told() && machine.synced && machine.wants_direct(true, io.now) {
-                self.attention.insert(machine.id.clone());
+            if machine.direct_due(true, io.now) {
+                self.attention.machines.insert(machine.id.clone());
             }
             if !machine.has_been_up() {
                 continue;
--- a/core/src/leader/mod.rs
+++ b/core/src/leader/mod.rs
@@ -14,7 +14,7 @@
 use crate::io::{CallId, Destination, Io, Method, Outcome, Purpose, RequestId, json};
 use crate::leadership::{Leadership, News, keep_alive_ms};
 use crate::ledger::{Attempt, Change, Machine, Stop};
-use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, TaskId};
+use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, MachineKind, Millis, TaskId};
 use crate::placement::{self, Decision, Site, Types, Unplaced, faulty};
 use crate::records::{self, DoneRecord, Record, ShardRecord};
 use crate::settings::Settings;
@@ -122,7 +122,40 @@
 
 const LOAD_ORDER: [&str; 4] = [records::JOBS, records::DONE, records::SHARDS, records::RENTALS];
 
-type RentKind = (String, String, bool);
+/// What happened to machines and has not been followed up.
+#[derive(Debug, Default)]
+struct Attention {
+    /// Machines for which a direct command may be due.
+    machines: BTreeSet<MachineId>,
+    /// A start may have been called off before it was sent.
+    called_off: bool,
+}
+
+impl Attention {
+    /// Asks for an attempt's stop.
+    fn stop(&mut self, attempt: &mut Attempt, machine: &MachineId, grace_s: f64, now: Millis) {
+        attempt.stop = Some(Stop::asked(grace_s, now));
+        self.called_off = true;
+        self.machines.insert(machine.clone());
+    }
+}
+
+/// Does something with every attempt of a job, wherever it is.
+fn each_attempt(
+    hosts: &Hosts,
+    machines: &mut BTreeMap<MachineId, Machine>,
+    job: &JobId,
+    mut act: impl FnMut(&MachineId, &mut Attempt),
+) {
+    for host in hosts.get(job).into_iter().flatten() {
+        let attempts = machines.get_mut(host).map(|machine| &mut machine.attempts);
+        for attempt in attempts.into_iter().flatten() {
+            if attempt.task.job == *job {
+                act(host, attempt);
+            }
+        }
+    }
+}
 
 #[derive(Debug)]
 pub struct Term {
@@ -134,12 +167,9 @@
     pub(crate) rentals: BTreeMap<String, Rental>,
     pub(crate) writer: Writer,
     hosts: Hosts,
-    /// Machines for which a direct command may be due.
-    attention: BTreeSet<MachineId>,
+    attention: Attention,
     /// Direct commands under way.
     directs: usize,
-    /// A start may have been called off before it was sent.
-    called_off: bool,
     /// A late command must be fenced off by a higher token.
     fence: bool,
     /// Questions that the leader asks machines unbidden.
@@ -147,9 +177,9 @@
     counted_at: Millis,
     indexed_at: Millis,
     gone: HashMap<MachineId, Millis>,
-    refused: HashMap<RentKind, Millis>,
+    refused: HashMap<MachineKind, Millis>,
     /// Kinds of machines that waiting work could use: none of them is surplus.
-    wanted: HashSet<RentKind>,
+    wanted: HashSet<MachineKind>,
     spot: SpotLosses,
     boot_s: HashMap<String, f64>,
     give_back_s: f64,
@@ -190,9 +220,8 @@
             rentals: BTreeMap::new(),
             writer: Writer::new(token, settings),
             hosts: Hosts::new(),
-            attention: BTreeSet::new(),
+            attention: Attention::default(),
             directs: 0,
-            called_off: false,
             fence: false,
             questions: Bucket::new(QUESTIONS_PER_S, QUESTIONS_PER_S, now),
             counted_at: 0,
@@ -362,7 +391,7 @@
                     self.writer.finishing.insert(id.clone());
                 }
                 let bytes = records::chunk_bytes(live.spec.tasks);
-                self.writer.join_done((id, chunk), bytes, number, item.version);
+                self.writer.join_done((id, chunk), bytes, number);
             }
         } else if let Some(number) = records::parse_number(records::SHARDS, &item.key) {
             for record in ShardRecord::from_value(&item.value)?.machines()? {
@@ -408,25 +437,14 @@
         for machine in self.machines.values_mut() {
             machine.errors.remove(id);
         }
-        for host in self.hosts.get(id).into_iter().flatten() {
-            let Some(machine) = self.machines.get_mut(host) else {
-                continue;
-            };
-            for attempt in machine
-                .attempts
-                .iter_mut()
-                .filter(|attempt| attempt.task.job == *id)
-            {
-                if attempt.exited() {
-                    attempt.closed = true;
-                } else {
-                    // Whatever grace an earlier stop had, nobody needs it now.
-                    attempt.stop = Some(Stop::asked(0.0, now));
-                    self.called_off = true;
-                    self.attention.insert(host.clone());
-                }
+        each_attempt(&self.hosts, &mut self.machines, id, |host, attempt| {
+            if attempt.exited() {
+                attempt.closed = true;
+            } else {
+                // Whatever grace an earlier stop had, nobody needs it now.
+                self.attention.stop(attempt, host, 0.0, now);
             }
-        }
+        });
     }
 
     /// Builds the index of hosts anew, which forgets those where nothing is left.
@@ -452,7 +470,7 @@
                 self.jobs.clear();
                 self.machines.clear();
                 self.hosts.clear();
-                self.attention.clear();
+                self.attention.machines.clear();
                 self.rentals.clear();
                 self.writer = Writer::new(self.writer.token, settings);
             }
@@ -656,15 +674,13 @@
                 task.job,
                 task.index
             );
-            attempt.stop = Some(Stop::asked(grace_s, now));
-            self.called_off = true;
-            self.attention.insert(id.clone());
+            self.attention.stop(attempt, id, grace_s, now);
         }
     }
 
     /// Starts that were called off before anything was sent never were.
     fn drop_called_off(&mut self, io: &mut Io) {
-        if !std::mem::take(&mut self.called_off) {
+        if !std::mem::take(&mut self.attention.called_off) {
             return;
         }
         let mut dropped = Vec::new();
--- a/core/src/leader/renting.rs
+++ b/core/src/leader/renting.rs
@@ -93,7 +93,7 @@
 
     /// Kinds of machines that some waiting task could use. A gang for which there are
     /// too few must not lose those that stand ready for it.
-    fn wanted_kinds(&self, types: &Types) -> HashSet<RentKind> {
+    fn wanted_kinds(&self, types: &Types) -> HashSet<MachineKind> {
         let mut wanted = HashSet::new();
         for unplaced in &self.unplaced {
             let Some(job) = self.jobs.get(&unplaced.job) else {
@@ -332,21 +332,13 @@
             request.zone,
             if request.spot { ", spot" } else { "" }
         );
-        self.refused.insert(
-            (request.machine_type.clone(), request.zone.clone(), request.spot),
-            io.now + REFUSED_MS,
-        );
+        let kind = request.kind();
+        self.refused.insert(kind.clone(), io.now + REFUSED_MS);
         // What has not been sent of the same kind would be refused too, a call each.
         let in_vain: Vec<String> = self
             .rentals
             .values()
-            .filter(|rental| {
-                let other = &rental.request;
-                !rental.sent
-                    && other.spot == request.spot
-                    && other.zone == request.zone
-                    && other.machine_type == request.machine_type
-            })
+            .filter(|rental| !rental.sent && rental.request.kind() == kind)
             .map(|rental| rental.request.request.clone())
             .collect();
         for key in in_vain {
@@ -376,7 +368,7 @@
                     .doubting_since
                     .is_none_or(|since| io.now < since + SUSPECT_SELF_MS + siblings.found_ms));
         let doubting = doubting || !self.others_answer();
-        let mut idle_alike: HashMap<RentKind, usize> = HashMap::new();
+        let mut idle_alike: HashMap<MachineKind, usize> = HashMap::new();
         for machine in self
             .machines
             .values()
@@ -389,18 +381,18 @@
             if machine.return_in_flight || names.len() >= RETURN_MAX {
                 continue;
             }
-            // Quick boots that were seen do not make a regular one late.
-            let nominal_s = types
-                .get(&machine.machine_type)
-                .map_or(BOOT_UNKNOWN_S, |machine_type| machine_type.boot_s);
-            let boot_s = self
-                .boot_s
-                .get(&machine.machine_type)
-                .map_or(nominal_s, |seen| seen.max(nominal_s));
-            let known_ms = machine.age_at_first_known + io.now.saturating_sub(machine.first_known);
-            let never_up = !machine.is_up()
-                && machine.attempts.is_empty()
-                && known_ms as f64 > BOOT_GIVE_UP * boot_s * SECOND_MS as f64;
+            let never_up = !machine.is_up() && machine.attempts.is_empty() && {
+                // Quick boots that were seen do not make a regular one late.
+                let nominal_s = types
+                    .get(&machine.machine_type)
+                    .map_or(BOOT_UNKNOWN_S, |machine_type| machine_type.boot_s);
+                let boot_s = self
+                    .boot_s
+                    .get(&machine.machine_type)
+                    .map_or(nominal_s, |seen| seen.max(nominal_s));
+                let known_ms = machine.age_at_first_known + io.now.saturating_sub(machine.first_known);
+                known_ms as f64 > BOOT_GIVE_UP * boot_s * SECOND_MS as f64
+            };
             let silent = machine.inspect_failed && !doubting;
             let idle = machine.is_up()
                 && machine.synced
--- a/core/src/leader/reports.rs
+++ b/core/src/leader/reports.rs
@@ -76,7 +76,7 @@
             log::info!("machine={id} is up after {took_s:.1} s");
         }
         self.apply(&id, changes, io);
-        self.attention.insert(id);
+        self.attention.machines.insert(id);
         true
     }
 
@@ -213,26 +213,15 @@
         };
         let mut elsewhere = false;
         let mut left = false;
-        let hosts = self.hosts.get(&task.job).into_iter().flatten();
         let broken = job.gang.is_some_and(|gang| gang.broken);
         let grace_s = placement::grace_s(&job.spec);
-        for host in hosts {
-            let Some(machine) = self.machines.get_mut(host) else {
-                continue;
-            };
-            for attempt in &mut machine.attempts {
-                if attempt.task.job != task.job {
-                    continue;
-                }
-                left |= attempt.may_be_there();
-                elsewhere |= attempt.task.index == task.index && attempt.may_be_there();
-                if broken && !attempt.exited() && attempt.stop.is_none() {
-                    attempt.stop = Some(Stop::asked(grace_s, now));
-                    self.called_off = true;
-                    self.attention.insert(host.clone());
-                }
+        each_attempt(&self.hosts, &mut self.machines, &task.job, |host, attempt| {
+            left |= attempt.may_be_there();
+            elsewhere |= attempt.task.index == task.index && attempt.may_be_there();
+            if broken && !attempt.exited() && attempt.stop.is_none() {
+                self.attention.stop(attempt, host, grace_s, now);
             }
-        }
+        });
         if !elsewhere && !job.done.contains(&task.index) && task.index < job.spec.tasks {
             job.waiting.insert(task.index);
         }
--- a/core/src/leader/writing.rs
+++ b/core/src/leader/writing.rs
@@ -132,26 +132,18 @@
                         .and_then(|machine| machine.attempt_mut(&start.task, start.number))
                     {
                         attempt.durable = true;
-                        self.attention.insert(start.machine);
+                        self.attention.machines.insert(start.machine);
                     }
                 }
             }
             Unit::Done { number, tasks } => {
                 self.writer.done_version(number, revision);
                 for ((job, _), tasks) in tasks {
-                    for host in self.hosts.get(&job).into_iter().flatten() {
-                        let Some(machine) = self.machines.get_mut(host) else {
-                            continue;
-                        };
-                        for attempt in &mut machine.attempts {
-                            if attempt.exited()
-                                && attempt.task.job == job
-                                && tasks.contains(&attempt.task.index)
-                            {
-                                attempt.closed = true;
-                            }
+                    each_attempt(&self.hosts, &mut self.machines, &job, |_, attempt| {
+                        if attempt.exited() && tasks.contains(&attempt.task.index) {
+                            attempt.closed = true;
                         }
-                    }
+                    });
                 }
             }
             Unit::Finish { job } => {
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -6,7 +6,7 @@
 //! provably run out. Until then it counts for quota, zones and uniqueness.
 
 use crate::constants::{SECOND_MS, STOP_REPEAT_MS};
-use crate::model::{JobId, MachineId, Millis, Resources, TaskId};
+use crate::model::{JobId, MachineId, MachineKind, Millis, Resources, TaskId};
 use crate::records::{MachineRecord, StartRecord};
 use crate::wire::{Cause, Order, Report, TaskReport, TaskState, Verb};
 use std::collections::{BTreeSet, VecDeque};
@@ -310,8 +310,7 @@
         )
     }
 
-    /// What it is to the cloud: its type, its zone, and whether it is a spot machine.
-    pub fn kind(&self) -> (String, String, bool) {
+    pub fn kind(&self) -> MachineKind {
         (self.machine_type.clone(), self.zone.clone(), self.spot)
     }
 
@@ -466,6 +465,11 @@
         orders
     }
 
+    /// Whether a direct command is due and could be carried out.
+    pub fn direct_due(&self, starts: bool, now: Millis) -> bool {
+        self.can_be_told() && self.synced && self.wants_direct(starts, now)
+    }
+
     /// Whether a direct command could reach it now.
     pub fn can_be_told(&self) -> bool {
         self.addr.is_some() && !self.direct_in_flight && !self.inspect_failed && !self.return_in_flight
--- a/core/src/model.rs
+++ b/core/src/model.rs
@@ -42,6 +42,9 @@
 /// ledger says, so that whoever asks after a job need not look at the whole fleet.
 pub type Hosts = HashMap<JobId, BTreeSet<MachineId>>;
 
+/// What a machine is to the cloud: its type, its zone, and whether it is a spot one.
+pub type MachineKind = (String, String, bool);
+
 /// One task of a job.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -98,6 +98,7 @@
     /// By type, zone and kind: see `Pass::slot`.
     eligible: Vec<bool>,
     image: Option<u32>,
+    /// How long the job's class may wait to start, if its users say so.
     start_within_s: f64,
     /// Machines on which its tasks failed are avoided.
     distrusts: bool,
@@ -117,12 +118,18 @@
     urgent: bool,
 }
 
+/// Numbers of images in a pass.
+type Images<'a> = HashMap<&'a str, u32>;
+
+/// What each team uses, by name: so few that a list is quickest.
+type Usage<'a> = Vec<(&'a str, Resources)>;
+
 struct Pass<'a> {
     site: &'a Site<'a>,
     rooms: Vec<Room<'a>>,
     types: Vec<&'a MachineType>,
-    images: HashMap<&'a str, u32>,
-    usage: Vec<(Arc<str>, Resources)>,
+    images: Images<'a>,
+    usage: Usage<'a>,
     /// Jobs within their team's guarantee.
     within: BTreeSet<JobId>,
     /// For what no room is left, and the fewest tasks that found none.
@@ -153,11 +160,8 @@
 /// Whether so many runs, by the owner's estimate, no longer fit into the time in which
 /// the job's class expects to be done.
 fn short_of_time(job: &Job, runs: f64, deployment: &Deployment, now: Millis) -> bool {
-    let within_s = deployment
-        .within_s("finished", &job.spec.class)
-        .fold(f64::INFINITY, f64::min);
     let age_s = job.age_ms(now) as f64 / SECOND_MS as f64;
-    age_s + runs * job.spec.estimate_s > within_s
+    age_s + runs * job.spec.estimate_s > deployment.tightest_s("finished", &job.spec.class)
 }
 
 /// Whether the job had better stay off spot machines, which are lost at this rate.
@@ -226,8 +230,8 @@
 impl<'a> Pass<'a> {
     fn new(site: &'a Site<'a>) -> Pass<'a> {
         let types: Vec<&MachineType> = site.types.values().collect();
-        let mut usage: Vec<(Arc<str>, Resources)> = Vec::new();
-        let mut images: HashMap<&'a str, u32> = HashMap::new();
+        let mut usage = Usage::new();
+        let mut images = Images::new();
         let mut any_leaving = false;
         let mut rooms = Vec::with_capacity(site.machines.len());
         for machine in site.machines.values() {
@@ -235,28 +239,21 @@
             let mut used = Resources::default();
             let mut running = Vec::with_capacity(machine.attempts.len());
             let mut held: Vec<u32> = Vec::with_capacity(machine.images.len() + 1);
-            let mut hold = |image: &'a Arc<str>, held: &mut Vec<u32>| {
-                let next = images.len() as u32;
-                let number = *images.entry(image).or_insert(next);
-                if !held.contains(&number) {
-                    held.push(number);
-                }
-            };
             for (image, _) in &machine.images {
-                hold(image, &mut held);
+                hold(&mut images, &mut held, image);
             }
             let mut fetching: Vec<&Option<Arc<str>>> = Vec::new();
             let mut held_s: f64 = 0.0;
             for attempt in machine.attempts.iter().filter(|attempt| attempt.may_be_there()) {
                 used += attempt.needs;
-                add_usage(&mut usage, &attempt.team, attempt.needs);
+                *usage_of(&mut usage, &attempt.team) += attempt.needs;
                 let stopping = attempt.stop.is_some();
                 if stopping {
                     leaving += attempt.needs;
                     any_leaving = true;
                 }
                 if let Some(image) = &attempt.image {
-                    hold(image, &mut held);
+                    hold(&mut images, &mut held, image);
                 }
                 if !attempt.exited() && attempt.running_since.is_none() && !fetching.contains(&&attempt.image)
                 {
@@ -332,7 +329,7 @@
     fn used_by(&self, team: &str) -> Resources {
         self.usage
             .iter()
-            .find(|(name, _)| **name == *team)
+            .find(|(name, _)| *name == team)
             .map(|(_, used)| *used)
             .unwrap_or_default()
     }
@@ -368,17 +365,11 @@
                 }
             }
         }
-        // How long the job's class may wait to start, if its users say so.
-        let start_within_s = self
-            .site
-            .deployment
-            .within_s("wait", &job.spec.class)
-            .fold(f64::INFINITY, f64::min);
         Ask {
             job,
             eligible,
             image: self.images.get(&*job.spec.image).copied(),
-            start_within_s,
+            start_within_s: self.site.deployment.tightest_s("wait", &job.spec.class),
             distrusts: !job.to_blame() && !job.failed_on.is_empty(),
             urgent: short_of_time(job, RUNS_TO_WAIT, self.site.deployment, self.site.now),
             fears_spot: fears_spot(job, self.site.deployment, self.site.spot_loss, self.site.now),
@@ -512,20 +503,12 @@
 
     fn take(&mut self, ask: &mut Ask<'a>, index: u32, at: usize) {
         let spec = &ask.job.spec;
-        let next = self.images.len() as u32;
-        let image = *self.images.entry(&spec.image).or_insert(next);
-        ask.image = Some(image);
         let room = &mut self.rooms[at];
+        ask.image = Some(hold(&mut self.images, &mut room.images, &spec.image));
         room.free -= spec.needs;
         room.held_s = room.held_s.max(lasts_s(spec));
-        if !room.images.contains(&image) {
-            room.images.push(image);
-        }
         let machine = room.machine.id.clone();
-        match self.usage.iter_mut().find(|(name, _)| **name == *spec.team) {
-            Some((_, used)) => *used += spec.needs,
-            None => self.usage.push((Arc::from(spec.team.as_str()), spec.needs)),
-        }
+        *usage_of(&mut self.usage, &spec.team) += spec.needs;
         self.starts += 1;
         self.plan.decisions.push(Decision::Start {
             task: TaskId {
@@ -549,8 +532,12 @@
         let mut waiting = job.waiting.iter().take(allowed as usize).copied().peekable();
         let bound = job.spec.spread || job.spec.one_zone;
         let full = self.full.get(&alike).is_some_and(|least| *least <= 1);
-        while waiting.peek().is_some() && !full {
-            let candidates = self.candidates(&ask, &zones, None);
+        'tasks: while waiting.peek().is_some() && !full {
+            let mut candidates = self.candidates(&ask, &zones, None);
+            if bound {
+                // Each start may close a zone to the next: one at a time.
+                candidates.truncate(1);
+            }
             if candidates.is_empty() {
                 if !ask.distrusts && zones.iter().all(|open| *open) {
                     self.full.insert(alike.clone(), 1);
@@ -562,7 +549,9 @@
                     if self.starts >= STARTS_PER_PASS {
                         return;
                     }
-                    let Some(index) = waiting.next() else { break };
+                    let Some(index) = waiting.next() else {
+                        break 'tasks;
+                    };
                     left -= 1;
                     // A fetch would make the start late: room beside the image is
                     // worth the little work that is stopped for it.
@@ -576,15 +565,10 @@
                         if let Some((_, zone)) = self.rooms[at].place {
                             taken[zone] += 1;
                         }
-                        break;
+                        zones = self.open_zones(&job.spec, &taken);
+                        continue 'tasks;
                     }
                 }
-                if bound {
-                    break;
-                }
-            }
-            if bound {
-                zones = self.open_zones(&job.spec, &taken);
             }
         }
         let mut unplaced = left;
@@ -886,9 +870,9 @@
         }
     }
 
-    /// While nothing waits, moves replicas off the emptiest machine onto fuller ones
-    /// that hold their image, so that it falls idle and goes back. With the image
-    /// there a move takes a fraction of a second.
+    /// While nothing is left unplaced, moves replicas off the emptiest machines onto
+    /// fuller ones that hold their image, so that they fall idle and go back. With the
+    /// image there a move takes a fraction of a second.
     fn gather_replicas(&mut self) {
         let stops = |decision: &Decision| matches!(decision, Decision::Stop { .. });
         let busy = !self.plan.unplaced.is_empty() || self.plan.decisions.iter().any(stops);
@@ -1026,14 +1010,23 @@
     }
 }
 
-fn add_usage(usage: &mut Vec<(Arc<str>, Resources)>, team: &Arc<str>, needs: Resources) {
-    let known = usage
-        .iter_mut()
-        .find(|(name, _)| Arc::ptr_eq(name, team) || name == team);
-    match known {
-        Some((_, used)) => *used += needs,
-        None => usage.push((team.clone(), needs)),
+/// Notes that a machine holds, or will hold, an image; returns the image's number.
+fn hold<'a>(images: &mut Images<'a>, held: &mut Vec<u32>, image: &'a str) -> u32 {
+    let next = images.len() as u32;
+    let number = *images.entry(image).or_insert(next);
+    if !held.contains(&number) {
+        held.push(number);
     }
+    number
+}
+
+fn usage_of<'u, 'a>(usage: &'u mut Usage<'a>, team: &'a str) -> &'u mut Resources {
+    let at = usage.iter().position(|(name, _)| *name == team);
+    let at = at.unwrap_or_else(|| {
+        usage.push((team, Resources::default()));
+        usage.len() - 1
+    });
+    &mut usage[at].1
 }
 
 /// Different jobs have failed there: mostly the machine is to blame.
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -184,6 +184,11 @@
             .filter(move |objective| objective.kind == kind && objective.class.as_deref() == Some(class))
             .filter_map(|objective| objective.within_s)
     }
+
+    /// The shortest of them; infinite if there is none.
+    pub fn tightest_s(&self, kind: &str, class: &str) -> f64 {
+        self.within_s(kind, class).fold(f64::INFINITY, f64::min)
+    }
 }
 
 impl Settings {
--- a/core/src/wire.rs
+++ b/core/src/wire.rs
@@ -1,6 +1,7 @@
 //! The platform's interfaces. Its field names (Picks, Baton, Rigs, …) appear here
 //! only; the rest of the program uses the field's usual terms.
 
+use crate::model::MachineKind;
 use serde::{Deserialize, Serialize};
 
 /// Prefix of every job's id.
@@ -269,6 +270,12 @@
     pub count: u32,
 }
 
+impl RentalRequest {
+    pub fn kind(&self) -> MachineKind {
+        (self.machine_type.clone(), self.zone.clone(), self.spot)
+    }
+}
+
 /// Names of machines: the answer to a rental, the body of a return.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct MachineNames {
--- a/core/src/writer.rs
+++ b/core/src/writer.rs
@@ -71,8 +71,6 @@
 struct Shard {
     version: u64,
     machines: BTreeSet<MachineId>,
-    /// It waits among the urgent ones.
-    queued: bool,
     /// Half of its machines moved to that shard, and nobody knows yet whether this
     /// is recorded: until then both are written in one transaction only, so that
     /// at no time a start stands in neither.
@@ -90,14 +88,32 @@
 #[derive(Debug, Default)]
 struct DoneShard {
     version: u64,
+    /// With each, the most bytes that it ever takes.
     chunks: BTreeMap<(JobId, u32), usize>,
-    /// Most bytes that its chunks ever take.
-    bytes: usize,
     /// Completed tasks that are not recorded yet, and since when there are any.
     pending: BTreeMap<(JobId, u32), BTreeSet<u32>>,
     since: Millis,
 }
 
+impl DoneShard {
+    fn bytes(&self) -> usize {
+        self.chunks.values().sum()
+    }
+
+    /// These tasks wait to be recorded.
+    fn wait(&mut self, chunk: (JobId, u32), tasks: impl IntoIterator<Item = u32>, now: Millis) {
+        if self.pending.is_empty() {
+            self.since = now;
+        }
+        self.pending.entry(chunk).or_default().extend(tasks);
+    }
+}
+
+/// The number after all those that are taken.
+fn next_number<T>(taken: &BTreeMap<u32, T>) -> u32 {
+    taken.last_key_value().map_or(0, |(number, _)| number + 1)
+}
+
 #[derive(Debug)]
 pub struct Writer {
     pub token: u64,
@@ -289,7 +305,7 @@
                     .shards
                     .iter()
                     .find(|(_, shard)| shard.machines.len() < most && !shard.splitting())
-                    .map_or_else(|| self.next_shard(), |(number, _)| *number);
+                    .map_or_else(|| next_number(&self.shards), |(number, _)| *number);
                 self.join(machine, number, 0);
                 number
             }
@@ -305,13 +321,8 @@
         machine.shard = Some(number);
     }
 
-    fn next_shard(&self) -> u32 {
-        self.shards.last_key_value().map_or(0, |(number, _)| number + 1)
-    }
-
     fn queue(&mut self, number: u32) {
-        let shard = self.shards.entry(number).or_default();
-        if !std::mem::replace(&mut shard.queued, true) {
+        if !self.urgent.contains(&number) {
             self.urgent.push_back(number);
         }
     }
@@ -334,31 +345,24 @@
         let number = match self.done_in.get(&chunk) {
             Some(number) => *number,
             None => {
-                let room = self
+                let number = self
                     .done
                     .iter()
-                    .find(|(_, shard)| shard.bytes + bytes + 2 <= self.most_bytes)
-                    .map(|(number, _)| *number);
-                let next = self.done.last_key_value().map_or(0, |(number, _)| number + 1);
-                room.unwrap_or(next)
+                    .find(|(_, shard)| shard.bytes() + bytes + 2 <= self.most_bytes)
+                    .map_or_else(|| next_number(&self.done), |(number, _)| *number);
+                self.join_done(chunk.clone(), bytes, number);
+                number
             }
         };
-        self.join_done(chunk.clone(), bytes, number, 0);
         if let Some(shard) = self.done.get_mut(&number) {
-            if shard.pending.is_empty() {
-                shard.since = now;
-            }
-            shard.pending.entry(chunk).or_default().insert(task);
+            shard.wait(chunk, [task], now);
         }
     }
 
     /// A chunk's place, as chosen or as read from the records.
-    pub fn join_done(&mut self, chunk: (JobId, u32), bytes: usize, number: u32, version: u64) {
+    pub fn join_done(&mut self, chunk: (JobId, u32), bytes: usize, number: u32) {
         let shard = self.done.entry(number).or_default();
-        shard.version = shard.version.max(version);
-        if shard.chunks.insert(chunk.clone(), bytes).is_none() {
-            shard.bytes += bytes;
-        }
+        shard.chunks.insert(chunk.clone(), bytes);
         self.done_in.insert(chunk, number);
     }
 
@@ -383,9 +387,7 @@
                 .and_then(|number| self.done.get_mut(&number))
             {
                 shard.pending.remove(&chunk);
-                if let Some(bytes) = shard.chunks.remove(&chunk) {
-                    shard.bytes -= bytes;
-                }
+                shard.chunks.remove(&chunk);
             }
         }
     }
@@ -458,16 +460,10 @@
             let Some(number) = self.urgent.pop_front() else {
                 break;
             };
-            if let Some(shard) = self.shards.get_mut(&number) {
-                shard.queued = false;
-                if !self.add_shard(&mut batch, number, machines, jobs) {
-                    // It takes the first place in the next batch.
-                    if let Some(shard) = self.shards.get_mut(&number) {
-                        shard.queued = true;
-                    }
-                    self.urgent.push_front(number);
-                    break;
-                }
+            if !self.add_shard(&mut batch, number, machines, jobs) {
+                // It takes the first place in the next batch.
+                self.urgent.push_front(number);
+                break;
             }
         }
         while let Some(key) = self.garbage.pop_first() {
@@ -554,23 +550,23 @@
         {
             parts.push((next, entries.of(shard, batch, machines, jobs)));
         }
-        let mut sizes: Vec<Box<RawValue>> = texts(&parts);
-        if split_to.is_none() && sizes[0].get().len() > self.most_bytes && parts[0].1.len() > 1 {
+        let mut values = texts(&parts);
+        if split_to.is_none() && values[0].get().len() > self.most_bytes && parts[0].1.len() > 1 {
             let half = parts[0].1.len() / 2;
             let others = parts[0].1.split_off(half);
-            let next = self.next_shard();
+            let next = next_number(&self.shards);
             log::info!("shard {number} is full: half of its machines move to shard {next}");
             self.split(number, next, &others, machines);
             parts.push((next, others));
-            sizes = texts(&parts);
+            values = texts(&parts);
         }
-        if sizes.iter().any(|text| text.get().len() > self.most_bytes) {
+        if values.iter().any(|text| text.get().len() > self.most_bytes) {
             log::error!("shard {number} is too large for its record");
             return true;
         }
         let mut numbers = Vec::new();
         let mut changes = Vec::new();
-        for ((number, records), value) in parts.iter().zip(sizes) {
+        for ((number, records), value) in parts.iter().zip(values) {
             let version = self.shards.get(number).map_or(0, |shard| shard.version);
             let key = records::shard_key(*number);
             if records.is_empty() && version == 0 {
@@ -711,13 +707,10 @@
                     let Some(shard) = self.done.get_mut(number) else {
                         continue;
                     };
-                    if shard.pending.is_empty() {
-                        shard.since = now;
-                    }
                     for (chunk, tasks) in tasks {
                         // A job that ended meanwhile has no place there any more.
                         if shard.chunks.contains_key(chunk) {
-                            shard.pending.entry(chunk.clone()).or_default().extend(tasks);
+                            shard.wait(chunk.clone(), tasks.iter().copied(), now);
                         }
                     }
                 }
--- a/core/tests/sim/mod.rs
+++ b/core/tests/sim/mod.rs
@@ -52,17 +52,21 @@
     pub starts: u32,
 }
 
+/// What a controller asks of another system.
+#[derive(Debug, Clone)]
+struct Call {
+    node: usize,
+    life: u32,
+    call: CallId,
+    to: Destination,
+    method: &'static str,
+    path: String,
+    body: Vec<u8>,
+}
+
 #[derive(Debug, Clone)]
 enum Event {
-    Call {
-        node: usize,
-        life: u32,
-        call: CallId,
-        to: Destination,
-        method: &'static str,
-        path: String,
-        body: Vec<u8>,
-    },
+    Call(Call),
     Answer {
         node: usize,
         life: u32,
@@ -396,7 +400,7 @@
                     {
                         continue;
                     }
-                    let event = Event::Call {
+                    let event = Event::Call(Call {
                         node: index,
                         life,
                         call,
@@ -404,7 +408,7 @@
                         method: method.as_str(),
                         path,
                         body,
-                    };
+                    });
                     self.send(&name, &host, event);
                 }
                 Effect::Frame { peer, bytes } => {
@@ -417,15 +421,7 @@
 
     fn deliver(&mut self, event: Event) {
         match event {
-            Event::Call {
-                node,
-                life,
-                call,
-                to,
-                method,
-                path,
-                body,
-            } => self.serve(node, life, call, to, method, path, body),
+            Event::Call(call) => self.serve(call),
             Event::Answer {
                 node,
                 life,
@@ -521,19 +517,18 @@
         request
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn serve(
-        &mut self,
-        node: usize,
-        life: u32,
-        call: CallId,
-        to: Destination,
-        method: &'static str,
-        path: String,
-        body: Vec<u8>,
-    ) {
-        let from = host(&to);
-        let kind = match &to {
+    fn serve(&mut self, asked: Call) {
+        let Call {
+            node,
+            life,
+            call,
+            ref to,
+            method,
+            ref path,
+            ref body,
+        } = asked;
+        let from = host(to);
+        let kind = match to {
             Destination::State => "requests",
             Destination::Cloud => "cloud",
             Destination::Worker(_) => "workers",
@@ -542,38 +537,29 @@
         let mut silent = false;
         let mishap = self.mishaps.iter().position(|mishap| {
             let (Mishap::LoseAnswer { path: wanted } | Mishap::Late { path: wanted, .. }) = mishap;
-            *wanted == path && (path != "/do" || String::from_utf8_lossy(&body).contains("\"run\""))
+            wanted == path && (path != "/do" || String::from_utf8_lossy(body).contains("\"run\""))
         });
         if let Some(at) = mishap {
             match self.mishaps.remove(at) {
                 Mishap::LoseAnswer { .. } => silent = true,
                 Mishap::Late { by_ms, .. } => {
                     // The sender has given up by then; nobody hears the answer.
-                    let event = Event::Call {
-                        node,
-                        life: 0,
-                        call,
-                        to,
-                        method,
-                        path,
-                        body,
-                    };
-                    self.post(by_ms, event);
+                    self.post(by_ms, Event::Call(Call { life: 0, ..asked }));
                     return;
                 }
             }
         }
-        let answer = match &to {
+        let answer: Option<(u16, Vec<u8>)> = match to {
             Destination::State => {
                 if self.state.outage || self.refused.get(&node).is_some_and(|until| self.now < *until) {
-                    Some((503, Value::Null))
+                    Some((503, json_bytes(&Value::Null)))
                 } else {
                     let (changes, now) = (self.state.changes, self.now);
-                    let reply = self.state.handle(method, &path, &body, now);
+                    let reply = self.state.handle(method, path, body, now);
                     self.calls
                         .note("changes", (self.state.changes - changes) as usize, now);
                     match reply {
-                        Reply::Now(status, value) => Some((status, value)),
+                        Reply::Now(status, value) => Some((status, json_bytes(&value))),
                         Reply::Wait { prefix, after, until } => {
                             self.watches.push(Watch {
                                 node,
@@ -589,11 +575,11 @@
                 }
             }
             Destination::Cloud => {
-                let answer = self.cloud.handle(method, &path, &body, self.now);
+                let (status, value) = self.cloud.handle(method, path, body, self.now);
                 for id in self.cloud.take_returned() {
                     self.workers.remove(&id);
                 }
-                Some(answer)
+                Some((status, json_bytes(&value)))
             }
             Destination::Worker(addr) => {
                 let Some(worker) = self.workers.get_mut(addr) else {
@@ -601,58 +587,26 @@
                 };
                 if self.now < worker.hung_until {
                     let wait = worker.hung_until - self.now;
-                    self.post(
-                        wait,
-                        Event::Call {
-                            node,
-                            life,
-                            call,
-                            to,
-                            method,
-                            path,
-                            body,
-                        },
-                    );
+                    self.post(wait, Event::Call(asked));
                     return;
                 }
-                let (status, body) = if path == "/do" {
-                    worker.direct(&body, &self.jobs, self.now)
+                Some(if path == "/do" {
+                    worker.direct(body, &self.jobs, self.now)
                 } else {
                     (200, worker.report(self.now))
-                };
-                let outcome = Outcome::Answer { status, body };
-                if !silent {
-                    self.send(
-                        &from,
-                        &format!("n{node}"),
-                        Event::Answer {
-                            node,
-                            life,
-                            call,
-                            outcome,
-                        },
-                    );
-                }
-                return;
+                })
             }
         };
-        if let Some((status, value)) = answer
+        if let Some((status, body)) = answer
             && !silent
         {
-            let outcome = Outcome::Answer {
-                status,
-                body: value.to_string().into_bytes(),
+            let answer = Event::Answer {
+                node,
+                life,
+                call,
+                outcome: Outcome::Answer { status, body },
             };
-            self.send(
-                &from,
-                &format!("n{node}"),
-                Event::Answer {
-                    node,
-                    life,
-                    call,
-                    outcome,
-                },
-            );
+            self.send(&from, &format!("n{node}"), answer);
         }
     }
 
@@ -969,6 +923,10 @@
     }
 }
 
+fn json_bytes(value: &Value) -> Vec<u8> {
+    value.to_string().into_bytes()
+}
+
 fn host(to: &Destination) -> String {
     match to {
         Destination::State => "state".to_owned(),
