--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -381,3 +381,7 @@
 /// Weight of a fetch against lost work when room is made: somebody waits for the
 /// urgent task, while lost work is only run again.
 pub const FETCH_WEIGHT: f64 = 3.0;
+
+/// What is left, in s, of a fetch that should be over by the cloud's rate: it varies by
+/// a third, and the worker's word of it is on its way.
+pub const FETCH_LEAST_S: f64 = 1.0;
--- a/core/src/leader/mod.rs
+++ b/core/src/leader/mod.rs
@@ -631,7 +631,7 @@
             Shape::Array | Shape::Service => fresh,
         };
         job.waiting.remove(&task.index);
-        let cached = machine.images.iter().any(|(name, _)| *name == job.spec.image);
+        let cached = machine.has_image(&job.spec.image);
         log::debug!(
             "job={} machine={id} task {} is placed{}",
             task.job,
@@ -645,6 +645,7 @@
         self.hosts.entry(task.job.clone()).or_default().insert(id.clone());
         machine.attempts.push(Attempt {
             estimate_s: job.spec.estimate_s,
+            fetches: !cached,
             ..Attempt::planned(
                 task,
                 number,
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -60,6 +60,8 @@
     pub why: Option<Cause>,
     pub running_since: Option<Millis>,
     pub planned_at: Millis,
+    /// When it was placed, its machine did not have its image yet.
+    pub fetches: bool,
     pub stop: Option<Stop>,
     /// Its end is dealt with (a result durably), so the worker may forget it.
     pub closed: bool,
@@ -90,6 +92,7 @@
             why: None,
             running_since: None,
             planned_at: now,
+            fetches: false,
             stop: None,
             closed: false,
         }
@@ -104,6 +107,15 @@
         !self.exited() || self.pin.is_some()
     }
 
+    /// It waits for its image, as far as is known.
+    pub fn fetching(&self) -> bool {
+        match self.seen {
+            Some(TaskState::Fetching) => true,
+            None => self.fetches || self.inherited,
+            Some(_) => false,
+        }
+    }
+
     /// Seconds for which it has been seen running.
     pub fn ran_s(&self, now: Millis) -> f64 {
         self.running_since
@@ -335,6 +347,17 @@
             .find(|attempt| attempt.matches(task, number))
     }
 
+    /// It is thought to hold the image, and not to be fetching it still.
+    pub fn has_image(&self, image: &Arc<str>) -> bool {
+        let mut own = self
+            .attempts
+            .iter()
+            .filter(|attempt| !attempt.exited() && attempt.image.as_ref() == Some(image))
+            .peekable();
+        let there = own.peek().is_none() && self.images.iter().any(|(name, _)| name == image);
+        there || own.any(|attempt| !attempt.fetching())
+    }
+
     /// Notes an image as the latest used and forgets the oldest beyond the cache.
     pub fn touch_image(&mut self, image: &Arc<str>, gb: f64, cache_gb: f64) {
         self.images.retain(|(name, _)| name != image);
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -2,10 +2,10 @@
 //! the ledger and returns decisions.
 
 use crate::constants::{
-    EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS, GATHER_TRIES,
-    HELD_LASTING_S, HELD_LEAST_S, MOVES_PER_PASS, MOVES_SHARE, OUTLAST_COST_S, PREEMPT_FOR_IMAGE_S,
-    ROOM_SEARCHES_PER_PASS, RUNS_TO_SPARE, RUNS_TO_WAIT, SECOND_MS, SETTLED_MS, SPOT_COST_S, SPOT_RISK,
-    SPOT_RISK_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_LEAST_S, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS,
+    GATHER_TRIES, HELD_LASTING_S, HELD_LEAST_S, MOVES_PER_PASS, MOVES_SHARE, OUTLAST_COST_S,
+    PREEMPT_FOR_IMAGE_S, ROOM_SEARCHES_PER_PASS, RUNS_TO_SPARE, RUNS_TO_WAIT, SECOND_MS, SETTLED_MS,
+    SPOT_COST_S, SPOT_RISK, SPOT_RISK_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
 };
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
@@ -13,7 +13,6 @@
 use crate::wire::{MachineType, Priority, Shape};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use std::sync::Arc;
 
 pub type Types = BTreeMap<String, MachineType>;
 
@@ -79,8 +78,8 @@
     usable: bool,
     /// Images that it has or fetches, by their number in this pass.
     images: Vec<u32>,
-    /// Different images that it is fetching.
-    fetching: u32,
+    /// Those that it is fetching still, and since when.
+    fetching: Vec<(u32, Millis)>,
     /// For how long, in s, what is on it will hold it, by its owners' estimates.
     held_s: f64,
 }
@@ -242,7 +241,7 @@
             for (image, _) in &machine.images {
                 hold(&mut images, &mut held, image);
             }
-            let mut fetching: Vec<&Option<Arc<str>>> = Vec::new();
+            let mut fetching: Vec<(u32, Millis)> = Vec::new();
             let mut held_s: f64 = 0.0;
             for attempt in machine.attempts.iter().filter(|attempt| attempt.may_be_there()) {
                 used += attempt.needs;
@@ -253,11 +252,13 @@
                     any_leaving = true;
                 }
                 if let Some(image) = &attempt.image {
-                    hold(&mut images, &mut held, image);
-                }
-                if !attempt.exited() && attempt.running_since.is_none() && !fetching.contains(&&attempt.image)
-                {
-                    fetching.push(&attempt.image);
+                    let image_number = hold(&mut images, &mut held, image);
+                    if attempt.fetching()
+                        && fetching.iter().all(|(other, _)| *other != image_number)
+                        && !machine.has_image(image)
+                    {
+                        fetching.push((image_number, attempt.planned_at));
+                    }
                 }
                 let left_s = if attempt.estimate_s > 0.0 {
                     (attempt.estimate_s - attempt.ran_s(site.now)).max(HELD_LEAST_S)
@@ -294,7 +295,7 @@
                 running,
                 usable: usable(machine, site.now),
                 images: held,
-                fetching: fetching.len() as u32,
+                fetching,
             });
         }
         let lowest = site
@@ -437,21 +438,30 @@
     }
 
     fn has_image(&self, ask: &Ask<'_>, at: usize) -> bool {
-        ask.image
-            .is_some_and(|image| self.rooms[at].images.contains(&image))
+        ask.image.is_some() && self.fetch_s(ask, at) == 0.0
     }
 
     /// Time until the machine has the job's image, in s. Images fetched at the same
-    /// time may share its rate.
+    /// time may share its rate; one that is on its way is not there yet. Without
+    /// that, replicas of a dozen images went to the few machines that had just come
+    /// up, as if each were the only one, and waited there for half a minute.
     fn fetch_s(&self, ask: &Ask<'_>, at: usize) -> f64 {
-        if self.has_image(ask, at) {
-            return 0.0;
-        }
         let room = &self.rooms[at];
         let rate = room.machine_type.map_or(1.0, |machine_type| {
             machine_type.fetch_gb_per_s.max(f64::MIN_POSITIVE)
         });
-        ask.job.spec.image_gb / rate * (1.0 + f64::from(room.fetching))
+        let alone_s = ask.job.spec.image_gb / rate;
+        let others = room.fetching.len() as f64;
+        let Some(image) = ask.image.filter(|image| room.images.contains(image)) else {
+            return alone_s * (1.0 + others);
+        };
+        match room.fetching.iter().find(|(fetched, _)| *fetched == image) {
+            Some((_, since)) => {
+                let waited_s = self.site.now.saturating_sub(*since) as f64 / SECOND_MS as f64;
+                (alone_s * others - waited_s).max(FETCH_LEAST_S)
+            }
+            None => 0.0,
+        }
     }
 
     /// Lower is better: the wait for the image, then a spot machine for those who
@@ -504,7 +514,12 @@
     fn take(&mut self, ask: &mut Ask<'a>, index: u32, at: usize) {
         let spec = &ask.job.spec;
         let room = &mut self.rooms[at];
-        ask.image = Some(hold(&mut self.images, &mut room.images, &spec.image));
+        let before = room.images.len();
+        let image = hold(&mut self.images, &mut room.images, &spec.image);
+        if room.images.len() > before {
+            room.fetching.push((image, self.site.now));
+        }
+        ask.image = Some(image);
         room.free -= spec.needs;
         room.held_s = room.held_s.max(lasts_s(spec));
         let machine = room.machine.id.clone();
