Rentals stay recorded until the list must show them; the list is read before renting

Cause: a rental's record went once the cloud had named its machines. Now a new leader repeats the recorded rentals, which rents nothing twice, and reads the list to its end once before it rents.

--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -211,6 +211,13 @@
 /// tell most of it sooner.
 pub const LIST_INTERVAL_MS: u64 = 6_000;
 
+/// Multiple of its usual lag by which the cloud's list may be late (protocol).
+pub const LIST_LAG_MOST: f64 = 2.0;
+
+/// What reading the list may take beyond that, in ms, for a leader that has just taken
+/// over: some pages of 150 ms each, behind repeated rentals.
+pub const LIST_LAG_SLACK_MS: u64 = 2_000;
+
 /// Interval at which the machine types (and current spot prices) are read, in ms.
 pub const FLAVORS_INTERVAL_MS: u64 = 60_000;
 
--- a/core/src/leader/mod.rs
+++ b/core/src/leader/mod.rs
@@ -83,6 +83,16 @@
     sent: bool,
     in_flight: bool,
     retry_at: Millis,
+    /// When the cloud named its machines. Its record stays until the list must show
+    /// them: only it leads a new leader to machines that boot.
+    answered: Option<Millis>,
+}
+
+impl Rental {
+    /// What was rented, or will be, is not known yet.
+    fn is_open(&self) -> bool {
+        self.answered.is_none()
+    }
 }
 
 /// How often spot machines are lost, as seen in this term.
@@ -189,6 +199,8 @@
     watch_at: Millis,
     revision: u64,
     listing: bool,
+    /// The list has been read to its end once: what former leaders rented is known.
+    list_read: bool,
     listed: Vec<wire::ListedMachine>,
     listed_pages: u64,
     list_at: Millis,
@@ -238,6 +250,7 @@
             watch_at: 0,
             revision: 0,
             listing: false,
+            list_read: false,
             listed: Vec::new(),
             listed_pages: 0,
             list_at: 0,
@@ -409,6 +422,7 @@
                     sent: true,
                     in_flight: false,
                     retry_at: 0,
+                    answered: None,
                 },
             );
         }
@@ -526,6 +540,7 @@
                 self.index_hosts(io.now);
             }
             self.check_machines(settings, io);
+            self.forget_rentals(settings, io.now);
             if let Some(news) = self.check_self(leadership, siblings, io) {
                 return Some(news);
             }
--- a/core/src/leader/renting.rs
+++ b/core/src/leader/renting.rs
@@ -15,7 +15,9 @@
     /// The paper's rule, kind by kind: rents the gap between its target and the
     /// machines that are idle or booting.
     pub(super) fn size_fleet(&mut self, types: &Types, settings: &Settings, io: &mut Io) {
-        if io.now < self.cloud_at {
+        // What former leaders rented must be known before anything is rented: twice
+        // as many machines as were needed booted after a take-over.
+        if io.now < self.cloud_at || !self.list_read {
             return;
         }
         self.refused.retain(|_, until| *until > io.now);
@@ -76,7 +78,7 @@
                 .or_default()
                 .add(waiting, waste_s);
         }
-        let pending: u32 = self.rentals.values().map(|rental| rental.request.count).sum();
+        let pending: u32 = self.open_rentals().map(|rental| rental.request.count).sum();
         let mut room = settings
             .operator
             .fleet_max
@@ -121,7 +123,7 @@
             coming && !machine.returning && machine.notice_until.is_none() && !faulty(machine)
         });
         let machines = machines.map(|machine| (&machine.machine_type, &machine.zone, machine.spot, 1));
-        let rentals = self.rentals.values().map(|rental| {
+        let rentals = self.open_rentals().map(|rental| {
             let request = &rental.request;
             (&request.machine_type, &request.zone, request.spot, request.count)
         });
@@ -198,7 +200,7 @@
                 *count += 1;
             }
         }
-        for rental in self.rentals.values() {
+        for rental in self.rentals.values().filter(|rental| rental.is_open()) {
             if let Some(count) = have.get_mut(&rental.request.zone) {
                 *count += rental.request.count;
             }
@@ -221,7 +223,7 @@
                 left -= count;
                 self.next_rental += 1;
                 let request = RentalRequest {
-                    request: format!("r-{}-{}", self.first_token, self.next_rental),
+                    request: format!("{}{}", rental_prefix(self.first_token), self.next_rental),
                     machine_type: name.to_owned(),
                     zone: zone.clone(),
                     spot,
@@ -236,6 +238,7 @@
                         sent: false,
                         in_flight: false,
                         retry_at: 0,
+                        answered: None,
                     },
                 );
                 self.writer.rentals.insert(key);
@@ -247,6 +250,7 @@
         let mut sends = Vec::new();
         for rental in self.rentals.values_mut() {
             if rental.recorded
+                && rental.is_open()
                 && !rental.in_flight
                 && io.now >= rental.retry_at
                 && io.cloud.take(1.0, RENT_RESERVE, io.now)
@@ -278,7 +282,9 @@
         };
         rental.in_flight = false;
         let request = rental.request.clone();
+        let own = request.request.starts_with(&rental_prefix(self.first_token));
         if let Some(names) = outcome.read::<MachineNames>(&[200]) {
+            rental.answered = Some(io.now);
             for name in &names.machines {
                 let id = MachineId(Arc::from(name.as_str()));
                 if !self.gone.contains_key(&id) {
@@ -290,7 +296,8 @@
                             request.spot,
                             io.now,
                         );
-                        machine.rented_at = Some(io.now);
+                        // A former leader's may have booted for long.
+                        machine.rented_at = own.then_some(io.now);
                         machine
                     });
                 }
@@ -298,7 +305,6 @@
             if (names.machines.len() as u32) < request.count {
                 self.refuse(&request, io);
             }
-            self.end_rental(key);
         } else if outcome.status() == Some(503) {
             #[derive(serde::Deserialize)]
             struct Problem {
@@ -346,6 +352,25 @@
         }
     }
 
+    fn open_rentals(&self) -> impl Iterator<Item = &Rental> {
+        self.rentals.values().filter(|rental| rental.is_open())
+    }
+
+    /// Drops the records of rentals whose machines the list must show by now.
+    pub(super) fn forget_rentals(&mut self, settings: &Settings, now: Millis) {
+        let lag_s = settings.deployment.cloud.list_lag_s * LIST_LAG_MOST;
+        let listed_ms = (lag_s * SECOND_MS as f64) as u64 + LIST_LAG_SLACK_MS;
+        let listed: Vec<String> = self
+            .rentals
+            .iter()
+            .filter(|(_, rental)| rental.answered.is_some_and(|at| now >= at + listed_ms))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in listed {
+            self.end_rental(&key);
+        }
+    }
+
     pub(super) fn end_rental(&mut self, key: &str) {
         self.rentals.remove(key);
         let unrecorded = self.writer.rentals.remove(key);
@@ -527,6 +552,7 @@
             self.list_at = io.now;
             return;
         }
+        self.list_read = true;
         // A long list takes its calls from renting and returning.
         self.list_at = io.now + LIST_INTERVAL_MS * std::mem::take(&mut self.listed_pages).div_ceil(2);
         for listed in std::mem::take(&mut self.listed) {
@@ -561,6 +587,11 @@
     }
 }
 
+/// How the names of rentals of a term begin.
+fn rental_prefix(first_token: u64) -> String {
+    format!("r-{first_token}-")
+}
+
 /// The zone with the most of the site's machines, the first of several.
 fn fullest_zone(zones: Vec<String>, machines: &HashMap<&str, usize>) -> Vec<String> {
     let fullest = zones
