A gang that waits for slow images goes on; a fetch given up is no image held

Cause: an image of 16 GB and more takes longer than gang_wait_s. Members that had it waited 40 s in vain, the attempt was broken and the others' fetches given up with it; the next attempt counted these as held and did the same again. Now an end by waiting in vain keeps the attempt open while others fetch, and the task joins again on its machine; a fetch that nobody waits for is forgotten as the worker does.

--- a/core/src/gangs.rs
+++ b/core/src/gangs.rs
@@ -28,11 +28,16 @@
         self.broken |= self.started;
     }
 
-    /// A task of this attempt has ended otherwise than done.
-    pub fn ended(&mut self, why: Cause) {
+    /// A task of this attempt has ended otherwise than done; others of it may be
+    /// `fetching` their image still.
+    pub fn ended(&mut self, why: Cause, fetching: bool) {
         match why {
             // Refused at the door: another machine may take it.
             Cause::NoRoom | Cause::Busy => self.lost(),
+            // Its image was there long before the others': it joins them again. A new
+            // attempt would give their fetches up, and where an image takes longer
+            // than a task waits for its gang, no attempt would ever start.
+            Cause::Alone if fetching => self.started = false,
             _ => self.broken = true,
         }
     }
@@ -51,7 +56,7 @@
     fn a_lost_task_is_replaced_only_before_the_start() {
         let mut gang = GangAttempt::new(7);
         gang.lost();
-        gang.ended(Cause::NoRoom);
+        gang.ended(Cause::NoRoom, false);
         assert!(gang.open());
         gang.started = true;
         assert!(!gang.open() && !gang.broken);
@@ -59,11 +64,20 @@
         assert!(gang.broken);
     }
 
+    #[test]
+    fn who_waited_in_vain_joins_those_that_fetch_still() {
+        let mut gang = GangAttempt::new(7);
+        gang.ended(Cause::Alone, true);
+        assert!(gang.open());
+        gang.ended(Cause::Alone, false);
+        assert!(gang.broken);
+    }
+
     #[test]
     fn an_ended_task_breaks_the_attempt() {
         for why in [Cause::Stopped, Cause::Peers, Cause::Alone, Cause::Error] {
             let mut gang = GangAttempt::new(7);
-            gang.ended(why);
+            gang.ended(why, false);
             assert!(gang.broken, "{why:?}");
         }
     }
--- a/core/src/leader/reports.rs
+++ b/core/src/leader/reports.rs
@@ -165,9 +165,13 @@
     pub(super) fn task_ended(&mut self, id: &MachineId, task: &TaskId, number: u64, why: Cause, io: &mut Io) {
         self.close(id, task, number);
         let now = io.now;
+        let mut fetching = false;
+        each_attempt(&self.hosts, &mut self.machines, &task.job, |_, attempt| {
+            fetching |= attempt.number == number && attempt.stop.is_none() && attempt.fetching();
+        });
         if let Some(job) = self.jobs.get_mut(&task.job) {
             if let Some(gang) = job.gang.as_mut().filter(|gang| gang.number == number) {
-                gang.ended(why);
+                gang.ended(why, fetching);
             }
             match why {
                 Cause::Error | Cause::Unknown | Cause::Other => {
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -116,6 +116,20 @@
         }
     }
 
+    /// It has ended in a way that only a task with its image can.
+    fn had_image(&self) -> bool {
+        matches!(
+            self.why,
+            Some(Cause::Done | Cause::Error | Cause::Alone | Cause::Peers)
+        )
+    }
+
+    /// Its mates' images were not there in time. It may join them again once its
+    /// worker has forgotten this end.
+    pub fn waited_in_vain(&self) -> bool {
+        self.exited() && self.why == Some(Cause::Alone)
+    }
+
     /// Seconds for which it has been seen running.
     pub fn ran_s(&self, now: Millis) -> f64 {
         self.running_since
@@ -358,6 +372,14 @@
         there || own.any(|attempt| !attempt.fetching())
     }
 
+    /// A worker gives a fetch up when no task waits for it any more.
+    fn fetch_given_up(&mut self, image: &Arc<str>) {
+        let wanted = |attempt: &Attempt| !attempt.exited() && attempt.image.as_ref() == Some(image);
+        if !self.attempts.iter().any(wanted) {
+            self.images.retain(|(name, _)| name != image);
+        }
+    }
+
     /// Notes an image as the latest used and forgets the oldest beyond the cache.
     pub fn touch_image(&mut self, image: &Arc<str>, gb: f64, cache_gb: f64) {
         self.images.retain(|(name, _)| name != image);
@@ -396,7 +418,9 @@
             .filter_map(|task| Some((TaskId::parse(&task.task)?, task)))
             .collect();
         let (session, seq) = (report.session, report.seq);
+        let mut given_up: Vec<Arc<str>> = Vec::new();
         self.attempts.retain_mut(|attempt| {
+            let fetched = attempt.fetching().then(|| attempt.image.clone()).flatten();
             if let Some(pin) = attempt.pin {
                 // A later session or a higher token refuses the old command.
                 if session > pin.session || report.token > pin.token {
@@ -410,15 +434,22 @@
             let at = listed
                 .iter()
                 .position(|(task, reported)| attempt.matches(task, reported.attempt));
-            match at {
+            let stays = match at {
                 Some(at) => {
                     let (_, reported) = listed.swap_remove(at);
                     attempt.observe(reported, now, &mut changes);
                     true
                 }
                 None => attempt.missing(session, seq, fenced, &mut changes),
+            };
+            if !stays || attempt.exited() && !attempt.had_image() {
+                given_up.extend(fetched);
             }
+            stays
         });
+        for image in given_up {
+            self.fetch_given_up(&image);
+        }
         // Tasks that no record speaks of: their starts were never this ledger's,
         // so they can only be stopped. They count until they are gone.
         for (task, reported) in listed {
@@ -540,6 +571,14 @@
 
     /// The machine, or all that was on it, is provably gone.
     pub fn clear(&mut self) -> Vec<Change> {
+        let fetched: Vec<Arc<str>> = self
+            .attempts
+            .iter()
+            .filter(|attempt| attempt.fetching())
+            .filter_map(|attempt| attempt.image.clone())
+            .collect();
+        self.images
+            .retain(|(name, _)| fetched.iter().all(|fetched| fetched != name));
         std::mem::take(&mut self.attempts)
             .into_iter()
             .filter(|attempt| !attempt.exited())
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -607,6 +607,8 @@
     fn place_gang(&mut self, job: &'a Job) {
         let taken = self.zones_of(&job.spec.id);
         let attempt = match &job.gang {
+            // Whoever waited in vain goes back to its image, in a moment.
+            Some(attempt) if attempt.open() && self.waited_in_vain(job, attempt.number) => return,
             // A replacement joins an attempt that has not started.
             Some(attempt) if attempt.open() => Some(attempt.number),
             Some(_) => return,
@@ -654,6 +656,17 @@
         }
     }
 
+    /// Whether a task of this attempt has given up waiting for its mates, and its worker
+    /// has not forgotten that yet.
+    fn waited_in_vain(&self, job: &Job, number: u64) -> bool {
+        let hosts = self.site.hosts.get(&job.spec.id).into_iter().flatten();
+        hosts
+            .filter_map(|id| self.site.machines.get(id))
+            .filter(|machine| usable(machine, self.site.now))
+            .flat_map(|machine| &machine.attempts)
+            .any(|old| old.number == number && old.task.job == job.spec.id && old.waited_in_vain())
+    }
+
     /// Each open zone alone where all tasks must share one, else all at once.
     fn zone_choices(&self, spec: &JobSpec, open: &Open) -> Vec<Open> {
         if !spec.one_zone {
