A moving replica no longer closes the only zone to itself

Cause: replicas were to be gathered into zones that may take one more task of the job, and the one that moves was counted: with all of a job's replicas in one zone, that zone was closed.

--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -982,7 +982,16 @@
                 (true, Some((_, own))) => (0..self.site.deployment.zones.len())
                     .map(|zone| zone == own)
                     .collect(),
-                _ => self.open_zones(&job.spec, &self.zones_of(&job.spec.id)),
+                // What moves leaves its own zone, and makes place there: counted still, it
+                // closed the zone to itself, and where there is no other zone nothing
+                // ever moved.
+                (_, place) => {
+                    let mut taken = self.zones_of(&job.spec.id);
+                    if let Some((_, own)) = place {
+                        taken[own] = taken[own].saturating_sub(1);
+                    }
+                    self.open_zones(&job.spec, &taken)
+                }
             };
             let to = (0..self.rooms.len()).find(|to| {
                 *to != from
