One warning for a class that falls behind, instead of one a job and leader

Now: a class is behind when more of its jobs than the objective's share allows are forecast late; done jobs count, jobs too long by their owners' estimates are only mentioned; said at once, again after 300 s, and when it has caught up.

--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -319,6 +319,17 @@
 /// lagging listing or a late report from a machine that is really there.
 pub const GONE_MEMORY_MS: u64 = 300_000;
 
+/// How often, in ms, a class that stays behind is warned of again: often enough that
+/// whoever comes on call sees it, too seldom to bury the rest of the log.
+pub const WARNING_REPEAT_MS: u64 = 300_000;
+
+/// Part of the late jobs that a class is allowed, below which it has caught up. Without
+/// a margin it would be behind and not behind by turns.
+pub const CAUGHT_UP_SHARE: f64 = 0.7;
+
+/// How long, in ms, after a warning a class counts as behind at least.
+pub const CAUGHT_UP_MS: u64 = 60_000;
+
 /// Interval, in ms, of the forecast against objectives and deadlines.
 pub const FORECAST_MS: u64 = 2_000;
 
--- a/core/src/forecast.rs
+++ b/core/src/forecast.rs
@@ -1,23 +1,71 @@
-//! A plain warning, once per job, before it is forecast to miss what is expected
-//! of it: its class's objectives on finishing, or its deadline.
+//! A plain warning when the jobs of a class fall behind what is expected of them: more
+//! of them are forecast to be late than the class's objective on finishing allows, or
+//! than may miss their owners' deadlines. One line a class and limit tells how many and
+//! why; it is repeated now and then while that lasts, and never for every job.
 
-use crate::constants::SECOND_MS;
+use crate::constants::{CAUGHT_UP_MS, CAUGHT_UP_SHARE, SECOND_MS, WARNING_REPEAT_MS};
+use crate::io::{Effect, Io};
 use crate::ledger::Machine;
 use crate::model::{Job, JobId, MachineId, Millis};
 use crate::placement::Types;
-use crate::settings::{Deployment, Settings};
+use crate::settings::Settings;
 use crate::wire::Shape;
-use std::collections::{BTreeMap, HashMap};
-
-/// What a job is to be complete within, in s, and who says so.
-fn limits(job: &Job, deployment: &Deployment) -> Vec<(f64, &'static str)> {
-    let mut limits: Vec<(f64, &str)> = deployment
-        .within_s("finished", &job.spec.class)
-        .map(|within_s| (within_s, "objective"))
-        .collect();
-    limits.extend(job.spec.deadline_s.map(|deadline| (deadline, "deadline")));
-    limits.sort_by(|a, b| a.0.total_cmp(&b.0));
-    limits
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// What jobs of a class are to be complete within.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Limit {
+    /// An objective of the operators, in ms from the submission.
+    Objective(Millis),
+    /// Each job's own deadline, as its owner set it.
+    Deadline,
+}
+
+/// A job that is over.
+#[derive(Debug)]
+struct Finished {
+    at: Millis,
+    took_s: f64,
+    estimate_s: f64,
+    deadline_s: Option<f64>,
+}
+
+impl Finished {
+    /// Whether it was late; `None` where that says nothing of how its class fares.
+    fn late(&self, limit: Limit) -> Option<bool> {
+        let within_s = limit.within_s(self.deadline_s)?;
+        (self.estimate_s <= within_s).then_some(self.took_s > within_s)
+    }
+}
+
+impl Limit {
+    fn within_s(self, deadline_s: Option<f64>) -> Option<f64> {
+        match self {
+            Limit::Objective(ms) => Some(ms as f64 / SECOND_MS as f64),
+            Limit::Deadline => deadline_s,
+        }
+    }
+}
+
+/// How a class stands against a limit.
+#[derive(Debug, Default)]
+struct Standing<'a> {
+    jobs: u32,
+    late: u32,
+    /// Live jobs that take longer by their owners' own estimates, wherever they run.
+    long: u32,
+    /// Late jobs by what holds them.
+    reasons: BTreeMap<&'static str, u32>,
+    /// The live job that will be latest: by how much, its age and what it still needs.
+    worst: Option<(f64, &'a JobId, f64, f64)>,
+}
+
+/// What is remembered between two looks.
+#[derive(Debug, Default)]
+pub struct Forecast {
+    finished: BTreeMap<String, VecDeque<Finished>>,
+    /// Classes that are behind, by limit, and when that was last said.
+    behind: BTreeMap<(String, Limit), Millis>,
 }
 
 /// Progress of a job's tasks on machines: how many there are and the longest that
@@ -32,83 +80,197 @@
 fn remaining(job: &Job, placed: Placed, boot_s: f64, fetch_s: f64) -> (f64, &'static str) {
     let waiting = job.waiting.len() as f64;
     if waiting == 0.0 {
-        return (placed.longest_s, "its tasks run long");
+        return (placed.longest_s, "running longer than estimated or started late");
     }
     if placed.tasks == 0 {
-        return (boot_s + fetch_s + job.spec.estimate_s, "it waits for machines");
+        return (boot_s + fetch_s + job.spec.estimate_s, "waiting for machines");
     }
     let waves = (waiting / f64::from(placed.tasks)).ceil();
     (
         placed.longest_s + waves * job.spec.estimate_s,
-        "too few machines for its tasks",
+        "short of machines for their tasks",
     )
 }
 
-/// Warns of jobs that will be late, before they are.
-pub fn warn(
-    jobs: &mut BTreeMap<JobId, Job>,
+fn placed_tasks<'a>(
+    jobs: &'a BTreeMap<JobId, Job>,
     machines: &BTreeMap<MachineId, Machine>,
-    types: &Types,
-    settings: &Settings,
-    boot_s: &HashMap<String, f64>,
     now: Millis,
-) {
+) -> HashMap<&'a JobId, Placed> {
     let mut placed: HashMap<&JobId, Placed> = HashMap::new();
-    for attempt in machines
-        .values()
-        .flat_map(|machine| &machine.attempts)
-        .filter(|attempt| !attempt.exited())
-    {
+    for attempt in machines.values().flat_map(|machine| &machine.attempts) {
+        if attempt.exited() {
+            continue;
+        }
         let Some(job) = jobs.get(&attempt.task.job) else {
             continue;
         };
-        let entry = placed.entry(&attempt.task.job).or_default();
+        let entry = placed.entry(&job.spec.id).or_default();
         entry.tasks += 1;
         entry.longest_s = entry
             .longest_s
             .max((job.spec.estimate_s - attempt.ran_s(now)).max(0.0));
     }
-    let mut late = Vec::new();
-    for job in jobs
-        .values()
-        .filter(|job| !job.warned && job.spec.shape != Shape::Service)
-    {
-        let age_s = job.age_ms(now) as f64 / SECOND_MS as f64;
-        let (boot_s, fetch_s) = types
-            .values()
-            .map(|machine_type| {
-                let boot = boot_s
-                    .get(&machine_type.name)
-                    .copied()
-                    .unwrap_or(machine_type.boot_s);
-                (
-                    boot,
-                    job.spec.image_gb / machine_type.fetch_gb_per_s.max(f64::MIN_POSITIVE),
-                )
-            })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .unwrap_or((0.0, 0.0));
-        let (left_s, why) = remaining(
-            job,
-            placed.get(&job.spec.id).copied().unwrap_or_default(),
-            boot_s,
-            fetch_s,
-        );
-        for (limit_s, what) in limits(job, &settings.deployment) {
-            if age_s <= limit_s && age_s + left_s > limit_s {
-                log::warn!(
-                    "job={} class={} is forecast to miss its {what} of {limit_s:.0} s: {age_s:.0} s old, about {left_s:.0} s to go, {why}",
-                    job.spec.id,
-                    job.spec.class
-                );
-                late.push(job.spec.id.clone());
-                break;
+    placed
+}
+
+impl Forecast {
+    /// A job was done.
+    pub fn finished(&mut self, job: &Job, now: Millis) {
+        self.finished
+            .entry(job.spec.class.clone())
+            .or_default()
+            .push_back(Finished {
+                at: now,
+                took_s: job.age_ms(now) as f64 / SECOND_MS as f64,
+                estimate_s: job.spec.estimate_s,
+                deadline_s: job.spec.deadline_s,
+            });
+    }
+
+    /// Looks at all live jobs, and warns of classes that fall behind.
+    pub fn look(
+        &mut self,
+        jobs: &BTreeMap<JobId, Job>,
+        machines: &BTreeMap<MachineId, Machine>,
+        types: &Types,
+        settings: &Settings,
+        boot_s: &HashMap<String, f64>,
+        io: &mut Io,
+    ) {
+        let deployment = &settings.deployment;
+        let placed = placed_tasks(jobs, machines, io.now);
+        let mut standings: BTreeMap<(&str, Limit), Standing<'_>> = BTreeMap::new();
+        for job in jobs.values() {
+            if job.spec.shape == Shape::Service {
+                continue;
             }
+            let age_s = job.age_ms(io.now) as f64 / SECOND_MS as f64;
+            let (boot_s, fetch_s) = first_start(job, types, boot_s);
+            let there = placed.get(&job.spec.id).copied().unwrap_or_default();
+            let (left_s, why) = remaining(job, there, boot_s, fetch_s);
+            let class = job.spec.class.as_str();
+            let objectives = deployment.within_s("finished", class).map(objective);
+            for limit in objectives.chain([Limit::Deadline]) {
+                let Some(within_s) = limit.within_s(job.spec.deadline_s) else {
+                    continue;
+                };
+                let standing = standings.entry((class, limit)).or_default();
+                // No machine of any number could help it: nobody is behind.
+                if fetch_s + job.spec.estimate_s > within_s {
+                    standing.long += 1;
+                    continue;
+                }
+                standing.jobs += 1;
+                let over_s = age_s + left_s - within_s;
+                if over_s <= 0.0 {
+                    continue;
+                }
+                standing.late += 1;
+                *standing.reasons.entry(why).or_default() += 1;
+                if standing.worst.is_none_or(|(worst_s, ..)| over_s > worst_s) {
+                    standing.worst = Some((over_s, &job.spec.id, age_s, left_s));
+                }
+            }
+        }
+        self.count_finished(&mut standings, settings, io.now);
+        for ((class, limit), standing) in standings {
+            self.tell(class, limit, &standing, settings, io);
+        }
+    }
+
+    /// Jobs that were done within the time that the class is given count as well, or the
+    /// long ones, which live longest, would speak for all.
+    fn count_finished<'a>(
+        &mut self,
+        standings: &mut BTreeMap<(&'a str, Limit), Standing<'a>>,
+        settings: &Settings,
+        now: Millis,
+    ) {
+        for (class, finished) in &mut self.finished {
+            let longest_s = settings
+                .deployment
+                .within_s("finished", class)
+                .fold(0.0, f64::max);
+            let kept_s = finished
+                .iter()
+                .filter_map(|job| job.deadline_s)
+                .fold(longest_s, f64::max);
+            let kept_ms = (kept_s * SECOND_MS as f64) as u64;
+            while finished.front().is_some_and(|job| now > job.at + kept_ms) {
+                finished.pop_front();
+            }
+        }
+        for ((class, limit), standing) in standings {
+            for job in self.finished.get(*class).into_iter().flatten() {
+                if let Some(late) = job.late(*limit) {
+                    standing.jobs += 1;
+                    standing.late += u32::from(late);
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, class: &str, limit: Limit, standing: &Standing<'_>, settings: &Settings, io: &mut Io) {
+        let may = 1.0 - settings.deployment.finished_share(class, limit.objective_s());
+        let allowed = may * f64::from(standing.jobs);
+        let late = f64::from(standing.late);
+        let key = (class.to_owned(), limit);
+        let what = match limit.objective_s() {
+            Some(within_s) => format!("their objective of {within_s:.0} s"),
+            None => "their owners' deadlines".to_owned(),
+        };
+        let told = self.behind.get(&key).copied();
+        let settled = told.is_some_and(|at| io.now >= at + CAUGHT_UP_MS);
+        if settled && late <= allowed * CAUGHT_UP_SHARE {
+            self.behind.remove(&key);
+            log::info!("class={class} has caught up with {what}");
+        }
+        // Without a live job that can still be helped there is nothing to act on.
+        let Some((_, job, age_s, left_s)) = standing.worst.filter(|_| late > allowed) else {
+            return;
+        };
+        if told.is_some_and(|at| io.now < *at + WARNING_REPEAT_MS) {
+            return;
         }
+        let why = standing.reasons.iter().max_by_key(|(_, count)| **count);
+        let text = format!(
+            "class={class} falls behind: {} of {} jobs are forecast to miss {what} ({:.0} % may), most of them {}; \
+             the latest is job={job}, {age_s:.0} s old, about {left_s:.0} s to go; {} more are longer by \
+             their owners' estimates",
+            standing.late,
+            standing.jobs,
+            100.0 * may,
+            why.map_or("late", |(why, _)| why),
+            standing.long,
+        );
+        self.behind.insert(key, io.now);
+        io.effects.push(Effect::Warning(text));
     }
-    for id in late {
-        if let Some(job) = jobs.get_mut(&id) {
-            job.warned = true;
+}
+
+impl Limit {
+    fn objective_s(self) -> Option<f64> {
+        match self {
+            Limit::Objective(_) => self.within_s(None),
+            Limit::Deadline => None,
         }
     }
 }
+
+fn objective(within_s: f64) -> Limit {
+    Limit::Objective((within_s * SECOND_MS as f64) as u64)
+}
+
+/// Seconds until a task that finds no machine would start: a boot, and the image.
+fn first_start(job: &Job, types: &Types, boot_s: &HashMap<String, f64>) -> (f64, f64) {
+    types
+        .values()
+        .map(|machine_type| {
+            let boot = boot_s.get(&machine_type.name).copied();
+            let rate = machine_type.fetch_gb_per_s.max(f64::MIN_POSITIVE);
+            (boot.unwrap_or(machine_type.boot_s), job.spec.image_gb / rate)
+        })
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .unwrap_or((0.0, 0.0))
+}
--- a/core/src/io.rs
+++ b/core/src/io.rs
@@ -108,6 +108,8 @@
         peer: usize,
         bytes: Vec<u8>,
     },
+    /// What operators are to be told plainly, and can act on.
+    Warning(String),
 }
 
 /// Who waits for a call's outcome.
--- a/core/src/leader/mod.rs
+++ b/core/src/leader/mod.rs
@@ -9,7 +9,7 @@
 use crate::budget::Bucket;
 use crate::constants::*;
 use crate::fleet::{self, Coming, Queue};
-use crate::forecast;
+use crate::forecast::Forecast;
 use crate::gangs::GangAttempt;
 use crate::io::{CallId, Destination, Io, Method, Outcome, Purpose, RequestId, json};
 use crate::leadership::{Leadership, News, keep_alive_ms};
@@ -208,6 +208,7 @@
     fleet_at: Millis,
     check_at: Millis,
     forecast_at: Millis,
+    forecast: Forecast,
     pass_at: Millis,
     passed_at: Millis,
     changed: bool,
@@ -258,6 +259,7 @@
             fleet_at: 0,
             check_at: 0,
             forecast_at: 0,
+            forecast: Forecast::default(),
             pass_at: 0,
             passed_at: 0,
             changed: true,
@@ -562,14 +564,8 @@
             }
             if io.now >= self.forecast_at {
                 self.forecast_at = io.now + FORECAST_MS;
-                forecast::warn(
-                    &mut self.jobs,
-                    &self.machines,
-                    types,
-                    settings,
-                    &self.boot_s,
-                    io.now,
-                );
+                self.forecast
+                    .look(&self.jobs, &self.machines, types, settings, &self.boot_s, io);
             }
             self.send_rentals(io);
         }
--- a/core/src/leader/writing.rs
+++ b/core/src/leader/writing.rs
@@ -148,6 +148,9 @@
             }
             Unit::Finish { job } => {
                 log::info!("job={job} is done");
+                if let Some(over) = self.jobs.get(&job) {
+                    self.forecast.finished(over, now);
+                }
                 self.job_over(&job, now);
                 self.writer.finished.push(job);
             }
--- a/core/src/model.rs
+++ b/core/src/model.rs
@@ -242,7 +242,6 @@
     pub held_until: Millis,
     /// Attempt of the gang that is being placed or runs.
     pub gang: Option<crate::gangs::GangAttempt>,
-    pub warned: bool,
     /// When this leader learnt of the job, for its order among equals.
     pub age_ms_at_load: u64,
     pub loaded_at: Millis,
@@ -261,7 +260,6 @@
             failures: 0,
             held_until: 0,
             gang: None,
-            warned: false,
             age_ms_at_load,
             loaded_at: now,
         }
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -74,6 +74,9 @@
     pub class: Option<String>,
     #[serde(default)]
     pub within_s: Option<f64>,
+    /// Part of the class that is to keep it.
+    #[serde(default)]
+    pub share: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -185,6 +188,18 @@
             .filter_map(|objective| objective.within_s)
     }
 
+    /// Part of a class's jobs that are to be done within an objective's time; without
+    /// one, for owners' own deadlines, what the strictest objective of the class asks.
+    pub fn finished_share(&self, class: &str, within_s: Option<f64>) -> f64 {
+        self.objectives
+            .iter()
+            .filter(|objective| objective.kind == "finished" && objective.class.as_deref() == Some(class))
+            .filter(|objective| within_s.is_none() || objective.within_s == within_s)
+            .filter_map(|objective| objective.share)
+            .reduce(f64::max)
+            .unwrap_or(1.0)
+    }
+
     /// The shortest of them; infinite if there is none.
     pub fn tightest_s(&self, kind: &str, class: &str) -> f64 {
         self.within_s(kind, class).fold(f64::INFINITY, f64::min)
--- a/core/tests/sim/mod.rs
+++ b/core/tests/sim/mod.rs
@@ -173,6 +173,8 @@
     probes: Vec<(String, u16)>,
     broken: Vec<String>,
     most_refused: u32,
+    /// What operators were warned of.
+    warnings: Vec<String>,
     /// GPUs that each team may use, in place of the settings'.
     gpus_max: Option<f64>,
     calls: Calls,
@@ -223,6 +225,7 @@
             probes: Vec::new(),
             broken: Vec::new(),
             most_refused: 0,
+            warnings: Vec::new(),
             gpus_max,
             calls: Calls::default(),
         };
@@ -411,6 +414,7 @@
                     });
                     self.send(&name, &host, event);
                 }
+                Effect::Warning(text) => self.warnings.push(text),
                 Effect::Frame { peer, bytes } => {
                     let to = (0..NODES).filter(|other| *other != index).nth(peer).unwrap();
                     self.send(&name, &format!("n{to}"), Event::Frame { to, bytes });
--- a/core/tests/sim/script.rs
+++ b/core/tests/sim/script.rs
@@ -106,7 +106,8 @@
         "Rigs": keyed.get("types").map(|types| types.split(',').collect::<Vec<_>>()),
         "Yard": optional("zone"), "OneZone": flag("one_zone"), "Apart": flag("apart"), "Loaners": flag("spot"),
         "RuntimeS": if shape == "daemon" { 0.0 } else { amount("estimate", &get("run", "10"))? },
-        "StashEveryS": facts.checkpoint_s, "StashS": facts.save_s, "DueS": Value::Null,
+        "StashEveryS": facts.checkpoint_s, "StashS": facts.save_s,
+        "DueS": keyed.get("due").map(|due| number(due)).transpose()?,
     });
     Ok((body.clone(), JobFacts { body, ..facts }))
 }
@@ -345,6 +346,11 @@
         ["rented", sign, want] => compare(f64::from(world.cloud.rentals), sign, want),
         ["fenced", sign, want] => compare(f64::from(world.state.fenced), sign, want),
         ["refused", sign, want] => compare(f64::from(world.most_refused), sign, want),
+        // Warnings to operators that speak of something, such as `class=batch`.
+        ["warnings", of, sign, want] => {
+            let told = world.warnings.iter().filter(|text| text.contains(of));
+            compare(told.count() as f64, sign, want)
+        }
         ["answered", path, sign, want] => compare(
             world
                 .probes
--- a/indigopath/src/event_loop.rs
+++ b/indigopath/src/event_loop.rs
@@ -279,6 +279,7 @@
                     }
                 }
             }
+            Effect::Warning(text) => log::warn!("{text}"),
             Effect::Frame { peer, bytes } => {
                 let Some(key) = self.peers.get(peer).and_then(|peer| peer.connection) else {
                     return;
