--- a/core/src/forecast.rs
+++ b/core/src/forecast.rs
@@ -230,7 +230,7 @@
         let Some((_, job, age_s, left_s)) = standing.worst.filter(|_| late > allowed) else {
             return;
         };
-        if told.is_some_and(|at| io.now < *at + WARNING_REPEAT_MS) {
+        if told.is_some_and(|at| io.now < at + WARNING_REPEAT_MS) {
             return;
         }
         let why = standing.reasons.iter().max_by_key(|(_, count)| **count);
