--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -330,6 +330,10 @@
 /// How long, in ms, after a warning a class counts as behind at least.
 pub const CAUGHT_UP_MS: u64 = 60_000;
 
+/// Jobs of a class that were done lately and are remembered for the forecast: their share
+/// is what matters, and owners' deadlines may be days.
+pub const FORECAST_JOBS: usize = 1_000;
+
 /// Interval, in ms, of the forecast against objectives and deadlines.
 pub const FORECAST_MS: u64 = 2_000;
 
--- a/core/src/forecast.rs
+++ b/core/src/forecast.rs
@@ -3,7 +3,7 @@
 //! than may miss their owners' deadlines. One line a class and limit tells how many and
 //! why; it is repeated now and then while that lasts, and never for every job.
 
-use crate::constants::{CAUGHT_UP_MS, CAUGHT_UP_SHARE, SECOND_MS, WARNING_REPEAT_MS};
+use crate::constants::{CAUGHT_UP_MS, CAUGHT_UP_SHARE, FORECAST_JOBS, SECOND_MS, WARNING_REPEAT_MS};
 use crate::io::{Effect, Io};
 use crate::ledger::Machine;
 use crate::model::{Job, JobId, MachineId, Millis};
@@ -117,15 +117,16 @@
 impl Forecast {
     /// A job was done.
     pub fn finished(&mut self, job: &Job, now: Millis) {
-        self.finished
-            .entry(job.spec.class.clone())
-            .or_default()
-            .push_back(Finished {
-                at: now,
-                took_s: job.age_ms(now) as f64 / SECOND_MS as f64,
-                estimate_s: job.spec.estimate_s,
-                deadline_s: job.spec.deadline_s,
-            });
+        let finished = self.finished.entry(job.spec.class.clone()).or_default();
+        finished.push_back(Finished {
+            at: now,
+            took_s: job.age_ms(now) as f64 / SECOND_MS as f64,
+            estimate_s: job.spec.estimate_s,
+            deadline_s: job.spec.deadline_s,
+        });
+        if finished.len() > FORECAST_JOBS {
+            finished.pop_front();
+        }
     }
 
     /// Looks at all live jobs, and warns of classes that fall behind.
@@ -174,6 +175,9 @@
             }
         }
         self.count_finished(&mut standings, settings, io.now);
+        // Classes are named by users: what nobody submits any more is forgotten.
+        self.behind
+            .retain(|(class, limit), _| standings.contains_key(&(class.as_str(), *limit)));
         for ((class, limit), standing) in standings {
             self.tell(class, limit, &standing, settings, io);
         }
@@ -187,7 +191,7 @@
         settings: &Settings,
         now: Millis,
     ) {
-        for (class, finished) in &mut self.finished {
+        self.finished.retain(|class, finished| {
             let longest_s = settings
                 .deployment
                 .within_s("finished", class)
@@ -200,7 +204,8 @@
             while finished.front().is_some_and(|job| now > job.at + kept_ms) {
                 finished.pop_front();
             }
-        }
+            !finished.is_empty()
+        });
         for ((class, limit), standing) in standings {
             for job in self.finished.get(*class).into_iter().flatten() {
                 if let Some(late) = job.late(*limit) {
