A wave of faulty machines is found out: a job that fails on several speaks against each

Cause: a job that had failed on two machines was held to be at fault, and its failures were struck from both. Where several machines fail whatever they start, every job meets two of them at once, so that none was ever found: in the scenario wave_of_faulty_machines two of three arrays were never done and no replica ran. Now the failures stand until the machine starts other work, which clears it and tells against the job.

--- a/core/src/leader/reports.rs
+++ b/core/src/leader/reports.rs
@@ -85,6 +85,7 @@
             match change {
                 Change::Running(task, number) => {
                     log::debug!("job={} machine={machine} task {} runs", task.job, task.index);
+                    self.starts_well(machine);
                     if let Some(job) = self.jobs.get_mut(&task.job)
                         && let Some(gang) = job.gang.as_mut().filter(|gang| gang.number == number)
                     {
@@ -123,6 +124,18 @@
         }
     }
 
+    /// Work runs there: the machine is sound, and the jobs that failed on it are not.
+    fn starts_well(&mut self, id: &MachineId) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        for job in std::mem::take(&mut machine.errors) {
+            if let Some(job) = self.jobs.get_mut(&job) {
+                job.failed_on_good = true;
+            }
+        }
+    }
+
     pub(super) fn task_done(&mut self, machine: &MachineId, task: &TaskId, number: u64, now: Millis) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             self.close(machine, task, number);
@@ -130,6 +143,7 @@
         };
         job.failures = 0;
         job.failed_on.clear();
+        job.failed_on_good = false;
         let finished: Vec<u32> = match job.spec.shape {
             // Tasks of a gang complete together.
             Shape::Gang => (0..job.spec.tasks).collect(),
@@ -181,16 +195,17 @@
                         task.index
                     );
                     job.failed_on.insert(id.clone());
-                    if job.to_blame() {
-                        if now >= job.held_until {
-                            let wait = BAD_JOB_WAIT_MS << job.failures.min(BAD_JOB_DOUBLINGS);
-                            job.held_until = now + wait;
-                            job.failures += 1;
-                        }
-                        for machine in self.machines.values_mut() {
-                            machine.errors.remove(&task.job);
-                        }
-                    } else if why == Cause::Error
+                    if job.to_blame() && now >= job.held_until {
+                        let wait = BAD_JOB_WAIT_MS << job.failures.min(BAD_JOB_DOUBLINGS);
+                        job.held_until = now + wait;
+                        job.failures += 1;
+                    }
+                    // A job that fails on several machines speaks against them all the
+                    // same, until one of them starts other work: in a wave of faulty
+                    // machines each job meets several, and had it been blamed alone, none
+                    // of them would ever have been found.
+                    if why == Cause::Error
+                        && !job.failed_on_good
                         && let Some(machine) = self.machines.get_mut(id)
                     {
                         machine.errors.insert(task.job.clone());
--- a/core/src/model.rs
+++ b/core/src/model.rs
@@ -236,6 +236,8 @@
     pub waiting: BTreeSet<u32>,
     /// Machines on which tasks of this job failed, since one last ran well.
     pub failed_on: BTreeSet<MachineId>,
+    /// It failed on a machine that started other work well afterwards.
+    pub failed_on_good: bool,
     /// Rounds of failures on several machines; many tasks failing at once are one.
     pub failures: u32,
     /// Not placed before then.
@@ -257,6 +259,7 @@
             done: BTreeSet::new(),
             waiting,
             failed_on: BTreeSet::new(),
+            failed_on_good: false,
             failures: 0,
             held_until: 0,
             gang: None,
