--- a/core/src/constants.rs
+++ b/core/src/constants.rs
@@ -172,6 +172,10 @@
 /// workers report by themselves within seconds.
 pub const QUESTIONS_PER_S: f64 = 50.0;
 
+/// The same for each core that a node has: on a tenth of one, the questions of a whole
+/// second would keep reports and starts waiting, and so make machines look silent.
+pub const QUESTIONS_PER_CORE: f64 = 250.0;
+
 /// Part of that which questions of doubtful use leave to the others.
 pub const QUESTIONS_RESERVE: f64 = 0.5;
 
--- a/core/src/leader/mod.rs
+++ b/core/src/leader/mod.rs
@@ -224,6 +224,8 @@
 
 impl Term {
     pub fn new(token: u64, settings: &Settings, now: Millis) -> Term {
+        let cores = settings.deployment.limits.cores;
+        let questions_per_s = (QUESTIONS_PER_CORE * cores).min(QUESTIONS_PER_S);
         Term {
             first_token: token,
             started: now,
@@ -236,7 +238,7 @@
             attention: Attention::default(),
             directs: 0,
             fence: false,
-            questions: Bucket::new(QUESTIONS_PER_S, QUESTIONS_PER_S, now),
+            questions: Bucket::new(questions_per_s, questions_per_s, now),
             counted_at: 0,
             indexed_at: now,
             gone: HashMap::new(),
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -108,6 +108,13 @@
     pub memory_mb: f64,
     #[serde(rename = "max_sockets", default = "default_sockets")]
     pub max_connections: usize,
+    /// Share of a processor core; a whole one where the platform names none.
+    #[serde(default = "default_cores")]
+    pub cores: f64,
+}
+
+fn default_cores() -> f64 {
+    1.0
 }
 
 /// Assumed where the platform names no memory limit, in MB.
@@ -254,6 +261,7 @@
         not_negative("deployment.cloud.list_lag_s", deployment.cloud.list_lag_s)?;
         not_negative("deployment.skew_ms", deployment.clock_off_ms)?;
         positive("deployment.resources.ram_mb", deployment.limits.memory_mb)?;
+        positive("deployment.resources.cores", deployment.limits.cores)?;
         if deployment.limits.max_connections < 16 {
             return Err(bad("deployment.resources.max_sockets", "must be at least 16"));
         }
