--- a/core/src/forecast.rs
+++ b/core/src/forecast.rs
@@ -39,6 +39,11 @@
 }
 
 impl Limit {
+    fn objective(within_s: f64) -> Limit {
+        Limit::Objective((within_s * SECOND_MS as f64) as u64)
+    }
+
+    /// For a job with this deadline.
     fn within_s(self, deadline_s: Option<f64>) -> Option<f64> {
         match self {
             Limit::Objective(ms) => Some(ms as f64 / SECOND_MS as f64),
@@ -151,7 +156,7 @@
             let there = placed.get(&job.spec.id).copied().unwrap_or_default();
             let (left_s, why) = remaining(job, there, boot_s, fetch_s);
             let class = job.spec.class.as_str();
-            let objectives = deployment.within_s("finished", class).map(objective);
+            let objectives = deployment.within_s("finished", class).map(Limit::objective);
             for limit in objectives.chain([Limit::Deadline]) {
                 let Some(within_s) = limit.within_s(job.spec.deadline_s) else {
                     continue;
@@ -217,11 +222,12 @@
     }
 
     fn tell(&mut self, class: &str, limit: Limit, standing: &Standing<'_>, settings: &Settings, io: &mut Io) {
-        let may = 1.0 - settings.deployment.finished_share(class, limit.objective_s());
+        let objective_s = limit.within_s(None);
+        let may = 1.0 - settings.deployment.finished_share(class, objective_s);
         let allowed = may * f64::from(standing.jobs);
         let late = f64::from(standing.late);
         let key = (class.to_owned(), limit);
-        let what = match limit.objective_s() {
+        let what = match objective_s {
             Some(within_s) => format!("their objective of {within_s:.0} s"),
             None => "their owners' deadlines".to_owned(),
         };
@@ -254,27 +260,14 @@
     }
 }
 
-impl Limit {
-    fn objective_s(self) -> Option<f64> {
-        match self {
-            Limit::Objective(_) => self.within_s(None),
-            Limit::Deadline => None,
-        }
-    }
-}
-
-fn objective(within_s: f64) -> Limit {
-    Limit::Objective((within_s * SECOND_MS as f64) as u64)
-}
-
 /// Seconds until a task that finds no machine would start: a boot, and the image.
 fn first_start(job: &Job, types: &Types, boot_s: &HashMap<String, f64>) -> (f64, f64) {
     types
         .values()
         .map(|machine_type| {
             let boot = boot_s.get(&machine_type.name).copied();
-            let rate = machine_type.fetch_gb_per_s.max(f64::MIN_POSITIVE);
-            (boot.unwrap_or(machine_type.boot_s), job.spec.image_gb / rate)
+            let fetch_s = machine_type.fetch_s(job.spec.image_gb);
+            (boot.unwrap_or(machine_type.boot_s), fetch_s)
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .unwrap_or((0.0, 0.0))
--- a/core/src/leader/mod.rs
+++ b/core/src/leader/mod.rs
@@ -89,6 +89,17 @@
 }
 
 impl Rental {
+    fn new(request: RentalRequest) -> Rental {
+        Rental {
+            request,
+            recorded: false,
+            sent: false,
+            in_flight: false,
+            retry_at: 0,
+            answered: None,
+        }
+    }
+
     /// What was rented, or will be, is not known yet.
     fn is_open(&self) -> bool {
         self.answered.is_none()
@@ -421,12 +432,9 @@
             self.rentals.insert(
                 request.request.clone(),
                 Rental {
-                    request,
                     recorded: true,
                     sent: true,
-                    in_flight: false,
-                    retry_at: 0,
-                    answered: None,
+                    ..Rental::new(request)
                 },
             );
         }
--- a/core/src/leader/renting.rs
+++ b/core/src/leader/renting.rs
@@ -200,7 +200,7 @@
                 *count += 1;
             }
         }
-        for rental in self.rentals.values().filter(|rental| rental.is_open()) {
+        for rental in self.open_rentals() {
             if let Some(count) = have.get_mut(&rental.request.zone) {
                 *count += rental.request.count;
             }
@@ -230,17 +230,7 @@
                     count,
                 };
                 let key = request.request.clone();
-                self.rentals.insert(
-                    key.clone(),
-                    Rental {
-                        request,
-                        recorded: false,
-                        sent: false,
-                        in_flight: false,
-                        retry_at: 0,
-                        answered: None,
-                    },
-                );
+                self.rentals.insert(key.clone(), Rental::new(request));
                 self.writer.rentals.insert(key);
             }
         }
--- a/core/src/leader/reports.rs
+++ b/core/src/leader/reports.rs
@@ -180,9 +180,11 @@
         self.close(id, task, number);
         let now = io.now;
         let mut fetching = false;
-        each_attempt(&self.hosts, &mut self.machines, &task.job, |_, attempt| {
-            fetching |= attempt.number == number && attempt.stop.is_none() && attempt.fetching();
-        });
+        if why == Cause::Alone {
+            each_attempt(&self.hosts, &mut self.machines, &task.job, |_, attempt| {
+                fetching |= attempt.number == number && attempt.stop.is_none() && attempt.fetching();
+            });
+        }
         if let Some(job) = self.jobs.get_mut(&task.job) {
             if let Some(gang) = job.gang.as_mut().filter(|gang| gang.number == number) {
                 gang.ended(why, fetching);
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// The image that it waits for.
+    fn fetched_image(&self) -> Option<Arc<str>> {
+        self.image.clone().filter(|_| self.fetching())
+    }
+
     /// It has ended in a way that only a task with its image can.
     fn had_image(&self) -> bool {
         matches!(
@@ -420,7 +425,7 @@
         let (session, seq) = (report.session, report.seq);
         let mut given_up: Vec<Arc<str>> = Vec::new();
         self.attempts.retain_mut(|attempt| {
-            let fetched = attempt.fetching().then(|| attempt.image.clone()).flatten();
+            let fetched = attempt.fetched_image();
             if let Some(pin) = attempt.pin {
                 // A later session or a higher token refuses the old command.
                 if session > pin.session || report.token > pin.token {
@@ -571,15 +576,11 @@
 
     /// The machine, or all that was on it, is provably gone.
     pub fn clear(&mut self) -> Vec<Change> {
-        let fetched: Vec<Arc<str>> = self
-            .attempts
-            .iter()
-            .filter(|attempt| attempt.fetching())
-            .filter_map(|attempt| attempt.image.clone())
-            .collect();
-        self.images
-            .retain(|(name, _)| fetched.iter().all(|fetched| fetched != name));
-        std::mem::take(&mut self.attempts)
+        let attempts = std::mem::take(&mut self.attempts);
+        for image in attempts.iter().filter_map(Attempt::fetched_image) {
+            self.fetch_given_up(&image);
+        }
+        attempts
             .into_iter()
             .filter(|attempt| !attempt.exited())
             .map(|attempt| Change::Vanished {
--- a/core/src/model.rs
+++ b/core/src/model.rs
@@ -150,6 +150,11 @@
             memory_gb: self.memory_gb,
         }
     }
+
+    /// Seconds that an image of this size takes to fetch, alone.
+    pub fn fetch_s(&self, image_gb: f64) -> f64 {
+        image_gb / self.fetch_gb_per_s.max(f64::MIN_POSITIVE)
+    }
 }
 
 impl Team {
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -447,10 +447,8 @@
     /// up, as if each were the only one, and waited there for half a minute.
     fn fetch_s(&self, ask: &Ask<'_>, at: usize) -> f64 {
         let room = &self.rooms[at];
-        let rate = room.machine_type.map_or(1.0, |machine_type| {
-            machine_type.fetch_gb_per_s.max(f64::MIN_POSITIVE)
-        });
-        let alone_s = ask.job.spec.image_gb / rate;
+        let gb = ask.job.spec.image_gb;
+        let alone_s = room.machine_type.map_or(gb, |known| known.fetch_s(gb));
         let others = room.fetching.len() as f64;
         let Some(image) = ask.image.filter(|image| room.images.contains(image)) else {
             return alone_s * (1.0 + others);
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -189,18 +189,20 @@
 impl Deployment {
     /// Times, in s, that the objectives of this kind give jobs of a class.
     pub fn within_s<'a>(&'a self, kind: &'a str, class: &'a str) -> impl Iterator<Item = f64> + 'a {
+        self.objectives_of(kind, class)
+            .filter_map(|objective| objective.within_s)
+    }
+
+    fn objectives_of<'a>(&'a self, kind: &'a str, class: &'a str) -> impl Iterator<Item = &'a Objective> {
         self.objectives
             .iter()
             .filter(move |objective| objective.kind == kind && objective.class.as_deref() == Some(class))
-            .filter_map(|objective| objective.within_s)
     }
 
     /// Part of a class's jobs that are to be done within an objective's time; without
     /// one, for owners' own deadlines, what the strictest objective of the class asks.
     pub fn finished_share(&self, class: &str, within_s: Option<f64>) -> f64 {
-        self.objectives
-            .iter()
-            .filter(|objective| objective.kind == "finished" && objective.class.as_deref() == Some(class))
+        self.objectives_of("finished", class)
             .filter(|objective| within_s.is_none() || objective.within_s == within_s)
             .filter_map(|objective| objective.share)
             .reduce(f64::max)
