io knows none of its callers: each keeps the calls it made

Need: io::Purpose named Term, Leadership and Users, so that six files imported each other in a circle (forecast, io, leader, leadership, users, writer). Change: io hands out a call's number; leadership, term, users and node keep what each call was for (io::Calls). A term's calls go with the term, so its token need not be compared any more. Rental moves to a file of its own, which takes writer out of the circle with leader.

--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -3,11 +3,8 @@
 
 use crate::budget::Bucket;
 use crate::constants::{CLOUD_SHARE, FOLLOWERS_STATE_SHARE, LEADER_STATE_SHARE, LEADER_WRITE_SHARE};
-use crate::leader::TermCall;
-use crate::leadership::Step;
 use crate::model::Millis;
 use crate::settings::Settings;
-use crate::users::{Comparison, UserCall};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde::Serialize;
@@ -112,18 +109,26 @@
     Warning(String),
 }
 
-/// Who waits for a call's outcome.
+/// Calls whose outcomes somebody waits for, and what each is to whoever made it.
+/// Every caller keeps its own: what is dropped with its owner is never answered.
 #[derive(Debug)]
-pub enum Purpose {
-    Leadership(Step),
-    Term(TermCall),
-    User(RequestId, UserCall),
-    /// Polls that one comparison answers.
-    Polls(Comparison),
-    Types,
-    StoredTypes,
-    /// Only whether the state service answers.
-    Probe,
+pub struct Calls<T>(HashMap<CallId, T>);
+
+impl<T> Default for Calls<T> {
+    fn default() -> Self {
+        Calls(HashMap::new())
+    }
+}
+
+impl<T> Calls<T> {
+    pub fn expect(&mut self, call: CallId, what: T) {
+        self.0.insert(call, what);
+    }
+
+    /// What the call was, if it was made here; it is expected no longer.
+    pub fn settle(&mut self, call: CallId) -> Option<T> {
+        self.0.remove(&call)
+    }
 }
 
 /// Time, randomness, budgets and effects of the command being handled.
@@ -140,7 +145,6 @@
     state_rate: f64,
     follower_share: f64,
     next_call: u64,
-    calls: HashMap<CallId, Purpose>,
 }
 
 impl Io {
@@ -161,7 +165,6 @@
             state_rate: deployment.state.rps,
             follower_share,
             next_call: 1,
-            calls: HashMap::new(),
         }
     }
 
@@ -181,11 +184,9 @@
         path: String,
         body: Vec<u8>,
         timeout_ms: u64,
-        purpose: Purpose,
     ) -> CallId {
         let call = CallId(self.next_call);
         self.next_call += 1;
-        self.calls.insert(call, purpose);
         self.effects.push(Effect::Call {
             call,
             to,
@@ -198,20 +199,9 @@
     }
 
     /// A call to the state service, charged to its budget.
-    pub fn state_call(
-        &mut self,
-        method: Method,
-        path: String,
-        body: Vec<u8>,
-        timeout_ms: u64,
-        purpose: Purpose,
-    ) -> CallId {
+    pub fn state_call(&mut self, method: Method, path: String, body: Vec<u8>, timeout_ms: u64) -> CallId {
         self.state.force(1.0, self.now);
-        self.call(Destination::State, method, path, body, timeout_ms, purpose)
-    }
-
-    pub fn settle(&mut self, call: CallId) -> Option<Purpose> {
-        self.calls.remove(&call)
+        self.call(Destination::State, method, path, body, timeout_ms)
     }
 
     pub fn reply(&mut self, request: RequestId, status: u16, body: &impl Serialize) {
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -72,19 +72,21 @@
             session,
             orders,
         });
-        let purpose = self.purpose(TermCallKind::Direct(Direct {
-            machine: id.clone(),
-            token,
-            session,
-            greeting,
-        }));
-        io.call(
+        let call = io.call(
             Destination::Worker(addr),
             Method::Post,
             paths::DIRECT.to_owned(),
             body,
             DO_TIMEOUT_MS,
-            purpose,
+        );
+        self.calls.expect(
+            call,
+            TermCall::Direct(Direct {
+                machine: id.clone(),
+                token,
+                session,
+                greeting,
+            }),
         );
     }
 
@@ -215,15 +217,14 @@
             return;
         };
         machine.inspecting = true;
-        let purpose = self.purpose(TermCallKind::Inspect { machine: id.clone() });
-        io.call(
+        let call = io.call(
             Destination::Worker(addr),
             Method::Get,
             paths::INSPECT.to_owned(),
             Vec::new(),
             INSPECT_TIMEOUT_MS,
-            purpose,
         );
+        self.calls.expect(call, TermCall::Inspect { machine: id.clone() });
     }
 
     pub(super) fn inspected(
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -11,12 +11,13 @@
 use crate::fleet::{self, Coming, Queue};
 use crate::forecast::Forecast;
 use crate::gangs::GangAttempt;
-use crate::io::{CallId, Destination, Io, Method, Outcome, Purpose, RequestId, json};
+use crate::io::{CallId, Calls, Destination, Io, Method, Outcome, RequestId, json};
 use crate::leadership::{Leadership, News, keep_alive_ms};
 use crate::ledger::{Attempt, Change, Machine, Stop};
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, MachineKind, Millis, TaskId};
 use crate::placement::{self, Decision, Site, Types, Unplaced, faulty};
 use crate::records::{self, DoneRecord, Record, ShardRecord};
+use crate::rental::Rental;
 use crate::settings::Settings;
 use crate::users::Counts;
 use crate::wire::{
@@ -28,15 +29,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
-/// A call made in a term; its answer is dropped in any other.
+/// A call made in a term; with the term, whoever waits for it is gone.
 #[derive(Debug)]
-pub struct TermCall {
-    pub term: u64,
-    pub kind: TermCallKind,
-}
-
-#[derive(Debug)]
-pub enum TermCallKind {
+enum TermCall {
     Load,
     Watch,
     Write,
@@ -56,7 +51,7 @@
 
 /// A direct command on its way.
 #[derive(Debug)]
-pub struct Direct {
+struct Direct {
     machine: MachineId,
     token: u64,
     session: u64,
@@ -75,37 +70,6 @@
     pub found_ms: u64,
 }
 
-#[derive(Debug)]
-pub(crate) struct Rental {
-    pub(crate) request: RentalRequest,
-    pub(crate) recorded: bool,
-    /// It may have been sent, by this leader or a former one.
-    sent: bool,
-    in_flight: bool,
-    retry_at: Millis,
-    /// When the cloud named its machines. Its record stays until the list must show
-    /// them: only it leads a new leader to machines that boot.
-    answered: Option<Millis>,
-}
-
-impl Rental {
-    fn new(request: RentalRequest) -> Rental {
-        Rental {
-            request,
-            recorded: false,
-            sent: false,
-            in_flight: false,
-            retry_at: 0,
-            answered: None,
-        }
-    }
-
-    /// What was rented, or will be, is not known yet.
-    fn is_open(&self) -> bool {
-        self.answered.is_none()
-    }
-}
-
 /// How often spot machines are lost, as seen in this term.
 #[derive(Debug, Default)]
 struct SpotLosses {
@@ -231,6 +195,7 @@
     bumped_at: Millis,
     pub counts: Counts,
     stored_types: bool,
+    calls: Calls<TermCall>,
 }
 
 impl Term {
@@ -283,6 +248,7 @@
             bumped_at: 0,
             counts: Counts::new(),
             stored_types: false,
+            calls: Calls::default(),
         }
     }
 
@@ -290,27 +256,21 @@
         self.writer.token
     }
 
-    fn purpose(&self, kind: TermCallKind) -> Purpose {
-        Purpose::Term(TermCall {
-            term: self.first_token,
-            kind,
-        })
-    }
-
     fn state_call(
-        &self,
+        &mut self,
         method: Method,
         path: String,
         body: Vec<u8>,
         timeout_ms: u64,
-        kind: TermCallKind,
+        kind: TermCall,
         io: &mut Io,
-    ) -> CallId {
-        io.state_call(method, path, body, timeout_ms, self.purpose(kind))
+    ) {
+        let call = io.state_call(method, path, body, timeout_ms);
+        self.calls.expect(call, kind);
     }
 
     /// A transaction of this leader.
-    fn transact(&self, body: Vec<u8>, kind: TermCallKind, io: &mut Io) {
+    fn transact(&mut self, body: Vec<u8>, kind: TermCall, io: &mut Io) {
         self.state_call(
             Method::Post,
             paths::TRANSACTION.to_owned(),
@@ -333,7 +293,7 @@
             path,
             Vec::new(),
             STATE_TIMEOUT_MS,
-            TermCallKind::Load,
+            TermCall::Load,
             io,
         );
     }
@@ -541,7 +501,7 @@
                 path,
                 Vec::new(),
                 WATCH_HOLD_MS + WATCH_SLACK_MS,
-                TermCallKind::Watch,
+                TermCall::Watch,
                 io,
             );
         }
@@ -751,28 +711,41 @@
                 lease: None,
             }],
         };
-        self.transact(json(&body), TermCallKind::StoreTypes, io);
+        self.transact(json(&body), TermCall::StoreTypes, io);
     }
 
+    /// A call was answered. `None` if it was not made in this term, else what follows.
     pub fn answered(
         &mut self,
-        kind: TermCallKind,
+        call: CallId,
+        outcome: &Outcome,
+        leadership: &mut Leadership,
+        settings: &Settings,
+        io: &mut Io,
+    ) -> Option<Option<News>> {
+        let kind = self.calls.settle(call)?;
+        Some(self.follow(kind, outcome, leadership, settings, io))
+    }
+
+    fn follow(
+        &mut self,
+        kind: TermCall,
         outcome: &Outcome,
         leadership: &mut Leadership,
         settings: &Settings,
         io: &mut Io,
     ) -> Option<News> {
         match kind {
-            TermCallKind::Load => self.loaded(outcome, io),
-            TermCallKind::Watch => self.watched(outcome, settings, io),
-            TermCallKind::Write => return self.written(outcome, leadership, io),
-            TermCallKind::Reread { key } => return self.reread(key, outcome, leadership, io),
-            TermCallKind::Direct(direct) => return self.direct_answered(direct, outcome, leadership, io),
-            TermCallKind::Inspect { machine } => return self.inspected(&machine, outcome, leadership, io),
-            TermCallKind::List => self.listed(outcome, io),
-            TermCallKind::Rent { request } => self.rented(&request, outcome, io),
-            TermCallKind::Return { machines, sent } => self.returned(machines, sent, outcome, io),
-            TermCallKind::StoreTypes => self.stored_types = outcome.status() == Some(200),
+            TermCall::Load => self.loaded(outcome, io),
+            TermCall::Watch => self.watched(outcome, settings, io),
+            TermCall::Write => return self.written(outcome, leadership, io),
+            TermCall::Reread { key } => return self.reread(key, outcome, leadership, io),
+            TermCall::Direct(direct) => return self.direct_answered(direct, outcome, leadership, io),
+            TermCall::Inspect { machine } => return self.inspected(&machine, outcome, leadership, io),
+            TermCall::List => self.listed(outcome, io),
+            TermCall::Rent { request } => self.rented(&request, outcome, io),
+            TermCall::Return { machines, sent } => self.returned(machines, sent, outcome, io),
+            TermCall::StoreTypes => self.stored_types = outcome.status() == Some(200),
         }
         None
     }
--- a/crates/core/src/leader/renting.rs
+++ b/crates/core/src/leader/renting.rs
@@ -252,16 +252,18 @@
         }
         for request in sends {
             let body = json(&request);
-            let purpose = self.purpose(TermCallKind::Rent {
-                request: request.request,
-            });
-            io.call(
+            let call = io.call(
                 Destination::Cloud,
                 Method::Post,
                 paths::RENTALS.to_owned(),
                 body,
                 CLOUD_TIMEOUT_MS,
-                purpose,
+            );
+            self.calls.expect(
+                call,
+                TermCall::Rent {
+                    request: request.request,
+                },
             );
         }
     }
@@ -458,17 +460,19 @@
         let body = json(&MachineNames {
             machines: names.iter().map(|name| name.to_string()).collect(),
         });
-        let purpose = self.purpose(TermCallKind::Return {
-            machines: names,
-            sent: io.now,
-        });
-        io.call(
+        let call = io.call(
             Destination::Cloud,
             Method::Post,
             paths::RETURN.to_owned(),
             body,
             CLOUD_TIMEOUT_MS,
-            purpose,
+        );
+        self.calls.expect(
+            call,
+            TermCall::Return {
+                machines: names,
+                sent: io.now,
+            },
         );
     }
 
@@ -516,15 +520,14 @@
         }
         self.listing = true;
         let path = paths::listing(self.listed.last().map(|machine| machine.id.as_str()));
-        let purpose = self.purpose(TermCallKind::List);
-        io.call(
+        let call = io.call(
             Destination::Cloud,
             Method::Get,
             path,
             Vec::new(),
             CLOUD_TIMEOUT_MS,
-            purpose,
         );
+        self.calls.expect(call, TermCall::List);
     }
 
     pub(super) fn listed(&mut self, outcome: &Outcome, io: &mut Io) {
--- a/crates/core/src/leader/writing.rs
+++ b/crates/core/src/leader/writing.rs
@@ -11,7 +11,7 @@
                 path,
                 Vec::new(),
                 STATE_TIMEOUT_MS,
-                TermCallKind::Reread { key },
+                TermCall::Reread { key },
                 io,
             );
             return;
@@ -26,7 +26,7 @@
             self.bumped_at = io.now;
             self.fence = false;
             let body = self.writer.renewal(renewal);
-            self.transact(body, TermCallKind::Write, io);
+            self.transact(body, TermCall::Write, io);
             return;
         }
         let most = settings.deployment.state.txn_ops.min(io.writes.available(io.now));
@@ -41,7 +41,7 @@
             return;
         };
         io.writes.force(ops as f64, io.now);
-        self.transact(body, TermCallKind::Write, io);
+        self.transact(body, TermCall::Write, io);
     }
 
     /// A start that nobody answered may arrive minutes later, even for a job that
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -2,7 +2,7 @@
 //! state service. The key's version is the token; it only ever rises.
 
 use crate::constants::*;
-use crate::io::{Io, Method, Outcome, Purpose, json};
+use crate::io::{CallId, Calls, Io, Method, Outcome, json};
 use crate::model::Millis;
 use crate::records::{LEADER, LeaderRecord, Record};
 use crate::settings::Deployment;
@@ -10,7 +10,7 @@
 use rand::RngExt;
 
 #[derive(Debug)]
-pub enum Step {
+enum Step {
     Read,
     Watch,
     Lease { sent: Millis },
@@ -53,6 +53,7 @@
     at: Millis,
     abstain_until: Millis,
     keep_alive_ms: u64,
+    calls: Calls<Step>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,6 +76,7 @@
             at: 0,
             abstain_until: 0,
             keep_alive_ms: keep_alive_ms(deployment),
+            calls: Calls::default(),
         }
     }
 
@@ -145,15 +147,15 @@
                     lease: lead.lease,
                     sent: io.now,
                 };
-                io.state_call(
+                let call = io.state_call(
                     Method::Post,
                     paths::touch(lead.lease),
                     json(&wire::LeaseRequest {
                         ttl_ms: LEADER_LEASE_MS,
                     }),
                     LEADER_TOUCH_TIMEOUT_MS,
-                    Purpose::Leadership(step),
                 );
+                self.calls.expect(call, step);
             }
             return None;
         }
@@ -163,41 +165,37 @@
         self.busy = true;
         match self.next {
             Next::Read => {
-                io.state_call(
-                    Method::Get,
-                    paths::key(LEADER),
-                    Vec::new(),
-                    STATE_TIMEOUT_MS,
-                    Purpose::Leadership(Step::Read),
-                );
+                let call = io.state_call(Method::Get, paths::key(LEADER), Vec::new(), STATE_TIMEOUT_MS);
+                self.calls.expect(call, Step::Read);
             }
             Next::Watch => {
                 let path = paths::watch(LEADER, self.revision, WATCH_HOLD_MS);
-                io.state_call(
-                    Method::Get,
-                    path,
-                    Vec::new(),
-                    WATCH_HOLD_MS + WATCH_SLACK_MS,
-                    Purpose::Leadership(Step::Watch),
-                );
+                let call = io.state_call(Method::Get, path, Vec::new(), WATCH_HOLD_MS + WATCH_SLACK_MS);
+                self.calls.expect(call, Step::Watch);
             }
             Next::Lease => {
                 let body = json(&wire::LeaseRequest {
                     ttl_ms: LEADER_LEASE_MS,
                 });
-                io.state_call(
+                let call = io.state_call(
                     Method::Post,
                     paths::LEASES.to_owned(),
                     body,
                     LEADER_TOUCH_TIMEOUT_MS,
-                    Purpose::Leadership(Step::Lease { sent: io.now }),
                 );
+                self.calls.expect(call, Step::Lease { sent: io.now });
             }
         }
         None
     }
 
-    pub fn answered(&mut self, step: Step, outcome: &Outcome, io: &mut Io) -> Option<News> {
+    /// A call was answered. `None` if it is none of this, else what follows.
+    pub fn answered(&mut self, call: CallId, outcome: &Outcome, io: &mut Io) -> Option<Option<News>> {
+        let step = self.calls.settle(call)?;
+        Some(self.follow(step, outcome, io))
+    }
+
+    fn follow(&mut self, step: Step, outcome: &Outcome, io: &mut Io) -> Option<News> {
         match step {
             Step::Touch { lease, sent } => return self.touched(lease, sent, outcome),
             Step::Release => return None,
@@ -305,13 +303,13 @@
             }],
         };
         self.busy = true;
-        io.state_call(
+        let call = io.state_call(
             Method::Post,
             paths::TRANSACTION.to_owned(),
             json(&body),
             LEADER_TOUCH_TIMEOUT_MS,
-            Purpose::Leadership(Step::Claim { lease, sent }),
         );
+        self.calls.expect(call, Step::Claim { lease, sent });
     }
 
     fn claimed(&mut self, lease: u64, sent: Millis, outcome: &Outcome, io: &mut Io) -> Option<News> {
@@ -372,13 +370,8 @@
     /// Gives leadership up for others to take, and leaves it to them for a while.
     pub fn hand_over(&mut self, why: &str, io: &mut Io) -> Option<News> {
         let lease = self.lease()?;
-        io.state_call(
-            Method::Delete,
-            paths::lease(lease),
-            Vec::new(),
-            STATE_TIMEOUT_MS,
-            Purpose::Leadership(Step::Release),
-        );
+        let call = io.state_call(Method::Delete, paths::lease(lease), Vec::new(), STATE_TIMEOUT_MS);
+        self.calls.expect(call, Step::Release);
         self.abstain_until = io.now + ABSTAIN_MS;
         Some(self.step_down(why))
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod placement;
 pub mod records;
+mod rental;
 pub mod settings;
 pub mod users;
 pub mod wire;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -3,7 +3,7 @@
 
 use crate::constants::*;
 use crate::intake;
-use crate::io::{CallId, Destination, Effect, Io, Method, Outcome, Purpose, RequestId};
+use crate::io::{CallId, Calls, Destination, Effect, Io, Method, Outcome, RequestId};
 use crate::leader::{Siblings, Term};
 use crate::leadership::{Leadership, News};
 use crate::model::{JobId, Millis};
@@ -37,6 +37,15 @@
     },
 }
 
+/// What the node itself asks.
+#[derive(Debug)]
+enum Question {
+    Types,
+    StoredTypes,
+    /// Only whether the state service answers.
+    Probe,
+}
+
 #[derive(Debug, Default, Clone, Copy)]
 struct Sibling {
     beat: Option<Heartbeat>,
@@ -67,6 +76,7 @@
     state_ok_at: Millis,
     state_failed_at: Option<Millis>,
     probed_at: Millis,
+    calls: Calls<Question>,
 }
 
 impl Node {
@@ -95,6 +105,7 @@
             state_ok_at: now,
             state_failed_at: None,
             probed_at: now,
+            calls: Calls::default(),
         }
     }
 
@@ -279,58 +290,30 @@
     // ---- answers -------------------------------------------------------------
 
     fn answer(&mut self, call: CallId, outcome: &Outcome) {
-        let Some(purpose) = self.io.settle(call) else {
+        if let Some(news) = self.leadership.answered(call, outcome, &mut self.io) {
+            self.note_state(outcome);
+            self.follow(news);
             return;
-        };
-        self.note_state(&purpose, outcome);
-        let news = match purpose {
-            Purpose::Leadership(step) => self.leadership.answered(step, outcome, &mut self.io),
-            Purpose::Term(call) => match &mut self.term {
-                Some(term) if term.first_token == call.term => term.answered(
-                    call.kind,
-                    outcome,
-                    &mut self.leadership,
-                    &self.settings,
-                    &mut self.io,
-                ),
-                _ => None,
-            },
-            Purpose::User(request, call) => {
-                let counts = self.term.as_ref().map_or(&self.told, |term| &term.counts);
-                let done = self.users.answered(request, call, outcome, counts, &mut self.io);
-                self.user_done(done);
-                None
-            }
-            Purpose::Polls(comparison) => {
-                let counts = self.term.as_ref().map_or(&self.told, |term| &term.counts);
-                self.users.compared(comparison, outcome, counts, &mut self.io);
-                None
-            }
-            Purpose::Types => {
-                self.types_busy = false;
-                match outcome.read::<wire::Flavors>(&[200]) {
-                    Some(flavors) => {
-                        self.types_at = self.io.now + FLAVORS_INTERVAL_MS;
-                        self.learn_types(flavors);
-                    }
-                    None => {
-                        self.types_at = self.io.now + CLOUD_RETRY_MS;
-                        if self.type_list.is_empty() {
-                            self.types_busy = true;
-                            self.io.state_call(
-                                Method::Get,
-                                paths::key(records::TYPES),
-                                Vec::new(),
-                                STATE_TIMEOUT_MS,
-                                Purpose::StoredTypes,
-                            );
-                        }
-                    }
-                }
-                None
-            }
-            Purpose::Probe => None,
-            Purpose::StoredTypes => {
+        }
+        if let Some(term) = &mut self.term
+            && let Some(news) =
+                term.answered(call, outcome, &mut self.leadership, &self.settings, &mut self.io)
+        {
+            self.follow(news);
+            return;
+        }
+        let counts = self.term.as_ref().map_or(&self.told, |term| &term.counts);
+        if let Some(done) = self.users.answered(call, outcome, counts, &mut self.io) {
+            self.note_state(outcome);
+            self.user_done(done);
+            return;
+        }
+        match self.calls.settle(call) {
+            None => (),
+            Some(Question::Probe) => self.note_state(outcome),
+            Some(Question::Types) => self.types_answered(outcome),
+            Some(Question::StoredTypes) => {
+                self.note_state(outcome);
                 self.types_busy = false;
                 let stored = outcome
                     .read::<StoredItem>(&[200])
@@ -338,27 +321,36 @@
                 if let Some(flavors) = stored {
                     self.learn_types(flavors);
                 }
-                None
             }
-        };
+        }
+    }
+
+    fn follow(&mut self, news: Option<News>) {
         if let Some(news) = news {
             self.news(news);
         }
     }
 
-    /// Whether the state service serves this node.
-    fn note_state(&mut self, purpose: &Purpose, outcome: &Outcome) {
-        let state = matches!(
-            purpose,
-            Purpose::Leadership(_)
-                | Purpose::User(..)
-                | Purpose::Polls(_)
-                | Purpose::StoredTypes
-                | Purpose::Probe
-        );
-        if !state {
+    fn types_answered(&mut self, outcome: &Outcome) {
+        self.types_busy = false;
+        if let Some(flavors) = outcome.read::<wire::Flavors>(&[200]) {
+            self.types_at = self.io.now + FLAVORS_INTERVAL_MS;
+            self.learn_types(flavors);
             return;
         }
+        self.types_at = self.io.now + CLOUD_RETRY_MS;
+        if self.type_list.is_empty() {
+            self.types_busy = true;
+            let path = paths::key(records::TYPES);
+            let call = self
+                .io
+                .state_call(Method::Get, path, Vec::new(), STATE_TIMEOUT_MS);
+            self.calls.expect(call, Question::StoredTypes);
+        }
+    }
+
+    /// Whether the state service serves this node.
+    fn note_state(&mut self, outcome: &Outcome) {
         match outcome {
             Outcome::Answer { status: 503, .. } | Outcome::NotSent | Outcome::NoAnswer => {
                 self.state_failed_at.get_or_insert(self.io.now);
@@ -400,8 +392,8 @@
         if now >= self.state_ok_at + STATE_PROBE_MS && now >= self.probed_at + STATE_PROBE_MS {
             self.probed_at = now;
             let path = paths::key(records::LEADER);
-            self.io
-                .state_call(Method::Get, path, Vec::new(), STATE_PROBE_MS, Purpose::Probe);
+            let call = self.io.state_call(Method::Get, path, Vec::new(), STATE_PROBE_MS);
+            self.calls.expect(call, Question::Probe);
         }
     }
 
@@ -411,14 +403,14 @@
         }
         self.types_busy = true;
         self.io.cloud.force(1.0, self.io.now);
-        self.io.call(
+        let call = self.io.call(
             Destination::Cloud,
             Method::Get,
             paths::FLAVORS.to_owned(),
             Vec::new(),
             CLOUD_TIMEOUT_MS,
-            Purpose::Types,
         );
+        self.calls.expect(call, Question::Types);
     }
 
     fn learn_types(&mut self, flavors: wire::Flavors) {
--- /dev/null
+++ b/crates/core/src/rental.rs
@@ -0,0 +1,36 @@
+//! Requests for machines on their way to the cloud.
+
+use crate::model::Millis;
+use crate::wire::RentalRequest;
+
+/// A rental, from the decision until its machines are known.
+#[derive(Debug)]
+pub struct Rental {
+    pub request: RentalRequest,
+    pub recorded: bool,
+    /// It may have been sent, by this leader or a former one.
+    pub sent: bool,
+    pub in_flight: bool,
+    pub retry_at: Millis,
+    /// When the cloud named its machines. Its record stays until the list must show
+    /// them: only it leads a new leader to machines that boot.
+    pub answered: Option<Millis>,
+}
+
+impl Rental {
+    pub fn new(request: RentalRequest) -> Rental {
+        Rental {
+            request,
+            recorded: false,
+            sent: false,
+            in_flight: false,
+            retry_at: 0,
+            answered: None,
+        }
+    }
+
+    /// What was rented, or will be, is not known yet.
+    pub fn is_open(&self) -> bool {
+        self.answered.is_none()
+    }
+}
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -3,7 +3,7 @@
 
 use crate::constants::*;
 use crate::intake::{self, Refusal};
-use crate::io::{Io, Method, Outcome, Purpose, RequestId, json};
+use crate::io::{CallId, Calls, Destination, Io, Method, Outcome, RequestId, json};
 use crate::model::{JobId, JobSpec, Millis};
 use crate::records::{self, EndedRecord, Ending, Record};
 use crate::wire::{
@@ -23,7 +23,7 @@
 
 /// Which answer of the state service is awaited.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum UserCall {
+enum UserCall {
     Create,
     ReadLive,
     ReadEnded,
@@ -32,9 +32,14 @@
 
 /// Polls whose jobs were live when last seen: one comparison of their versions tells
 /// whether they still are.
+type Comparison = Vec<Gathered>;
+
+/// Whom a call to the state service is for.
 #[derive(Debug)]
-pub struct Comparison {
-    polls: Vec<Gathered>,
+enum Purpose {
+    One(RequestId, UserCall),
+    /// Polls that one comparison answers.
+    Polls(Comparison),
 }
 
 /// A poll that waits for a comparison, with the version to compare.
@@ -74,6 +79,7 @@
     /// Polls that gather for the next comparison, and since when.
     polls: Vec<Gathered>,
     polls_since: Millis,
+    calls: Calls<Purpose>,
 }
 
 /// Most rounds of reading a job again before its user is asked to come back.
@@ -159,20 +165,20 @@
                 conditions,
                 changes: Vec::new(),
             };
-            io.call(
-                crate::io::Destination::State,
+            let call = io.call(
+                Destination::State,
                 Method::Post,
                 paths::TRANSACTION.to_owned(),
                 json(&body),
                 USER_STATE_TIMEOUT_MS,
-                Purpose::Polls(Comparison { polls }),
             );
+            self.calls.expect(call, Purpose::Polls(polls));
         }
     }
 
     /// Jobs whose version is as it was are live still. Of the others, and where the
     /// answer does not say which they are, the records are read one by one.
-    pub fn compared(&mut self, comparison: Comparison, outcome: &Outcome, counts: &Counts, io: &mut Io) {
+    fn compared(&mut self, comparison: Comparison, outcome: &Outcome, counts: &Counts, io: &mut Io) {
         let failed: Option<HashSet<String>> = match outcome.status() {
             Some(200) => Some(HashSet::new()),
             Some(409) => outcome
@@ -181,7 +187,7 @@
             _ => None,
         };
         let all = outcome.status() == Some(200);
-        for poll in comparison.polls {
+        for poll in comparison {
             let Gathered {
                 request,
                 job,
@@ -283,14 +289,8 @@
                 (Method::Post, paths::TRANSACTION.to_owned(), json(&body))
             }
         };
-        io.call(
-            crate::io::Destination::State,
-            method,
-            path,
-            body,
-            left,
-            Purpose::User(request, call),
-        );
+        let sent = io.call(Destination::State, method, path, body, left);
+        self.calls.expect(sent, Purpose::One(request, call));
     }
 
     fn next(&mut self, request: RequestId, call: UserCall, version: u64, io: &mut Io) {
@@ -298,7 +298,25 @@
         self.step(request, call, version, io);
     }
 
+    /// A call was answered. `None` if it is none of this, else what the node should
+    /// know.
     pub fn answered(
+        &mut self,
+        call: CallId,
+        outcome: &Outcome,
+        counts: &Counts,
+        io: &mut Io,
+    ) -> Option<Option<Done>> {
+        Some(match self.calls.settle(call)? {
+            Purpose::One(request, call) => self.follow(request, call, outcome, counts, io),
+            Purpose::Polls(comparison) => {
+                self.compared(comparison, outcome, counts, io);
+                None
+            }
+        })
+    }
+
+    fn follow(
         &mut self,
         request: RequestId,
         call: UserCall,
@@ -535,8 +553,8 @@
         serde_json::from_slice(&body.expect("a reply")).unwrap()
     }
 
-    /// The conditions of the one call made, and what it is for.
-    fn comparison(io: &mut Io) -> (serde_json::Value, Comparison) {
+    /// The body of the one call made, and its number.
+    fn comparison(io: &mut Io) -> (serde_json::Value, CallId) {
         let mut calls = std::mem::take(&mut io.effects)
             .into_iter()
             .filter_map(|effect| match effect {
@@ -546,10 +564,7 @@
         let (call, body) = calls.next().expect("a call");
         assert!(calls.next().is_none());
         let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
-        match io.settle(call) {
-            Some(Purpose::Polls(comparison)) => (body, comparison),
-            other => panic!("{other:?}"),
-        }
+        (body, call)
     }
 
     /// A node that has seen the job live and has a poll for it gathered.
@@ -587,12 +602,8 @@
             body,
             serde_json::json!({ "If": [{ "Path": "j/wk-1", "Stamp": 7 }] })
         );
-        users.compared(
-            comparison,
-            &answer(200, serde_json::json!({ "Ledger": 9 })),
-            &Counts::new(),
-            &mut io,
-        );
+        let same = answer(200, serde_json::json!({ "Ledger": 9 }));
+        users.answered(comparison, &same, &Counts::new(), &mut io);
         assert_eq!(io.effects.len(), 2);
         assert_eq!(told(&mut io)["Status"], "pending");
     }
@@ -608,12 +619,8 @@
         users.settle(48, &mut io);
         let (body, comparison) = comparison(&mut io);
         assert_eq!(body["If"][0]["Stamp"], 7, "the job is compared all the same");
-        users.compared(
-            comparison,
-            &answer(200, serde_json::json!({ "Ledger": 9 })),
-            &Counts::new(),
-            &mut io,
-        );
+        let same = answer(200, serde_json::json!({ "Ledger": 9 }));
+        users.answered(comparison, &same, &Counts::new(), &mut io);
         assert_eq!(told(&mut io)["Status"], "cancelled");
     }
 
@@ -625,7 +632,7 @@
         users.settle(48, &mut io);
         let (_, comparison) = comparison(&mut io);
         let failed = answer(409, serde_json::json!({ "failed": ["j/wk-1"], "Ledger": 9 }));
-        users.compared(comparison, &failed, &Counts::new(), &mut io);
+        users.answered(comparison, &failed, &Counts::new(), &mut io);
         let path = io.effects.iter().find_map(|effect| match effect {
             Effect::Call { path, .. } => Some(path.clone()),
             _ => None,
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -6,10 +6,10 @@
 
 use crate::constants::*;
 use crate::io::json;
-use crate::leader::Rental;
 use crate::ledger::Machine;
 use crate::model::{Job, JobId, MachineId, Millis, TaskId};
 use crate::records::{self, DoneRecord, EndedRecord, Ending, MachineRecord, Record, ShardRecord};
+use crate::rental::Rental;
 use crate::settings::Settings;
 use crate::wire::{Change, Condition, Transaction};
 use serde_json::value::RawValue;
