The scenarios' models become a package, for real time to share

Need: what runs against real processes is to use the same stand-ins of state service, cloud and workers as the scenarios do, not a second set. Change: core/tests/sim becomes crates/sim (indigopath-sim); the runner in core/tests/scenarios.rs names a trial for each text file as before.

--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -1,7 +1,5 @@
 //! Plays every scenario in `tests/scenarios`, a test each.
 
-mod sim;
-
 use libtest_mimic::{Arguments, Failed, Trial};
 use std::path::Path;
 
@@ -17,7 +15,7 @@
             .into_owned();
         trials.push(Trial::test(name, move || {
             let text = std::fs::read_to_string(&path)?;
-            sim::run(&text).map_err(Failed::from)
+            indigopath_sim::run(&text).map_err(Failed::from)
         }));
     }
     trials.sort_by(|a, b| a.name().cmp(b.name()));
--- /dev/null
+++ b/crates/sim/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins of state service, cloud, workers and users by their published protocol,
+//! and a small world in simulated time that plays text scenarios with them round real
+//! controllers. What runs in real time shares the same models.
+//!
+//! Stand-ins panic on a malformed call: the controllers are to make none.
+#![forbid(unsafe_code)]
+
+pub mod cloud;
+mod script;
+pub mod state;
+pub mod worker;
+pub mod world;
+
+pub use script::run;
--- a/crates/core/tests/sim/script.rs
+++ b/crates/sim/src/script.rs
@@ -2,7 +2,7 @@
 //! at the end), `teams GPUS` (what each may use, for a large fleet) or `until
 //! SECONDS`; `#` starts a comment.
 
-use super::{Cut, Event, JobFacts, Mishap, NODES, UserKind, World};
+use crate::world::{Cut, Event, JobFacts, Mishap, NODES, RESTART_MS, UserKind, World};
 use indigopath_core::wire::TaskState;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -219,7 +219,7 @@
         "crash" => {
             for node in nodes_named(world, arg(1)?)? {
                 world.nodes[node].node = None;
-                world.nodes[node].restart_at = world.now + for_ms.unwrap_or(super::RESTART_MS);
+                world.nodes[node].restart_at = world.now + for_ms.unwrap_or(RESTART_MS);
             }
         }
         "freeze" => {
--- a/crates/core/tests/sim/worker.rs
+++ b/crates/sim/src/worker.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a worker, by its published protocol: sessions, leases, tokens,
 //! images, gangs.
 
-use super::JobFacts;
+use crate::world::JobFacts;
 use indigopath_core::wire::{Cause, DirectOrders, Order, Report, ReportAnswer, TaskReport, TaskState, Verb};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/core/tests/sim/mod.rs
+++ b/crates/sim/src/world.rs
@@ -2,30 +2,24 @@
 //! workers and users are stand-ins; the rules of the protocol are checked all the
 //! time. The same scenario always plays the same way.
 
-mod cloud;
-mod script;
-mod state;
-mod worker;
-
-use cloud::Cloud;
+use crate::cloud::Cloud;
+use crate::state::{Reply, StateService};
+use crate::worker::{self, GANG_PEER_MS, Worker};
 use indigopath_core::io::{CallId, Destination, Effect, Outcome, RequestId};
 use indigopath_core::node::{Command, Node};
 use indigopath_core::peers::Frame;
 use indigopath_core::settings::{Peer, Settings};
 use indigopath_core::wire::{Flavors, TaskState};
-pub use script::run;
 use serde_json::Value;
-use state::{Reply, StateService};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use worker::{GANG_PEER_MS, Worker};
 
 /// Grain of simulated time, in ms.
 const STEP_MS: u64 = 10;
 /// One way through the network, in ms.
 const LATENCY_MS: u64 = 5;
-const RESTART_MS: u64 = 4_000;
+pub(crate) const RESTART_MS: u64 = 4_000;
 const CANCEL_MS: u64 = 50_000;
-const NODES: usize = 3;
+pub(crate) const NODES: usize = 3;
 
 /// What the world knows of a job, apart from any controller.
 #[derive(Debug, Clone, Default)]
@@ -54,18 +48,18 @@
 
 /// What a controller asks of another system.
 #[derive(Debug, Clone)]
-struct Call {
-    node: usize,
-    life: u32,
-    call: CallId,
-    to: Destination,
-    method: &'static str,
-    path: String,
-    body: Vec<u8>,
+pub(crate) struct Call {
+    pub(crate) node: usize,
+    pub(crate) life: u32,
+    pub(crate) call: CallId,
+    pub(crate) to: Destination,
+    pub(crate) method: &'static str,
+    pub(crate) path: String,
+    pub(crate) body: Vec<u8>,
 }
 
 #[derive(Debug, Clone)]
-enum Event {
+pub(crate) enum Event {
     Call(Call),
     Answer {
         node: usize,
@@ -98,7 +92,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq)]
-enum UserKind {
+pub(crate) enum UserKind {
     Submit,
     Poll,
     Cancel,
@@ -113,32 +107,32 @@
 
 /// Who waits for a reply of a node.
 #[derive(Debug, Clone)]
-enum Asker {
+pub(crate) enum Asker {
     Worker { id: String, session: u64, number: u64 },
     User { job: String, kind: UserKind },
 }
 
-struct Controller {
-    node: Option<Node>,
-    life: u32,
-    restart_at: u64,
-    asked: HashMap<RequestId, Asker>,
-    next_request: u64,
-    frozen_until: u64,
-    inbox: Vec<Command>,
+pub(crate) struct Controller {
+    pub(crate) node: Option<Node>,
+    pub(crate) life: u32,
+    pub(crate) restart_at: u64,
+    pub(crate) asked: HashMap<RequestId, Asker>,
+    pub(crate) next_request: u64,
+    pub(crate) frozen_until: u64,
+    pub(crate) inbox: Vec<Command>,
 }
 
-struct Watch {
-    node: usize,
-    life: u32,
-    call: CallId,
-    prefix: String,
-    after: u64,
-    until: u64,
+pub(crate) struct Watch {
+    pub(crate) node: usize,
+    pub(crate) life: u32,
+    pub(crate) call: CallId,
+    pub(crate) prefix: String,
+    pub(crate) after: u64,
+    pub(crate) until: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Cut {
+pub(crate) enum Cut {
     /// Packets vanish.
     Drop,
     /// Packets are delivered when it is over.
@@ -147,45 +141,45 @@
 
 /// What the next matching messages suffer.
 #[derive(Debug, Clone, PartialEq)]
-enum Mishap {
+pub(crate) enum Mishap {
     /// Carried out, but the answer is lost.
     LoseAnswer { path: String },
     /// Carried out so many ms later, without an answer.
     Late { path: String, by_ms: u64 },
 }
 
-struct World {
-    now: u64,
-    queue: BTreeMap<(u64, u64), Event>,
-    next_event: u64,
-    nodes: Vec<Controller>,
-    state: StateService,
-    refused: BTreeMap<usize, u64>,
-    cloud: Cloud,
-    workers: BTreeMap<String, Worker>,
-    jobs: BTreeMap<String, JobFacts>,
-    watches: Vec<Watch>,
-    cuts: Vec<(String, String, Cut)>,
-    held: Vec<Event>,
-    mishaps: Vec<Mishap>,
-    user_at: BTreeMap<String, u64>,
-    user_turn: usize,
-    probes: Vec<(String, u16)>,
-    broken: Vec<String>,
-    most_refused: u32,
+pub(crate) struct World {
+    pub(crate) now: u64,
+    pub(crate) queue: BTreeMap<(u64, u64), Event>,
+    pub(crate) next_event: u64,
+    pub(crate) nodes: Vec<Controller>,
+    pub(crate) state: StateService,
+    pub(crate) refused: BTreeMap<usize, u64>,
+    pub(crate) cloud: Cloud,
+    pub(crate) workers: BTreeMap<String, Worker>,
+    pub(crate) jobs: BTreeMap<String, JobFacts>,
+    pub(crate) watches: Vec<Watch>,
+    pub(crate) cuts: Vec<(String, String, Cut)>,
+    pub(crate) held: Vec<Event>,
+    pub(crate) mishaps: Vec<Mishap>,
+    pub(crate) user_at: BTreeMap<String, u64>,
+    pub(crate) user_turn: usize,
+    pub(crate) probes: Vec<(String, u16)>,
+    pub(crate) broken: Vec<String>,
+    pub(crate) most_refused: u32,
     /// What operators were warned of.
-    warnings: Vec<String>,
+    pub(crate) warnings: Vec<String>,
     /// GPUs that each team may use, in place of the settings'.
-    gpus_max: Option<f64>,
-    calls: Calls,
+    pub(crate) gpus_max: Option<f64>,
+    pub(crate) calls: Calls,
 }
 
 /// Calls of the controllers, for what is to stay small however large the fleet is.
 #[derive(Debug, Default)]
-struct Calls {
+pub(crate) struct Calls {
     /// By destination, the calls of the last second, and the most in any second.
-    recent: BTreeMap<&'static str, (VecDeque<u64>, usize)>,
-    total: BTreeMap<&'static str, usize>,
+    pub(crate) recent: BTreeMap<&'static str, (VecDeque<u64>, usize)>,
+    pub(crate) total: BTreeMap<&'static str, usize>,
 }
 
 impl Calls {
@@ -199,13 +193,13 @@
         *most = (*most).max(times.len());
     }
 
-    fn most(&self, kind: &str) -> usize {
+    pub(crate) fn most(&self, kind: &str) -> usize {
         self.recent.get(kind).map_or(0, |(_, most)| *most)
     }
 }
 
 impl World {
-    fn new(gpus_max: Option<f64>) -> World {
+    pub(crate) fn new(gpus_max: Option<f64>) -> World {
         let mut world = World {
             now: 0,
             queue: BTreeMap::new(),
@@ -229,7 +223,8 @@
             gpus_max,
             calls: Calls::default(),
         };
-        let flavors: Flavors = serde_json::from_str(include_str!("../support/flavors.json")).unwrap();
+        let flavors: Flavors =
+            serde_json::from_str(include_str!("../../core/tests/support/flavors.json")).unwrap();
         world.cloud.types = flavors.types;
         for index in 0..NODES {
             world.nodes.push(Controller {
@@ -247,7 +242,7 @@
     }
 
     fn boot(&mut self, index: usize) {
-        let mut settings = Settings::parse(include_str!("../support/settings.json")).unwrap();
+        let mut settings = Settings::parse(include_str!("../../core/tests/support/settings.json")).unwrap();
         let mut names: Vec<Peer> = settings.peers.clone();
         names.push(Peer {
             node: "n0".to_owned(),
@@ -276,7 +271,7 @@
         1_700_000_000_000 + self.now
     }
 
-    fn leader(&self) -> Option<usize> {
+    pub(crate) fn leader(&self) -> Option<usize> {
         (0..NODES)
             .filter(|index| {
                 self.nodes[*index]
@@ -287,7 +282,7 @@
             .max_by_key(|index| self.nodes[*index].node.as_ref().and_then(Node::token))
     }
 
-    fn breach(&mut self, rule: &str, what: impl std::fmt::Display) {
+    pub(crate) fn breach(&mut self, rule: &str, what: impl std::fmt::Display) {
         let line = format!("{rule} at {:.2} s: {what}", self.now as f64 / 1000.0);
         if !self.broken.contains(&line) && self.broken.len() < 5 {
             self.broken.push(line);
@@ -302,7 +297,7 @@
     }
 
     /// Sends an event between two hosts, through whatever cuts there are.
-    fn send(&mut self, from: &str, to: &str, event: Event) {
+    pub(crate) fn send(&mut self, from: &str, to: &str, event: Event) {
         let matches = |pattern: &str, host: &str| {
             let in_zone = |zone: &str| self.workers.get(host).is_some_and(|worker| worker.zone == zone);
             pattern == "*"
@@ -322,7 +317,7 @@
         }
     }
 
-    fn heal(&mut self) {
+    pub(crate) fn heal(&mut self) {
         self.cuts.clear();
         for event in std::mem::take(&mut self.held) {
             self.post(LATENCY_MS, event);
@@ -331,7 +326,7 @@
 
     // ---- one step ------------------------------------------------------------
 
-    fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         self.now += STEP_MS;
         self.state.expire(self.now);
         for index in 0..NODES {
@@ -840,7 +835,7 @@
 
     // ---- the rules -----------------------------------------------------------
 
-    fn on_machines(&self) -> impl Iterator<Item = (&Worker, &worker::Task)> {
+    pub(crate) fn on_machines(&self) -> impl Iterator<Item = (&Worker, &worker::Task)> {
         self.workers.values().flat_map(|worker| {
             worker
                 .tasks
@@ -914,7 +909,7 @@
     }
 
     /// The machine on which a task is now.
-    fn machine_of(&self, name: &str) -> Option<String> {
+    pub(crate) fn machine_of(&self, name: &str) -> Option<String> {
         self.workers
             .values()
             .find(|worker| {
