--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -411,3 +411,19 @@
 /// What is left, in s, of a fetch that should be over by the cloud's rate: it varies by
 /// a third, and the worker's word of it is on its way.
 pub const FETCH_LEAST_S: f64 = 1.0;
+
+// ---- counted resources -------------------------------------------------------
+
+/// Interval, in ms, at which a warning about a count (its licence server is silent, more
+/// is held than there is) is said again while it lasts: as for classes.
+pub const COUNT_WARNING_REPEAT_MS: u64 = WARNING_REPEAT_MS;
+
+/// How long, in ms, something must have been wrong with a count before operators are
+/// told. A new leader hears its servers within seconds.
+pub const COUNT_WARNING_AFTER_MS: u64 = 10_000;
+
+/// Most attempts that one pass stops to free units for others: as many as it may start.
+pub const UNIT_STOPS_PER_PASS: usize = 64;
+
+/// Most tasks of a job for which one pass tries to free units.
+pub const UNIT_SEARCHES_PER_JOB: u32 = 16;
--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -7,9 +7,10 @@
 use crate::io::{Effect, Io};
 use crate::ledger::Machine;
 use crate::model::{Job, JobId, MachineId, Millis};
-use crate::placement::Types;
+use crate::placement::{Short, Types};
 use crate::settings::Settings;
 use crate::wire::Shape;
+use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// What jobs of a class are to be complete within.
@@ -60,7 +61,7 @@
     /// Live jobs that take longer by their owners' own estimates, wherever they run.
     long: u32,
     /// Late jobs by what holds them.
-    reasons: BTreeMap<&'static str, u32>,
+    reasons: BTreeMap<Cow<'static, str>, u32>,
     /// The live job that will be latest: by how much, its age and what it still needs.
     worst: Option<(f64, &'a JobId, f64, f64)>,
 }
@@ -135,15 +136,18 @@
     }
 
     /// Looks at all live jobs, and warns of classes that fall behind.
+    #[expect(clippy::too_many_arguments, reason = "a look at all that a term knows")]
     pub fn look(
         &mut self,
         jobs: &BTreeMap<JobId, Job>,
         machines: &BTreeMap<MachineId, Machine>,
+        short: &[Short],
         types: &Types,
         settings: &Settings,
         boot_s: &HashMap<String, f64>,
         io: &mut Io,
     ) {
+        let short: HashMap<&JobId, &Short> = short.iter().map(|short| (&short.job, short)).collect();
         let deployment = &settings.deployment;
         let placed = placed_tasks(jobs, machines, io.now);
         let mut standings: BTreeMap<(&str, Limit), Standing<'_>> = BTreeMap::new();
@@ -155,6 +159,11 @@
             let (boot_s, fetch_s) = first_start(job, types, boot_s);
             let there = placed.get(&job.spec.id).copied().unwrap_or_default();
             let (left_s, why) = remaining(job, there, boot_s, fetch_s);
+            // More machines would not help it.
+            let why = match short.get(&job.spec.id) {
+                Some(short) => Cow::Owned(format!("waiting for units of {}", short.lack.count)),
+                None => Cow::Borrowed(why),
+            };
             let class = job.spec.class.as_str();
             let objectives = deployment.within_s("finished", class).map(Limit::objective);
             for limit in objectives.chain([Limit::Deadline]) {
@@ -173,7 +182,7 @@
                     continue;
                 }
                 standing.late += 1;
-                *standing.reasons.entry(why).or_default() += 1;
+                *standing.reasons.entry(why.clone()).or_default() += 1;
                 if standing.worst.is_none_or(|(worst_s, ..)| over_s > worst_s) {
                     standing.worst = Some((over_s, &job.spec.id, age_s, left_s));
                 }
@@ -252,7 +261,7 @@
             standing.late,
             standing.jobs,
             100.0 * may,
-            why.map_or("late", |(why, _)| why),
+            why.map_or("late", |(why, _)| &**why),
             standing.long,
         );
         self.behind.insert(key, io.now);
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -5,6 +5,8 @@
 use crate::model::{JobId, JobSpec, Resources};
 use crate::settings::Deployment;
 use crate::wire::{JOB_PREFIX, JobBody, MachineType, Shape};
+use indigopath_counts::{Definitions, Demand};
+use std::borrow::Cow;
 use std::sync::Arc;
 
 /// Longest number in a job's id, in digits: any count below 2^64 has at most 20.
@@ -23,7 +25,7 @@
     /// Malformed.
     Invalid(String),
     /// Well-formed, but it could never run.
-    Impossible(&'static str),
+    Impossible(Cow<'static, str>),
     /// This node cannot tell yet.
     Undecided(&'static str),
 }
@@ -33,6 +35,7 @@
 pub fn accept(
     body: &[u8],
     deployment: &Deployment,
+    definitions: &Definitions,
     types: Option<&[MachineType]>,
     wall_ms: u64,
 ) -> Result<JobSpec, (Option<JobId>, Refusal)> {
@@ -44,7 +47,7 @@
     let Some(id) = parse_id(&body.id) else {
         return Err((None, invalid("Id is not a job id")));
     };
-    check(id.clone(), body, deployment, types, wall_ms).map_err(|refusal| (Some(id), refusal))
+    check(id.clone(), body, deployment, definitions, types, wall_ms).map_err(|refusal| (Some(id), refusal))
 }
 
 fn id_of(body: &[u8]) -> Option<JobId> {
@@ -57,6 +60,10 @@
     parse_id(&only.id)
 }
 
+fn impossible(problem: &'static str) -> Refusal {
+    Refusal::Impossible(Cow::Borrowed(problem))
+}
+
 fn invalid(problem: &str) -> Refusal {
     Refusal::Invalid(problem.to_owned())
 }
@@ -65,6 +72,7 @@
     id: JobId,
     body: JobBody,
     deployment: &Deployment,
+    definitions: &Definitions,
     types: Option<&[MachineType]>,
     wall_ms: u64,
 ) -> Result<JobSpec, Refusal> {
@@ -102,8 +110,11 @@
         .map(|value| amount("DueS", value, MAX_DURATION_S))
         .transpose()?;
 
+    let counts = body.counts.as_ref().map_or(Ok(Demand::default()), Demand::new);
+    let counts = counts.map_err(|error| Refusal::Invalid(error.to_string()))?;
+
     let Some(team) = deployment.teams.iter().find(|team| team.name == body.team) else {
-        return Err(Refusal::Impossible("unknown team"));
+        return Err(impossible("unknown team"));
     };
     // One task of an array must fit the team's limit; of the other shapes, all.
     let together = match body.shape {
@@ -111,8 +122,13 @@
         Shape::Gang | Shape::Service => body.tasks,
     };
     if !team.allows(&needs.times(together as f64)) {
-        return Err(Refusal::Impossible("over the team's limit"));
+        return Err(impossible("over the team's limit"));
     }
+    // The same holds for units of counts: what one task, or all of a gang or service,
+    // can never have at once never starts.
+    counts
+        .check(definitions, together)
+        .map_err(|error| Refusal::Impossible(Cow::Owned(error.to_string())))?;
     let Some(types) = types else {
         return Err(Refusal::Undecided("machine types are not known yet"));
     };
@@ -135,6 +151,7 @@
         checkpoint_s,
         save_s,
         deadline_s,
+        counts,
         submitted_ms: wall_ms,
     };
     let fits = types.iter().any(|machine_type| {
@@ -144,7 +161,7 @@
             .any(|zone| spec.eligible(machine_type, zone, false))
     });
     if !fits {
-        return Err(Refusal::Impossible("a task fits no allowed machine type"));
+        return Err(impossible("a task fits no allowed machine type"));
     }
     // Only names that exist are kept, which bounds the record.
     if let Some(allowed) = &mut spec.types {
@@ -183,10 +200,21 @@
         })
     }
 
+    fn definitions() -> Definitions {
+        serde_json::from_value(serde_json::json!({ "seat": { "units": 4 } })).unwrap()
+    }
+
     fn outcome(change: impl FnOnce(&mut serde_json::Value)) -> Result<JobSpec, Refusal> {
         let mut body = body();
         change(&mut body);
-        accept(body.to_string().as_bytes(), &deployment(), Some(&types()), 0).map_err(|(_, refusal)| refusal)
+        accept(
+            body.to_string().as_bytes(),
+            &deployment(),
+            &definitions(),
+            Some(&types()),
+            0,
+        )
+        .map_err(|(_, refusal)| refusal)
     }
 
     #[test]
@@ -207,6 +235,11 @@
             ("Kit", serde_json::json!("")),
             ("OneZone", serde_json::json!(1)),
             ("Rigs", serde_json::json!("small")),
+            ("Counts", serde_json::json!("seat")),
+            ("Counts", serde_json::json!({ "seat": 0 })),
+            ("Counts", serde_json::json!({ "seat": -1 })),
+            ("Counts", serde_json::json!({ "seat": 1.5 })),
+            ("Counts", serde_json::json!({ "a seat": 1 })),
         ] {
             let result = outcome(|body| body[field] = value.clone());
             assert!(
@@ -237,19 +270,52 @@
             body["Picks"] = 100.into();
             body["Shape"] = "gang".into();
         });
-        assert_eq!(gang, Err(Refusal::Impossible("over the team's limit")));
+        assert_eq!(gang, Err(impossible("over the team's limit")));
+    }
+
+    #[test]
+    fn what_can_never_have_its_units_is_refused_with_the_reason() {
+        let asks = |shape: &str, tasks: u32, name: &str, units: u32| {
+            outcome(|body| {
+                body["Shape"] = shape.into();
+                body["Picks"] = tasks.into();
+                body["Counts"] = serde_json::json!({ name: units });
+            })
+        };
+        assert_eq!(asks("sweep", 9, "seat", 4).unwrap().counts.units("seat"), 4);
+        assert!(asks("gang", 2, "seat", 2).is_ok());
+        for (refused, reason) in [
+            (
+                asks("sweep", 1, "seat", 5),
+                "needs 5 of count \"seat\" at once, of which there are 4",
+            ),
+            (asks("gang", 3, "seat", 2), "needs 6 of count"),
+            (asks("daemon", 3, "seat", 2), "needs 6 of count"),
+            (asks("sweep", 1, "chair", 1), "there is no count \"chair\""),
+        ] {
+            match refused {
+                Err(Refusal::Impossible(text)) => assert!(text.contains(reason), "{text}"),
+                other => panic!("{other:?}"),
+            }
+        }
     }
 
     #[test]
     fn without_machine_types_nothing_is_decided() {
-        let result = accept(body().to_string().as_bytes(), &deployment(), None, 0);
+        let result = accept(
+            body().to_string().as_bytes(),
+            &deployment(),
+            &definitions(),
+            None,
+            0,
+        );
         assert!(matches!(result, Err((Some(_), Refusal::Undecided(_)))));
     }
 
     proptest! {
         #[test]
         fn no_body_panics(body in proptest::collection::vec(any::<u8>(), 0..200)) {
-            let _ = accept(&body, &deployment(), Some(&types()), 0);
+            let _ = accept(&body, &deployment(), &definitions(), Some(&types()), 0);
         }
     }
 }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
@@ -22,6 +23,8 @@
     State,
     Cloud,
     Worker(String),
+    /// A licence server that operators name.
+    Licences(SocketAddrV4),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -85,12 +88,21 @@
     }
 }
 
+/// What the body of an answer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Content {
+    Json,
+    /// Metrics in the OpenMetrics text form.
+    Metrics,
+}
+
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
     Reply {
         request: RequestId,
         status: u16,
         retry_after_s: Option<u64>,
+        content: Content,
         body: Vec<u8>,
     },
     Call {
@@ -210,6 +222,7 @@
             request,
             status,
             retry_after_s: None,
+            content: Content::Json,
             body,
         });
     }
@@ -220,6 +233,7 @@
             request,
             status: 503,
             retry_after_s: Some(retry_after_s),
+            content: Content::Json,
             body,
         });
     }
--- /dev/null
+++ b/crates/core/src/leader/counts.rs
@@ -0,0 +1,458 @@
+//! Counted resources in a leader's term: units that linger, licence servers, what people
+//! are told, and plain warnings.
+
+use super::*;
+use crate::io::Effect;
+use indigopath_counts::constants::{SERVER_BYTES, SERVER_TIMEOUT_MS};
+use indigopath_counts::status::{Asked, CountStatus, Explanation, Holder, ServerStatus, TeamStatus};
+use indigopath_counts::{Closed, Definitions, Demand, Feed, Linger, Name, Pool, parse};
+use placement::{Short, Units};
+use std::net::SocketAddrV4;
+
+/// What can be wrong with a count, for its warnings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Trouble {
+    Silent,
+    Over,
+    Undefined,
+    TooFew,
+}
+
+/// Since when something is wrong, and when operators were last told.
+#[derive(Debug, Clone, Copy)]
+struct Lasting {
+    since: Millis,
+    told: Option<Millis>,
+}
+
+/// What a term knows of counts beyond the ledger.
+#[derive(Debug, Default)]
+pub(super) struct Counted {
+    feeds: BTreeMap<Name, Feed>,
+    /// For how long units of each count linger.
+    linger_ms: HashMap<Name, u64>,
+    /// Units that linger, as at the last pass or look.
+    lingers: Vec<Linger>,
+    /// Who waited for units after the last pass, in the order of service.
+    pub(super) short: Vec<Short>,
+    /// Units that it kept for requests that have waited for long.
+    pub(super) kept: BTreeMap<Name, u32>,
+    /// How often more was held than there was.
+    oversubscribed: BTreeMap<Name, u64>,
+    over: BTreeSet<Name>,
+    troubles: BTreeMap<(Name, Trouble), Lasting>,
+    /// Starts with units since they were last taken: count, and the job's age in s.
+    waits: Vec<(Name, f64)>,
+    looked_at: Millis,
+}
+
+impl Counted {
+    pub(super) fn new(definitions: &Definitions) -> Counted {
+        let linger_ms = definitions
+            .iter()
+            .map(|(name, definition)| (name.clone(), definition.linger_ms()));
+        Counted {
+            linger_ms: linger_ms.collect(),
+            ..Counted::default()
+        }
+    }
+}
+
+impl Term {
+    pub(super) fn units<'a>(&'a self, definitions: &'a Definitions) -> Units<'a> {
+        Units {
+            definitions,
+            feeds: &self.counted.feeds,
+            lingers: &self.counted.lingers,
+            gone: &self.gone,
+        }
+    }
+
+    /// Brings what lingers up to date, before a pass or a look.
+    pub(super) fn settle_lingers(&mut self, now: Millis) {
+        let before = self.counted.lingers.len();
+        self.counted.lingers = self.writer.lingers(now);
+        // Units that have come free are a reason to place.
+        self.changed |= self.counted.lingers.len() < before;
+    }
+
+    /// An attempt holds its units no longer.
+    pub(super) fn freed(&mut self, shard: Option<u32>, team: &Arc<str>, counts: &Demand, now: Millis) {
+        for (count, units) in counts.iter() {
+            let linger_ms = self.counted.linger_ms.get(count).copied().unwrap_or(0);
+            if linger_ms > 0 {
+                let linger = Linger {
+                    count: count.clone(),
+                    team: team.clone(),
+                    units,
+                    until: now + linger_ms,
+                };
+                self.writer.linger(shard, linger);
+            }
+        }
+    }
+
+    /// A task with units is placed: how long its job waited.
+    pub(super) fn note_wait(&mut self, counts: &Demand, age_ms: u64) {
+        let age_s = age_ms as f64 / SECOND_MS as f64;
+        let waits = counts.iter().map(|(count, _)| (count.clone(), age_s));
+        self.counted.waits.extend(waits);
+    }
+
+    /// Waits of tasks placed since this was last asked: count, and the job's age in s.
+    pub fn take_waits(&mut self) -> Vec<(Name, f64)> {
+        std::mem::take(&mut self.counted.waits)
+    }
+
+    // ---- licence servers -----------------------------------------------------
+
+    pub(super) fn poll_servers(&mut self, definitions: &Definitions, io: &mut Io) {
+        let mut due: BTreeSet<SocketAddrV4> = BTreeSet::new();
+        for (name, definition) in definitions {
+            let Some(server) = definition.server else { continue };
+            let feed = match self.counted.feeds.get_mut(name) {
+                Some(feed) => feed,
+                None => self.counted.feeds.entry(name.clone()).or_default(),
+            };
+            if feed.ask(io.now) {
+                due.insert(server);
+            }
+        }
+        for server in due {
+            let call = io.call(
+                Destination::Licences(server),
+                Method::Get,
+                paths::LICENCES.to_owned(),
+                Vec::new(),
+                SERVER_TIMEOUT_MS,
+            );
+            self.calls.expect(call, TermCall::Licences { server });
+        }
+    }
+
+    pub(super) fn licences_told(
+        &mut self,
+        server: SocketAddrV4,
+        outcome: &Outcome,
+        definitions: &Definitions,
+        now: Millis,
+    ) {
+        let text = match outcome {
+            Outcome::Answer { status: 200, body } if body.len() <= SERVER_BYTES => {
+                std::str::from_utf8(body).map_err(|_| "its answer is no text".to_owned())
+            }
+            Outcome::Answer { status: 200, .. } => Err("its answer is too long".to_owned()),
+            Outcome::Answer { status, .. } => Err(format!("it answers {status}")),
+            Outcome::NotSent => Err("nobody listens there".to_owned()),
+            Outcome::NoAnswer => Err("it does not answer".to_owned()),
+        };
+        for (name, definition) in definitions {
+            if definition.server != Some(server) {
+                continue;
+            }
+            let Some(feed) = self.counted.feeds.get_mut(name) else {
+                continue;
+            };
+            let before = feed.last(now).map(|(usage, _)| (usage.total, usage.in_use));
+            feed.answered(match &text {
+                Ok(text) => parse(text, name).map_err(|error| error.to_string()),
+                Err(problem) => Err(problem.clone()),
+            });
+            self.changed |= before != feed.last(now).map(|(usage, _)| (usage.total, usage.in_use));
+        }
+    }
+
+    // ---- warnings ------------------------------------------------------------
+
+    /// Looks at all counts for what operators should know.
+    pub(super) fn look_at_counts(&mut self, definitions: &Definitions, io: &mut Io) {
+        if io.now < self.counted.looked_at + FORECAST_MS {
+            return;
+        }
+        self.counted.looked_at = io.now;
+        self.settle_lingers(io.now);
+        let units = self.units(definitions);
+        let book = placement::book(&self.machines, &units, io.now);
+        let mut found: Vec<(Name, Trouble, String)> = Vec::new();
+        let mut over = BTreeSet::new();
+        for pool in book.pools() {
+            let name: Name = Arc::from(pool.name);
+            let waiting = waiting_for(pool.name, &self.counted.short);
+            match pool.closed {
+                Some(Closed::Undefined) => found.push((
+                    name.clone(),
+                    Trouble::Undefined,
+                    format!(
+                        "it is not defined any more, but {} of its units are held",
+                        pool.held
+                    ),
+                )),
+                Some(Closed::Silent) => {
+                    let server = pool.definition.and_then(|definition| definition.server);
+                    found.push((
+                        name.clone(),
+                        Trouble::Silent,
+                        format!(
+                            "its licence server {} is silent: nothing new starts on it, and {waiting} tasks wait",
+                            server.map_or_else(String::new, |server| server.to_string()),
+                        ),
+                    ));
+                }
+                None if pool.over() > 0 => {
+                    over.insert(name.clone());
+                    found.push((
+                        name.clone(),
+                        Trouble::Over,
+                        format!(
+                            "{} units are held, {} linger and {} are others', of {}: nothing is stopped, and \
+                             nothing starts on it until enough of them end; {waiting} tasks wait",
+                            pool.held, pool.lingering, pool.others, pool.units
+                        ),
+                    ));
+                }
+                None => (),
+            }
+        }
+        for (name, wanted, job) in too_large(&self.jobs, definitions) {
+            found.push((
+                name,
+                Trouble::TooFew,
+                format!(
+                    "job={job} needs {wanted} of its units at once, and there are too few: it cannot start"
+                ),
+            ));
+        }
+        drop(book);
+        for name in &over {
+            if !self.counted.over.contains(name) {
+                *self.counted.oversubscribed.entry(name.clone()).or_default() += 1;
+            }
+        }
+        self.counted.over = over;
+        self.tell_troubles(found, io);
+    }
+
+    fn tell_troubles(&mut self, found: Vec<(Name, Trouble, String)>, io: &mut Io) {
+        self.counted.troubles.retain(|(name, trouble), _| {
+            found
+                .iter()
+                .any(|(other, kind, _)| other == name && kind == trouble)
+        });
+        for (name, trouble, text) in found {
+            let key = (name.clone(), trouble);
+            let lasting = self.counted.troubles.entry(key).or_insert(Lasting {
+                since: io.now,
+                told: None,
+            });
+            let due = match lasting.told {
+                None => io.now >= lasting.since + COUNT_WARNING_AFTER_MS,
+                Some(at) => io.now >= at + COUNT_WARNING_REPEAT_MS,
+            };
+            if due {
+                lasting.told = Some(io.now);
+                io.effects.push(Effect::Warning(format!("count={name}: {text}")));
+            }
+        }
+    }
+
+    // ---- what people are told ------------------------------------------------
+
+    /// Every count at a glance.
+    pub fn count_status(&self, definitions: &Definitions, now: Millis) -> Vec<CountStatus> {
+        let units = self.units(definitions);
+        let book = placement::book(&self.machines, &units, now);
+        book.pools().map(|pool| self.status_of(pool, now)).collect()
+    }
+
+    fn status_of(&self, pool: &Pool<'_>, now: Millis) -> CountStatus {
+        let definition = pool.definition;
+        let mut teams: Vec<TeamStatus> = pool
+            .teams()
+            .map(|of| TeamStatus {
+                team: of.team.to_owned(),
+                share: definition.map_or(0, |definition| definition.share(of.team)),
+                used: of.used,
+            })
+            .collect();
+        for (team, share) in definition.iter().flat_map(|definition| &definition.shares) {
+            if teams.iter().all(|known| known.team != *team) {
+                teams.push(TeamStatus {
+                    team: team.clone(),
+                    share: *share,
+                    used: 0,
+                });
+            }
+        }
+        teams.sort_by(|a, b| a.team.cmp(&b.team));
+        let server = definition.and_then(|definition| definition.server).map(|addr| {
+            let feed = self.counted.feeds.get(pool.name);
+            let last = feed.and_then(|feed| feed.last(now));
+            ServerStatus {
+                addr: addr.to_string(),
+                heard_s: last.map(|(_, age_ms)| age_ms as f64 / SECOND_MS as f64),
+                total: last.map(|(usage, _)| usage.total),
+                in_use: last.map(|(usage, _)| usage.in_use),
+                problem: feed.and_then(|feed| feed.problem.clone()),
+            }
+        });
+        CountStatus {
+            name: pool.name.to_owned(),
+            units: definition.map(|definition| definition.units),
+            usable: pool.units,
+            held: pool.held,
+            leaving: pool.leaving,
+            lingering: pool.lingering,
+            others: pool.others,
+            free: pool.free(),
+            kept: self.counted.kept.get(pool.name).copied().unwrap_or(0),
+            waiting: self.units_wanted(pool.name, None),
+            oversubscribed: self.counted.oversubscribed.get(pool.name).copied().unwrap_or(0),
+            closed: pool.closed.map(|closed| {
+                let text = match closed {
+                    Closed::Undefined => "it is not defined any more",
+                    Closed::Silent => "its licence server is silent",
+                };
+                text.to_owned()
+            }),
+            teams,
+            server,
+        }
+    }
+
+    /// Units of a count that tasks wait for; with a job, only tasks before it in the
+    /// order of service.
+    fn units_wanted(&self, count: &str, before: Option<&JobId>) -> u64 {
+        self.counted
+            .short
+            .iter()
+            .take_while(|short| before != Some(&short.job))
+            .filter_map(|short| {
+                let job = self.jobs.get(&short.job)?;
+                Some(u64::from(job.spec.counts.units(count)) * u64::from(short.tasks))
+            })
+            .sum()
+    }
+
+    /// Every task that holds units, and what lingers.
+    pub fn holders(&self, now: Millis) -> Vec<Holder> {
+        let mut holders = Vec::new();
+        for machine in self.machines.values() {
+            for attempt in machine.attempts.iter().filter(|attempt| attempt.may_be_there()) {
+                for (count, units) in attempt.counts.iter() {
+                    holders.push(Holder {
+                        count: count.to_string(),
+                        units,
+                        team: attempt.team.to_string(),
+                        task: Some(attempt.task.to_string()),
+                        machine: Some(machine.id.to_string()),
+                        state: holder_state(machine, attempt).to_owned(),
+                        seconds: now.saturating_sub(attempt.planned_at) as f64 / SECOND_MS as f64,
+                    });
+                }
+            }
+        }
+        let lingering = self.counted.lingers.iter().filter(|linger| now < linger.until);
+        holders.extend(lingering.map(|linger| Holder {
+            count: linger.count.to_string(),
+            units: linger.units,
+            team: linger.team.to_string(),
+            task: None,
+            machine: None,
+            state: "lingering".to_owned(),
+            seconds: (linger.until - now) as f64 / SECOND_MS as f64,
+        }));
+        holders.sort_by(|a, b| (&a.count, &a.task).cmp(&(&b.count, &b.task)));
+        holders
+    }
+
+    /// Why a job's tasks wait; `None` if it is not live.
+    pub fn explain(&self, id: &JobId, definitions: &Definitions, now: Millis) -> Option<Explanation> {
+        let job = self.jobs.get(id)?;
+        let units = self.units(definitions);
+        let book = placement::book(&self.machines, &units, now);
+        let short: Vec<&Short> = self
+            .counted
+            .short
+            .iter()
+            .filter(|short| short.job == *id)
+            .collect();
+        let counts = job.spec.counts.iter().map(|(count, units)| Asked {
+            count: count.to_string(),
+            needs: u64::from(units) * u64::from(job.together()),
+            free: book.get(count).map_or(0, |pool| pool.free()),
+            kept: self.counted.kept.get(count).copied().unwrap_or(0),
+            ahead: self.units_wanted(count, Some(id)),
+            why: short
+                .iter()
+                .find(|short| short.lack.count == *count)
+                .map(|short| short.lack.why.text().to_owned()),
+        });
+        let waiting = job.waiting.len() as u32;
+        let rents = self.unplaced.iter().any(|unplaced| unplaced.job == *id);
+        let verdict = if waiting == 0 {
+            "all its tasks are done or on machines".to_owned()
+        } else if let Some(first) = short.first() {
+            let tasks: u32 = short.iter().map(|short| short.tasks).sum();
+            format!(
+                "{tasks} of its tasks wait for units of {}: {}",
+                first.lack.count,
+                first.lack.why.text()
+            )
+        } else if now < job.held_until {
+            "it failed on several machines and is tried again in a while".to_owned()
+        } else if rents {
+            "it has its units and waits for machines".to_owned()
+        } else {
+            "it waits for its turn, or for its team's limit".to_owned()
+        };
+        Some(Explanation {
+            id: id.to_string(),
+            waiting,
+            verdict,
+            counts: counts.collect(),
+        })
+    }
+}
+
+/// Tasks that wait for a count.
+fn waiting_for(count: &str, short: &[Short]) -> u64 {
+    short
+        .iter()
+        .filter(|short| &*short.lack.count == count)
+        .map(|short| u64::from(short.tasks))
+        .sum()
+}
+
+/// For each count, the live job that needs the most of its units at once, if that is more
+/// than there is: it was accepted when there were more.
+fn too_large<'a>(jobs: &'a BTreeMap<JobId, Job>, definitions: &Definitions) -> Vec<(Name, u64, &'a JobId)> {
+    let mut largest: BTreeMap<&Name, (u64, &JobId)> = BTreeMap::new();
+    for job in jobs.values().filter(|job| !job.waiting.is_empty()) {
+        for (count, units) in job.spec.counts.iter() {
+            let wanted = u64::from(units) * u64::from(job.together());
+            let there = definitions.get(count).map_or(0, |definition| definition.units);
+            let known = largest.get(count).map_or(0, |(most, _)| *most);
+            if wanted > u64::from(there) && wanted > known {
+                largest.insert(count, (wanted, &job.spec.id));
+            }
+        }
+    }
+    largest
+        .into_iter()
+        .map(|(name, (wanted, job))| (name.clone(), wanted, job))
+        .collect()
+}
+
+fn holder_state(machine: &Machine, attempt: &Attempt) -> &'static str {
+    if attempt.stop.is_some() {
+        "stopping"
+    } else if attempt.inherited || attempt.pin.is_some() || machine.inspect_failed {
+        "uncertain"
+    } else {
+        match attempt.seen {
+            None if attempt.durable => "sent",
+            None => "planned",
+            Some(_) => "running",
+        }
+    }
+}
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -1,6 +1,7 @@
 //! What the leading controller does in its term: it reads the records, fences
 //! former leaders, places tasks, sizes the fleet and writes everything down.
 
+mod counts;
 mod machines;
 mod renting;
 mod reports;
@@ -14,6 +15,7 @@
 use crate::io::{CallId, Calls, Destination, Io, Method, Outcome, RequestId, json};
 use crate::leadership::{Leadership, News, keep_alive_ms};
 use crate::ledger::{Attempt, Change, Machine, Stop};
+use crate::metrics::Census;
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, MachineKind, Millis, TaskId};
 use crate::placement::{self, Decision, Site, Types, Unplaced, faulty};
 use crate::records::{self, DoneRecord, Record, ShardRecord};
@@ -25,6 +27,7 @@
     TaskState, paths,
 };
 use crate::writer::{Unit, Writer};
+use indigopath_counts::Lingers;
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -42,6 +45,7 @@
     Rent { request: String },
     Return { machines: Vec<MachineId>, sent: Millis },
     StoreTypes,
+    Licences { server: std::net::SocketAddrV4 },
 }
 
 /// Another leader has been at a worker.
@@ -196,6 +200,7 @@
     pub counts: Counts,
     stored_types: bool,
     calls: Calls<TermCall>,
+    counted: counts::Counted,
 }
 
 impl Term {
@@ -249,6 +254,7 @@
             counts: Counts::new(),
             stored_types: false,
             calls: Calls::default(),
+            counted: counts::Counted::new(&settings.operator.counts),
         }
     }
 
@@ -281,6 +287,38 @@
         );
     }
 
+    /// Whether the records have been read: before, this leader knows nothing.
+    pub fn has_read(&self) -> bool {
+        self.load.is_none()
+    }
+
+    /// How much there is of everything.
+    pub fn census(&self) -> Census {
+        let mut census = Census {
+            jobs: self.jobs.len(),
+            waiting: self.jobs.values().map(|job| job.waiting.len()).sum(),
+            rentals: self.rentals.values().filter(|rental| rental.is_open()).count(),
+            ..Census::default()
+        };
+        for machine in self.machines.values() {
+            let state = if machine.returning {
+                &mut census.returning
+            } else if machine.inspect_failed {
+                &mut census.silent
+            } else if !machine.has_been_up() {
+                &mut census.booting
+            } else if machine.attempts.is_empty() {
+                &mut census.idle
+            } else {
+                &mut census.busy
+            };
+            *state += 1;
+            let there = machine.attempts.iter().filter(|attempt| attempt.may_be_there());
+            census.placed += there.count();
+        }
+        census
+    }
+
     fn poll_load(&mut self, io: &mut Io) {
         let Some(load) = &mut self.load else { return };
         if load.busy || io.now < load.retry_at {
@@ -298,12 +336,18 @@
         );
     }
 
-    fn loaded(&mut self, outcome: &Outcome, io: &mut Io) {
-        let Some(load) = &mut self.load else { return };
+    fn loaded(
+        &mut self,
+        outcome: &Outcome,
+        leadership: &mut Leadership,
+        settings: &Settings,
+        io: &mut Io,
+    ) -> Option<News> {
+        let load = self.load.as_mut()?;
         load.busy = false;
         let Some(page) = outcome.read::<wire::StoredPage>(&[200]) else {
             load.retry_at = io.now + WRITE_RETRY_MS;
-            return;
+            return None;
         };
         load.revision.get_or_insert(page.revision);
         load.after = page.items.last().map(|item| item.key.clone());
@@ -316,20 +360,32 @@
         if load.prefix == LOAD_ORDER.len()
             && let Some(load) = self.load.take()
         {
-            self.adopt_records(load, io);
+            if let Err(problem) = self.adopt_records(load, settings, io) {
+                // Starts may stand there that nobody here can know of.
+                log::error!("this node cannot lead: {problem}");
+                return leadership.hand_over("a later build's records", io);
+            }
             log::info!(
                 "records read: {} live jobs, {} machines",
                 self.jobs.len(),
                 self.machines.len()
             );
         }
+        None
     }
 
-    fn adopt_records(&mut self, load: Load, io: &mut Io) {
+    fn adopt_records(
+        &mut self,
+        load: Load,
+        settings: &Settings,
+        io: &mut Io,
+    ) -> Result<(), records::RecordError> {
         self.revision = load.revision.unwrap_or(0);
         for item in load.items {
-            if let Err(problem) = self.adopt_record(&item, io) {
-                log::error!("record {} is ignored: {problem}", item.key);
+            match self.adopt_record(&item, settings, io) {
+                Ok(()) => (),
+                Err(problem @ records::RecordError::Later(_)) => return Err(problem),
+                Err(problem) => log::error!("record {} is ignored: {problem}", item.key),
             }
         }
         self.index_hosts(io.now);
@@ -354,9 +410,15 @@
                 }
             }
         }
+        Ok(())
     }
 
-    fn adopt_record(&mut self, item: &StoredItem, io: &mut Io) -> Result<(), records::RecordError> {
+    fn adopt_record(
+        &mut self,
+        item: &StoredItem,
+        settings: &Settings,
+        io: &mut Io,
+    ) -> Result<(), records::RecordError> {
         if item.key.starts_with(records::JOBS) {
             let spec = JobSpec::from_value(&item.value)?;
             self.jobs
@@ -382,7 +444,21 @@
                 self.writer.join_done((id, chunk), bytes, number);
             }
         } else if let Some(number) = records::parse_number(records::SHARDS, &item.key) {
-            for record in ShardRecord::from_value(&item.value)?.machines()? {
+            let shard = ShardRecord::from_value(&item.value)?;
+            let definitions = &settings.operator.counts;
+            let lingers = Lingers::from_record(
+                shard.lingers().iter().cloned(),
+                io.now,
+                io.wall_ms,
+                settings.deployment.clock_off_ms as u64,
+                |count| {
+                    definitions
+                        .get(count)
+                        .map_or(0, |definition| definition.linger_ms())
+                },
+            );
+            self.writer.linger_read(number, item.version, lingers);
+            for record in shard.machines()? {
                 let mut machine = Machine::from_record(&record, io.now);
                 self.writer.join(&mut machine, number, item.version);
                 self.machines.insert(machine.id.clone(), machine);
@@ -519,6 +595,7 @@
             self.give_back(types, settings, siblings, io);
         }
         self.poll_listing(io);
+        self.poll_servers(&settings.operator.counts, io);
         if certain && !types.is_empty() {
             let due = if self.changed {
                 self.passed_at + pass_spacing_ms(self.machines.len())
@@ -534,9 +611,17 @@
             }
             if io.now >= self.forecast_at {
                 self.forecast_at = io.now + FORECAST_MS;
-                self.forecast
-                    .look(&self.jobs, &self.machines, types, settings, &self.boot_s, io);
+                self.forecast.look(
+                    &self.jobs,
+                    &self.machines,
+                    &self.counted.short,
+                    types,
+                    settings,
+                    &self.boot_s,
+                    io,
+                );
             }
+            self.look_at_counts(&settings.operator.counts, io);
             self.send_rentals(io);
         }
         if certain && !types.is_empty() && !self.stored_types {
@@ -553,6 +638,7 @@
         self.changed = false;
         self.passed_at = io.now;
         self.pass_at = io.now + PASS_INTERVAL_MS;
+        self.settle_lingers(io.now);
         let site = Site {
             deployment: &settings.deployment,
             types,
@@ -560,10 +646,13 @@
             machines: &self.machines,
             hosts: &self.hosts,
             spot_loss: self.spot.loss(),
+            units: self.units(&settings.operator.counts),
             now: io.now,
         };
         let plan = placement::plan(&site);
         self.unplaced = plan.unplaced;
+        self.counted.short = plan.short;
+        self.counted.kept = plan.kept;
         let mut starts = 0;
         for decision in plan.decisions {
             match decision {
@@ -612,6 +701,8 @@
             Shape::Array | Shape::Service => fresh,
         };
         job.waiting.remove(&task.index);
+        let counts = job.spec.counts.clone();
+        let age_ms = job.age_ms(now);
         let cached = machine.has_image(&job.spec.image);
         log::debug!(
             "job={} machine={id} task {} is placed{}",
@@ -626,6 +717,7 @@
         self.hosts.entry(task.job.clone()).or_default().insert(id.clone());
         machine.attempts.push(Attempt {
             estimate_s: job.spec.estimate_s,
+            counts: counts.clone(),
             fetches: !cached,
             ..Attempt::planned(
                 task,
@@ -637,6 +729,9 @@
             )
         });
         self.writer.record(machine);
+        if !counts.is_empty() {
+            self.note_wait(&counts, age_ms);
+        }
     }
 
     fn stop(&mut self, task: &TaskId, id: &MachineId, grace_s: f64, now: Millis) {
@@ -736,7 +831,7 @@
         io: &mut Io,
     ) -> Option<News> {
         match kind {
-            TermCall::Load => self.loaded(outcome, io),
+            TermCall::Load => return self.loaded(outcome, leadership, settings, io),
             TermCall::Watch => self.watched(outcome, settings, io),
             TermCall::Write => return self.written(outcome, leadership, io),
             TermCall::Reread { key } => return self.reread(key, outcome, leadership, io),
@@ -745,6 +840,9 @@
             TermCall::List => self.listed(outcome, io),
             TermCall::Rent { request } => self.rented(&request, outcome, io),
             TermCall::Return { machines, sent } => self.returned(machines, sent, outcome, io),
+            TermCall::Licences { server } => {
+                self.licences_told(server, outcome, &settings.operator.counts, io.now);
+            }
             TermCall::StoreTypes => self.stored_types = outcome.status() == Some(200),
         }
         None
--- a/crates/core/src/leader/renting.rs
+++ b/crates/core/src/leader/renting.rs
@@ -496,7 +496,7 @@
                 self.spot.lost += u32::from(machine.spot && machine.is_up() && taken);
                 self.writer.machine_gone(&machine);
                 let changes = machine.clear();
-                self.apply(&id, changes, io);
+                self.apply_from(&id, machine.shard, changes, io);
                 self.changed = true;
             }
             return;
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -81,6 +81,18 @@
     }
 
     pub(super) fn apply(&mut self, machine: &MachineId, changes: Vec<Change>, io: &mut Io) {
+        let shard = self.machines.get(machine).and_then(|machine| machine.shard);
+        self.apply_from(machine, shard, changes, io);
+    }
+
+    /// As `apply`, for a machine that may be gone: its record had this number.
+    pub(super) fn apply_from(
+        &mut self,
+        machine: &MachineId,
+        shard: Option<u32>,
+        changes: Vec<Change>,
+        io: &mut Io,
+    ) {
         for change in changes {
             match change {
                 Change::Running(task, number) => {
@@ -110,8 +122,27 @@
                 } => self.task_ended(machine, &task, number, why, io),
                 Change::Released(task) => self.requeue(&task, io.now),
                 Change::Stranger(task) => {
+                    // No record says what it holds; its job may.
+                    if let Some(job) = self.jobs.get(&task.job)
+                        && let Some(machine) = self.machines.get_mut(machine)
+                    {
+                        let strange = machine.attempts.iter_mut().filter(|attempt| attempt.task == task);
+                        for attempt in strange {
+                            attempt.counts = job.spec.counts.clone();
+                        }
+                    }
                     self.hosts.entry(task.job).or_default().insert(machine.clone());
                 }
+                Change::Freed {
+                    team,
+                    counts,
+                    lingers,
+                } => {
+                    self.changed = true;
+                    if lingers {
+                        self.freed(shard, &team, &counts, io.now);
+                    }
+                }
                 Change::Vanished { task, number } => {
                     if let Some(job) = self.jobs.get_mut(&task.job)
                         && let Some(gang) = job.gang.as_mut().filter(|gang| gang.number == number)
--- a/crates/core/src/leader/writing.rs
+++ b/crates/core/src/leader/writing.rs
@@ -36,7 +36,7 @@
             &mut self.machines,
             &self.jobs,
             &self.rentals,
-            io.now,
+            (io.now, io.wall_ms),
         ) else {
             return;
         };
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -9,6 +9,7 @@
 use crate::model::{JobId, MachineId, MachineKind, Millis, Resources, TaskId};
 use crate::records::{MachineRecord, StartRecord};
 use crate::wire::{Cause, Order, Report, TaskReport, TaskState, Verb};
+use indigopath_counts::Demand;
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -44,6 +45,8 @@
     pub number: u64,
     pub team: Arc<str>,
     pub needs: Resources,
+    /// Units of counts that it holds for as long as it may be on its machine.
+    pub counts: Demand,
     pub image: Option<Arc<str>>,
     /// Its owner's estimate of its run time; 0 for none.
     pub estimate_s: f64,
@@ -81,6 +84,7 @@
             number,
             team,
             needs,
+            counts: Demand::default(),
             image: Some(image),
             estimate_s: 0.0,
             durable: false,
@@ -146,6 +150,22 @@
         !self.inherited && self.sent.is_none() && !self.in_flight && self.pin.is_none() && self.seen.is_none()
     }
 
+    /// What becomes of its units, now that it is no longer on its machine. Only a task
+    /// that says it is done, or that was never let in, has surely given them back; what
+    /// was stopped or lost may have left them with their server for a while, and so may
+    /// a late start of a task that had ended (`pinned`).
+    fn freed(&self, pinned: bool) -> Change {
+        let by_itself = matches!(
+            self.why,
+            Some(Cause::Done | Cause::NoRoom | Cause::Busy | Cause::Unknown)
+        );
+        Change::Freed {
+            team: self.team.clone(),
+            counts: self.counts.clone(),
+            lingers: !self.never_sent() && (pinned || !self.exited() || !by_itself),
+        }
+    }
+
     fn matches(&self, task: &TaskId, number: u64) -> bool {
         self.number == number && self.task == *task
     }
@@ -171,6 +191,13 @@
         task: TaskId,
         number: u64,
     },
+    /// An attempt holds its units of counts no longer.
+    Freed {
+        team: Arc<str>,
+        counts: Demand,
+        /// A licence server may not know it yet.
+        lingers: bool,
+    },
 }
 
 #[derive(Debug)]
@@ -278,6 +305,7 @@
                 durable: true,
                 inherited: true,
                 image: None,
+                counts: start.counts.clone(),
                 ..Attempt::planned(
                     TaskId {
                         job: start.job.clone(),
@@ -315,6 +343,7 @@
                     attempt: attempt.number,
                     team: attempt.team.clone(),
                     needs: attempt.needs,
+                    counts: attempt.counts.clone(),
                 })
                 .collect(),
         }
@@ -426,6 +455,8 @@
         let mut given_up: Vec<Arc<str>> = Vec::new();
         self.attempts.retain_mut(|attempt| {
             let fetched = attempt.fetched_image();
+            let held = !attempt.counts.is_empty() && attempt.may_be_there();
+            let pinned = attempt.exited() && attempt.pin.is_some();
             if let Some(pin) = attempt.pin {
                 // A later session or a higher token refuses the old command.
                 if session > pin.session || report.token > pin.token {
@@ -447,6 +478,9 @@
                 }
                 None => attempt.missing(session, seq, fenced, &mut changes),
             };
+            if held && (!stays || !attempt.may_be_there()) {
+                changes.push(attempt.freed(pinned));
+            }
             if !stays || attempt.exited() && !attempt.had_image() {
                 given_up.extend(fetched);
             }
@@ -580,14 +614,19 @@
         for image in attempts.iter().filter_map(Attempt::fetched_image) {
             self.fetch_given_up(&image);
         }
-        attempts
-            .into_iter()
-            .filter(|attempt| !attempt.exited())
-            .map(|attempt| Change::Vanished {
-                task: attempt.task,
-                number: attempt.number,
-            })
-            .collect()
+        let mut changes = Vec::new();
+        for attempt in attempts {
+            if !attempt.counts.is_empty() && attempt.may_be_there() {
+                changes.push(attempt.freed(attempt.pin.is_some()));
+            }
+            if !attempt.exited() {
+                changes.push(Change::Vanished {
+                    task: attempt.task,
+                    number: attempt.number,
+                });
+            }
+        }
+        changes
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod leader;
 pub mod leadership;
 pub mod ledger;
+pub mod metrics;
 pub mod model;
 pub mod node;
 pub mod peers;
--- /dev/null
+++ b/crates/core/src/metrics.rs
@@ -0,0 +1,327 @@
+//! Metrics in the OpenMetrics text form, for whoever scrapes `GET /metrics`.
+//!
+//! What accumulates is kept here; what stands is set anew for every scrape. Only the
+//! leader knows machines, jobs and counts: the others say nothing of them.
+
+use crate::io::Effect;
+use indigopath_counts::status::CountStatus;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// Upper ends of the histogram of waits, in s: from the pass that follows a submission
+/// to a night.
+const WAITS_S: [f64; 12] = [
+    0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 120.0, 300.0, 600.0, 1_800.0, 3_600.0,
+];
+
+/// How much a leader knows of everything.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Census {
+    pub jobs: usize,
+    /// Tasks that wait.
+    pub waiting: usize,
+    /// Attempts that are, or may be, on a machine.
+    pub placed: usize,
+    /// Requests to the cloud whose machines are not known yet.
+    pub rentals: usize,
+    pub booting: usize,
+    pub idle: usize,
+    pub busy: usize,
+    pub silent: usize,
+    pub returning: usize,
+}
+
+/// How a node stands at a scrape.
+#[derive(Debug, Clone)]
+pub struct Standing {
+    pub token: Option<u64>,
+    pub state_ok: bool,
+    /// Siblings heard lately.
+    pub siblings: usize,
+    /// While it leads.
+    pub census: Option<Census>,
+    pub counts: Vec<CountStatus>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OfCount {
+    count: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OfTeam {
+    count: String,
+    team: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct InState {
+    state: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WithStatus {
+    status: u16,
+}
+
+type Gauges = Family<OfCount, Gauge>;
+
+#[derive(Debug)]
+pub struct Metrics {
+    answers: Family<WithStatus, Counter>,
+    calls: Counter,
+    warnings: Counter,
+    waits: Family<OfCount, Histogram>,
+    leads: Gauge,
+    state_ok: Gauge,
+    siblings: Gauge,
+    jobs: Gauge,
+    tasks: Family<InState, Gauge>,
+    machines: Family<InState, Gauge>,
+    rentals: Gauge,
+    units: Gauges,
+    held: Gauges,
+    lingering: Gauges,
+    others: Gauges,
+    free: Gauges,
+    waiting: Gauges,
+    used: Family<OfTeam, Gauge>,
+    oversubscribed: Gauges,
+    registry: Registry,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
+
+impl Metrics {
+    pub fn new() -> Metrics {
+        let mut metrics = Metrics {
+            answers: Family::default(),
+            calls: Counter::default(),
+            warnings: Counter::default(),
+            waits: Family::new_with_constructor(|| Histogram::new(WAITS_S)),
+            leads: Gauge::default(),
+            state_ok: Gauge::default(),
+            siblings: Gauge::default(),
+            jobs: Gauge::default(),
+            tasks: Family::default(),
+            machines: Family::default(),
+            rentals: Gauge::default(),
+            units: Family::default(),
+            held: Family::default(),
+            lingering: Family::default(),
+            others: Family::default(),
+            free: Family::default(),
+            waiting: Family::default(),
+            used: Family::default(),
+            oversubscribed: Family::default(),
+            registry: Registry::with_prefix("indigopath"),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("answers", "Requests answered, by status", self.answers.clone());
+        registry.register("calls", "Calls to other systems", self.calls.clone());
+        registry.register("warnings", "Warnings to operators", self.warnings.clone());
+        registry.register("leads", "1 while this node leads", self.leads.clone());
+        registry.register(
+            "state_service_ok",
+            "1 while the state service answers this node",
+            self.state_ok.clone(),
+        );
+        registry.register("siblings_heard", "Siblings heard lately", self.siblings.clone());
+        registry.register("jobs_live", "Jobs that are not over", self.jobs.clone());
+        registry.register("tasks", "Tasks, by state", self.tasks.clone());
+        registry.register("machines", "Machines, by state", self.machines.clone());
+        registry.register("rentals_open", "Rentals not answered yet", self.rentals.clone());
+        registry.register("count_units", "Units that may be held", self.units.clone());
+        registry.register("count_held", "Units that tasks hold", self.held.clone());
+        registry.register(
+            "count_lingering",
+            "Units that no task holds, but that are not free yet",
+            self.lingering.clone(),
+        );
+        registry.register(
+            "count_others",
+            "Units that users outside hold",
+            self.others.clone(),
+        );
+        registry.register("count_free", "Units that may be taken", self.free.clone());
+        registry.register("count_waiting", "Units that tasks wait for", self.waiting.clone());
+        registry.register("count_team_used", "Units that a team has", self.used.clone());
+        registry.register(
+            "count_oversubscribed_seen",
+            "How often this leader saw more held than there is",
+            self.oversubscribed.clone(),
+        );
+        registry.register_with_unit(
+            "count_wait",
+            "Age of a job when a task of it got its units",
+            Unit::Seconds,
+            self.waits.clone(),
+        );
+    }
+
+    /// Counts what the node does.
+    pub fn note(&self, effect: &Effect) {
+        match effect {
+            Effect::Reply { status, .. } => {
+                self.answers.get_or_create(&WithStatus { status: *status }).inc();
+            }
+            Effect::Call { .. } => {
+                self.calls.inc();
+            }
+            Effect::Warning(_) => {
+                self.warnings.inc();
+            }
+            Effect::Frame { .. } => (),
+        }
+    }
+
+    /// A task got units of a count when its job was so old.
+    pub fn waited(&self, count: &str, waited_s: f64) {
+        let labels = OfCount {
+            count: count.to_owned(),
+        };
+        self.waits.get_or_create(&labels).observe(waited_s);
+    }
+
+    /// All metrics as text.
+    ///
+    /// # Errors
+    /// Only if formatting fails.
+    pub fn encode(&self, standing: &Standing) -> Result<String, std::fmt::Error> {
+        self.leads.set(i64::from(standing.token.is_some()));
+        self.state_ok.set(i64::from(standing.state_ok));
+        self.siblings.set(amount(standing.siblings));
+        let census = standing.census.unwrap_or_default();
+        self.jobs.set(amount(census.jobs));
+        self.rentals.set(amount(census.rentals));
+        for (state, tasks) in [("waiting", census.waiting), ("placed", census.placed)] {
+            self.tasks.get_or_create(&InState { state }).set(amount(tasks));
+        }
+        for (state, machines) in [
+            ("booting", census.booting),
+            ("idle", census.idle),
+            ("busy", census.busy),
+            ("silent", census.silent),
+            ("returning", census.returning),
+        ] {
+            self.machines
+                .get_or_create(&InState { state })
+                .set(amount(machines));
+        }
+        self.set_counts(&standing.counts);
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+
+    fn set_counts(&self, counts: &[CountStatus]) {
+        // A count, or a team's use of it, may be gone since the last scrape.
+        for family in [
+            &self.units,
+            &self.held,
+            &self.lingering,
+            &self.others,
+            &self.free,
+            &self.waiting,
+            &self.oversubscribed,
+        ] {
+            family.clear();
+        }
+        self.used.clear();
+        for status in counts {
+            let labels = OfCount {
+                count: status.name.clone(),
+            };
+            for (family, units) in [
+                (&self.units, i64::from(status.usable)),
+                (&self.held, i64::from(status.held)),
+                (&self.lingering, i64::from(status.lingering)),
+                (&self.others, i64::from(status.others)),
+                (&self.free, i64::from(status.free)),
+                (&self.waiting, i64::try_from(status.waiting).unwrap_or(i64::MAX)),
+                (
+                    &self.oversubscribed,
+                    i64::try_from(status.oversubscribed).unwrap_or(i64::MAX),
+                ),
+            ] {
+                family.get_or_create(&labels).set(units);
+            }
+            for team in &status.teams {
+                let labels = OfTeam {
+                    count: status.name.clone(),
+                    team: team.team.clone(),
+                };
+                self.used.get_or_create(&labels).set(i64::from(team.used));
+            }
+        }
+    }
+}
+
+fn amount(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_gone_is_not_told_any_more() {
+        let metrics = Metrics::new();
+        metrics.waited("seat", 4.0);
+        let seat = CountStatus {
+            name: "seat".to_owned(),
+            units: Some(4),
+            usable: 4,
+            held: 3,
+            leaving: 0,
+            lingering: 1,
+            others: 0,
+            free: 0,
+            kept: 0,
+            waiting: 2,
+            oversubscribed: 0,
+            closed: None,
+            teams: Vec::new(),
+            server: None,
+        };
+        let mut standing = Standing {
+            token: Some(7),
+            state_ok: true,
+            siblings: 2,
+            census: Some(Census {
+                busy: 3,
+                ..Census::default()
+            }),
+            counts: vec![seat],
+        };
+        let text = metrics.encode(&standing).unwrap();
+        for line in [
+            "indigopath_leads 1",
+            "indigopath_machines{state=\"busy\"} 3",
+            "indigopath_count_held{count=\"seat\"} 3",
+            "indigopath_count_lingering{count=\"seat\"} 1",
+            "indigopath_count_wait_seconds_bucket{le=\"5.0\",count=\"seat\"} 1",
+        ] {
+            assert!(text.lines().any(|other| other == line), "{line} in\n{text}");
+        }
+        standing.token = None;
+        standing.counts.clear();
+        let text = metrics.encode(&standing).unwrap();
+        assert!(!text.contains("count_held{") && text.contains("indigopath_leads 0"));
+    }
+}
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -2,6 +2,7 @@
 
 use crate::settings::Team;
 use crate::wire::{MachineType, Priority, Shape};
+use indigopath_counts::Demand;
 use serde::{Deserialize, Serialize};
 use std::borrow::Borrow;
 use std::collections::{BTreeSet, HashMap};
@@ -32,6 +33,12 @@
 #[serde(transparent)]
 pub struct MachineId(pub Arc<str>);
 
+impl Borrow<str> for MachineId {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl fmt::Display for MachineId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
@@ -195,6 +202,9 @@
     pub checkpoint_s: f64,
     pub save_s: f64,
     pub deadline_s: Option<f64>,
+    /// Units of counts that each task takes. Not in records of earlier builds.
+    #[serde(default, skip_serializing_if = "Demand::is_empty")]
+    pub counts: Demand,
     /// Time of day of the submission at the accepting node, in ms since 1970.
     pub submitted_ms: u64,
 }
@@ -283,6 +293,14 @@
         self.failed_on.len() >= crate::constants::BAD_JOB_AFTER
     }
 
+    /// Tasks of it that start together or not at all.
+    pub fn together(&self) -> u32 {
+        match self.spec.shape {
+            Shape::Gang => self.spec.tasks,
+            Shape::Array | Shape::Service => 1,
+        }
+    }
+
     pub fn complete(&self) -> bool {
         self.spec.shape != Shape::Service && self.done.len() as u32 == self.spec.tasks
     }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -3,9 +3,10 @@
 
 use crate::constants::*;
 use crate::intake;
-use crate::io::{CallId, Calls, Destination, Effect, Io, Method, Outcome, RequestId};
+use crate::io::{CallId, Calls, Content, Destination, Effect, Io, Method, Outcome, RequestId};
 use crate::leader::{Siblings, Term};
 use crate::leadership::{Leadership, News};
+use crate::metrics::{Metrics, Standing};
 use crate::model::{JobId, Millis};
 use crate::peers::{Frame, Heartbeat};
 use crate::placement::Types;
@@ -13,6 +14,7 @@
 use crate::settings::Settings;
 use crate::users::{self, Counts, Done, Route, Users, Wish};
 use crate::wire::{self, MachineType, Redirect, Report, StoredItem, paths};
+use indigopath_counts::status::{CountList, HolderList};
 use rand::RngExt;
 use std::collections::HashMap;
 
@@ -77,6 +79,7 @@
     state_failed_at: Option<Millis>,
     probed_at: Millis,
     calls: Calls<Question>,
+    metrics: Metrics,
 }
 
 impl Node {
@@ -106,6 +109,7 @@
             state_failed_at: None,
             probed_at: now,
             calls: Calls::default(),
+            metrics: Metrics::new(),
         }
     }
 
@@ -120,7 +124,11 @@
     }
 
     pub fn take_effects(&mut self) -> Vec<Effect> {
-        std::mem::take(&mut self.io.effects)
+        let effects = std::mem::take(&mut self.io.effects);
+        for effect in &effects {
+            self.metrics.note(effect);
+        }
+        effects
     }
 
     pub fn handle(&mut self, command: Command) {
@@ -155,6 +163,9 @@
                 siblings,
                 &mut self.io,
             );
+            for (count, waited_s) in term.take_waits() {
+                self.metrics.waited(&count, waited_s);
+            }
             for job in std::mem::take(&mut term.writer.finished) {
                 self.users.remember(
                     job,
@@ -192,7 +203,8 @@
     // ---- requests ------------------------------------------------------------
 
     fn request(&mut self, request: RequestId, method: &str, path: &str, body: &[u8]) {
-        match users::route(method, path) {
+        let route = users::route(method, path);
+        match route {
             Route::Refuse(status) => {
                 let problem = if status == 405 {
                     "method not allowed"
@@ -205,13 +217,17 @@
             Route::Report => self.report(request, body),
             Route::Submit => self.submit(request, body),
             Route::Poll(job) => self.users.begin(request, job, Wish::Poll, &mut self.io),
+            Route::Counts | Route::Holders | Route::Explain(_) => self.tell_counts(request, route),
+            Route::Metrics => self.tell_metrics(request),
             Route::Cancel(job) => self.users.begin(request, job, Wish::Cancel, &mut self.io),
         }
     }
 
     fn submit(&mut self, request: RequestId, body: &[u8]) {
         let types = (!self.type_list.is_empty()).then_some(self.type_list.as_slice());
-        match intake::accept(body, &self.settings.deployment, types, self.io.wall_ms) {
+        let deployment = &self.settings.deployment;
+        let definitions = &self.settings.operator.counts;
+        match intake::accept(body, deployment, definitions, types, self.io.wall_ms) {
             Ok(spec) => {
                 let job = spec.id.clone();
                 self.users
@@ -261,6 +277,11 @@
                 }
             }
         }
+        self.send_to_leader(request);
+    }
+
+    /// This node is not entitled to answer; another may be.
+    fn send_to_leader(&mut self, request: RequestId) {
         let redirect = Redirect {
             report_to: self.leader(),
         };
@@ -269,10 +290,71 @@
             request,
             status: 421,
             retry_after_s: None,
+            content: Content::Json,
             body,
         });
     }
 
+    /// Only who leads, and surely still does, knows who holds what.
+    fn tell_counts(&mut self, request: RequestId, route: Route) {
+        let certain = self.leadership.certain(self.io.now);
+        let operator = &self.settings.operator;
+        let (definitions, now) = (&operator.counts, self.io.now);
+        let Some(term) = self.term.as_ref().filter(|_| certain) else {
+            return self.send_to_leader(request);
+        };
+        if !term.has_read() {
+            self.io
+                .reply_later(request, RETRY_AFTER_S, "the records are being read");
+            return;
+        }
+        match route {
+            Route::Holders if operator.show_holders => {
+                let holders = term.holders(now);
+                self.io.reply(request, 200, &HolderList { holders });
+            }
+            Route::Holders => {
+                let problem = "holders are shown where the operators set show_holders";
+                self.io.reply_error(request, 403, problem);
+            }
+            Route::Explain(job) => match term.explain(&job, definitions, now) {
+                Some(explanation) => self.io.reply(request, 200, &explanation),
+                None => self.io.reply_error(request, 404, "no such job is live"),
+            },
+            _ => {
+                let counts = term.count_status(definitions, now);
+                self.io.reply(request, 200, &CountList { counts });
+            }
+        }
+    }
+
+    fn tell_metrics(&mut self, request: RequestId) {
+        let now = self.io.now;
+        let definitions = &self.settings.operator.counts;
+        let counts = self.term.as_ref().map(|term| term.count_status(definitions, now));
+        let census = self.term.as_ref().map(Term::census);
+        let standing = Standing {
+            token: self.leadership.token(),
+            state_ok: self.state_failed_at.is_none(),
+            siblings: self.fresh().count(),
+            census,
+            counts: counts.unwrap_or_default(),
+        };
+        match self.metrics.encode(&standing) {
+            Ok(text) => self.io.effects.push(Effect::Reply {
+                request,
+                status: 200,
+                retry_after_s: None,
+                content: Content::Metrics,
+                body: text.into_bytes(),
+            }),
+            Err(error) => {
+                log::error!("metrics cannot be written: {error}");
+                self.io.reply_error(request, 503, "metrics cannot be written");
+            }
+        }
+    }
+
     /// The node that leads, as far as this one knows.
     fn leader(&self) -> Option<&str> {
         // A fresh heartbeat is sooner than the watch.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement/mod.rs
@@ -1,6 +1,8 @@
 //! Which waiting task goes where, and what is stopped to make room. Pure: it reads
 //! the ledger and returns decisions.
 
+mod units;
+
 use crate::constants::{
     EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_LEAST_S, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS,
     GATHER_TRIES, HELD_LASTING_S, HELD_LEAST_S, MOVES_PER_PASS, MOVES_SHARE, OUTLAST_COST_S,
@@ -11,6 +13,7 @@
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
 use crate::settings::{Deployment, Team};
 use crate::wire::{MachineType, Priority, Shape};
+use indigopath_counts::{Book, Demand, Name};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
@@ -26,9 +29,12 @@
     pub hosts: &'a Hosts,
     /// Spot machines lost, per second and machine.
     pub spot_loss: f64,
+    pub units: Units<'a>,
     pub now: Millis,
 }
 
+pub use units::{Short, Units, book};
+
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
     Start {
@@ -48,6 +54,10 @@
     /// Tasks that found no room and wait for a machine, by job, with the zones
     /// that would do.
     pub unplaced: Vec<Unplaced>,
+    /// Tasks that wait for units of counts, in the order in which they are served.
+    pub short: Vec<Short>,
+    /// Units that are kept for requests that have waited for long.
+    pub kept: BTreeMap<Name, u32>,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -143,10 +153,27 @@
     any_leaving: bool,
     jobs_known: bool,
     searches: usize,
+    /// Who holds which units of counts.
+    book: Book<'a>,
+    unit_stops: usize,
+    /// The lowest priority of which anything holds units.
+    lowest_holder: Option<Priority>,
     plan: Plan,
     starts: usize,
 }
 
+/// A job's turn in a pass, with those of its waiting tasks that it is for.
+#[derive(Debug, Clone, Copy)]
+struct Visit<'a> {
+    job: &'a Job,
+    skip: u32,
+    most: u32,
+    /// Beyond its team's guarantee, of machines or of units.
+    beyond: bool,
+    /// Its team is guaranteed the units that it asks for here.
+    units_owed: bool,
+}
+
 /// Grace that lets a task save.
 pub fn grace_s(spec: &JobSpec) -> f64 {
     if spec.saves() {
@@ -199,30 +226,36 @@
 
 pub fn plan(site: &Site<'_>) -> Plan {
     let mut pass = Pass::new(site);
-    let mut order: Vec<&Job> = site
+    let jobs = site
         .jobs
         .values()
-        .filter(|job| !job.waiting.is_empty() && job.held_until <= site.now)
-        .collect();
-    order.sort_by_cached_key(|job| {
+        .filter(|job| !job.waiting.is_empty() && job.held_until <= site.now);
+    let mut order: Vec<Visit<'_>> = Vec::new();
+    for job in jobs {
+        pass.visits(job, &mut order);
+    }
+    order.sort_by_cached_key(|visit| {
+        let job = visit.job;
         (
             job.spec.priority,
-            !pass.within.contains(&job.spec.id),
+            visit.beyond,
             Reverse(job.age_ms(site.now)),
             job.spec.id.clone(),
+            visit.skip,
         )
     });
-    for job in order {
+    for visit in order {
         if pass.starts >= STARTS_PER_PASS {
             break;
         }
-        match job.spec.shape {
-            Shape::Gang => pass.place_gang(job),
-            Shape::Array | Shape::Service => pass.place_tasks(job),
+        match visit.job.spec.shape {
+            Shape::Gang => pass.place_gang(&visit),
+            Shape::Array | Shape::Service => pass.place_tasks(&visit),
         }
     }
     pass.drain_noticed();
     pass.gather_replicas();
+    pass.plan.kept = pass.kept_units();
     pass.plan
 }
 
@@ -232,6 +265,8 @@
         let mut usage = Usage::new();
         let mut images = Images::new();
         let mut any_leaving = false;
+        let mut book = Book::new(site.units.definitions);
+        let mut lowest_holder: Option<Priority> = None;
         let mut rooms = Vec::with_capacity(site.machines.len());
         for machine in site.machines.values() {
             let mut leaving = Resources::default();
@@ -246,6 +281,11 @@
             for attempt in machine.attempts.iter().filter(|attempt| attempt.may_be_there()) {
                 used += attempt.needs;
                 *usage_of(&mut usage, &attempt.team) += attempt.needs;
+                if !attempt.counts.is_empty() {
+                    units::hold(&mut book, attempt, site.now);
+                    let priority = site.jobs.get(&attempt.task.job).map(|job| job.spec.priority);
+                    lowest_holder = lowest_holder.max(priority);
+                }
                 let stopping = attempt.stop.is_some();
                 if stopping {
                     leaving += attempt.needs;
@@ -298,6 +338,7 @@
                 fetching,
             });
         }
+        site.units.settle(&mut book, site.machines, site.now);
         let lowest = site
             .jobs
             .values()
@@ -318,6 +359,9 @@
             any_leaving,
             jobs_known: false,
             searches: 0,
+            book,
+            unit_stops: 0,
+            lowest_holder,
             plan: Plan::default(),
             starts: 0,
         }
@@ -522,6 +566,9 @@
         room.held_s = room.held_s.max(lasts_s(spec));
         let machine = room.machine.id.clone();
         *usage_of(&mut self.usage, &spec.team) += spec.needs;
+        if !spec.counts.is_empty() {
+            self.book.take(&spec.team, &spec.counts, units::lasts_s(spec));
+        }
         self.starts += 1;
         self.plan.decisions.push(Decision::Start {
             task: TaskId {
@@ -532,17 +579,37 @@
         });
     }
 
-    fn place_tasks(&mut self, job: &'a Job) {
-        let allowed = self.quota_left(&job.spec, job.waiting.len() as u32);
+    fn place_tasks(&mut self, visit: &Visit<'a>) {
+        let job = visit.job;
+        let allowed = self.quota_left(&job.spec, visit.most);
         if allowed == 0 {
             return;
         }
+        let with_units = self.with_units(job, allowed);
+        if with_units > 0 {
+            self.place_allowed(visit, with_units);
+        }
+        if with_units < allowed {
+            self.lack_units(visit, 1, allowed - with_units);
+        }
+    }
+
+    /// Places so many of a job's tasks: its team's limit and the units that they hold
+    /// allow no more.
+    fn place_allowed(&mut self, visit: &Visit<'a>, allowed: u32) {
+        let job = visit.job;
         let mut ask = self.ask(job);
         let alike = self.alike(&ask);
         let mut taken = self.zones_of(&job.spec.id);
         let mut zones = self.open_zones(&job.spec, &taken);
         let mut left = allowed;
-        let mut waiting = job.waiting.iter().take(allowed as usize).copied().peekable();
+        let mut waiting = job
+            .waiting
+            .iter()
+            .skip(visit.skip as usize)
+            .take(allowed as usize)
+            .copied()
+            .peekable();
         let bound = job.spec.spread || job.spec.one_zone;
         let full = self.full.get(&alike).is_some_and(|least| *least <= 1);
         'tasks: while waiting.peek().is_some() && !full {
@@ -584,7 +651,7 @@
                 }
             }
         }
-        let mut unplaced = left;
+        let mut unplaced = self.promised_units(job, left);
         while unplaced > 0 && self.make_room(&ask, &zones, None) {
             unplaced -= 1;
         }
@@ -593,6 +660,7 @@
 
     fn note_unplaced(&mut self, job: &Job, tasks: u32, open: &Open) {
         if tasks > 0 && open.iter().any(|open| *open) {
+            self.keep_units(job);
             self.plan.unplaced.push(Unplaced {
                 job: job.spec.id.clone(),
                 tasks,
@@ -602,7 +670,8 @@
     }
 
     /// All missing tasks of the gang at once, or none.
-    fn place_gang(&mut self, job: &'a Job) {
+    fn place_gang(&mut self, visit: &Visit<'a>) {
+        let job = visit.job;
         let taken = self.zones_of(&job.spec.id);
         let attempt = match &job.gang {
             // Whoever waited in vain goes back to its image, in a moment.
@@ -619,6 +688,10 @@
         if self.quota_left(&job.spec, tasks) < tasks {
             return;
         }
+        if self.with_units(job, tasks) < tasks {
+            self.lack_units(visit, tasks, tasks);
+            return;
+        }
         let mut ask = self.ask(job);
         let alike = self.alike(&ask);
         let zones = self.open_zones(&job.spec, &taken);
@@ -642,6 +715,8 @@
                     self.take(&mut ask, index, at);
                 }
             }
+            // Its units are spoken for by the time its machines are there.
+            None if self.promised_units(job, tasks) < tasks => (),
             None => {
                 // Room for a larger gang is made by renting: stopping others for a
                 // part of it would waste their work without starting it.
@@ -971,7 +1046,8 @@
                 .attempt
                 .running_since
                 .is_some_and(|since| self.site.now >= since + SETTLED_MS);
-            if running.stopping || !settled {
+            // The units of one that is stopped linger, and it could not start elsewhere.
+            if running.stopping || !settled || !running.attempt.counts.is_empty() {
                 return None;
             }
             // Where one zone holds too many already, the spread decides, not this.
--- /dev/null
+++ b/crates/core/src/placement/units.rs
@@ -0,0 +1,342 @@
+//! Units of counts in a pass: who has which turn, who waits for units, and what is
+//! stopped to free some.
+
+use super::*;
+use crate::constants::{UNIT_SEARCHES_PER_JOB, UNIT_STOPS_PER_PASS};
+use indigopath_counts::{Asker, Definitions, Feed, Lack, Linger};
+
+/// What is known of counts apart from the ledger.
+#[derive(Clone, Copy)]
+pub struct Units<'a> {
+    pub definitions: &'a Definitions,
+    /// What licence servers say.
+    pub feeds: &'a BTreeMap<Name, Feed>,
+    /// Units of attempts that are gone, which no licence server has back yet.
+    pub lingers: &'a [Linger],
+    /// Machines that went lately: a licence server may still name them.
+    pub gone: &'a HashMap<MachineId, Millis>,
+}
+
+/// Tasks that wait for units only, or before anything else.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Short {
+    pub job: JobId,
+    pub tasks: u32,
+    pub lack: Lack,
+}
+
+impl<'a> Units<'a> {
+    /// Completes a book in which all attempts stand.
+    pub(super) fn settle(&self, book: &mut Book<'a>, machines: &BTreeMap<MachineId, Machine>, now: Millis) {
+        for linger in self.lingers.iter().filter(|linger| now < linger.until) {
+            let left_s = (linger.until - now) as f64 / SECOND_MS as f64;
+            book.linger(&linger.team, &linger.count, linger.units, left_s);
+        }
+        if !self.feeds.is_empty() {
+            book.hear(self.feeds, now, |host| {
+                machines.contains_key(host) || self.gone.contains_key(host)
+            });
+        }
+    }
+}
+
+/// Who holds what now, for those who ask between passes.
+pub fn book<'a>(machines: &'a BTreeMap<MachineId, Machine>, units: &Units<'a>, now: Millis) -> Book<'a> {
+    let mut book = Book::new(units.definitions);
+    for attempt in machines.values().flat_map(|machine| &machine.attempts) {
+        if !attempt.counts.is_empty() && attempt.may_be_there() {
+            hold(&mut book, attempt, now);
+        }
+    }
+    units.settle(&mut book, machines, now);
+    book
+}
+
+/// Notes the units of an attempt that may be on its machine.
+pub(super) fn hold<'a>(book: &mut Book<'a>, attempt: &'a Attempt, now: Millis) {
+    let left_s = if attempt.estimate_s > 0.0 {
+        (attempt.estimate_s - attempt.ran_s(now)).max(HELD_LEAST_S)
+    } else {
+        f64::INFINITY
+    };
+    book.hold(&attempt.team, &attempt.counts, left_s, attempt.stop.is_some());
+}
+
+/// For how long a task of this job holds its units, in s, as far as its owner says.
+pub(super) fn lasts_s(spec: &JobSpec) -> f64 {
+    if spec.estimate_s > 0.0 {
+        spec.estimate_s
+    } else {
+        f64::INFINITY
+    }
+}
+
+fn asker(job: &Job, now: Millis) -> Asker {
+    Asker {
+        age_s: job.age_ms(now) as f64 / SECOND_MS as f64,
+        estimate_s: job.spec.estimate_s,
+    }
+}
+
+impl<'a> Pass<'a> {
+    /// The turns of a job: one, or, where its team is guaranteed some of the units that
+    /// its tasks ask for, one for those and one, among those who borrow, for the rest.
+    pub(super) fn visits(&self, job: &'a Job, order: &mut Vec<Visit<'a>>) {
+        let waiting = job.waiting.len() as u32;
+        let whole = Visit {
+            job,
+            skip: 0,
+            most: waiting,
+            beyond: !self.within.contains(&job.spec.id),
+            units_owed: false,
+        };
+        let owed = if job.spec.counts.is_empty() {
+            None
+        } else {
+            self.book.owed(&job.spec.team, &job.spec.counts, waiting)
+        };
+        let Some(owed) = owed else {
+            order.push(whole);
+            return;
+        };
+        let owed = match job.spec.shape {
+            Shape::Gang if owed < waiting => 0,
+            _ => owed,
+        };
+        if owed > 0 {
+            order.push(Visit {
+                most: owed,
+                units_owed: true,
+                ..whole
+            });
+        }
+        if owed < waiting {
+            order.push(Visit {
+                skip: owed,
+                most: waiting - owed,
+                beyond: true,
+                ..whole
+            });
+        }
+    }
+
+    /// How many of `most` tasks of the job may have their units now.
+    pub(super) fn with_units(&self, job: &Job, most: u32) -> u32 {
+        if job.spec.counts.is_empty() {
+            return most;
+        }
+        let asker = asker(job, self.site.now);
+        self.book.room(&job.spec.counts, most, &asker)
+    }
+
+    /// How many of `tasks` that lack machines would have units once these came. For the
+    /// others nothing is rented.
+    pub(super) fn promised_units(&mut self, job: &Job, tasks: u32) -> u32 {
+        if job.spec.counts.is_empty() {
+            return tasks;
+        }
+        self.book.promise(&job.spec.counts, tasks)
+    }
+
+    /// Tasks of the job wait for machines: what is free is kept for it if it is old, or
+    /// its units would be gone whenever its machines are there.
+    pub(super) fn keep_units(&mut self, job: &Job) {
+        if !job.spec.counts.is_empty() {
+            let asker = asker(job, self.site.now);
+            self.book
+                .awaits_machines(&job.spec.counts, job.together(), &asker);
+        }
+    }
+
+    /// Units that are kept for somebody, by count.
+    pub(super) fn kept_units(&self) -> BTreeMap<Name, u32> {
+        let kept = self.book.pools().filter(|pool| pool.kept() > 0);
+        kept.map(|pool| (Name::from(pool.name), pool.kept().min(pool.free())))
+            .collect()
+    }
+
+    /// `tasks` of the job, of which `together` start at once, find too few units: they
+    /// wait, and what may be stopped for them is.
+    pub(super) fn lack_units(&mut self, visit: &Visit<'a>, together: u32, tasks: u32) {
+        let job = visit.job;
+        let asker = asker(job, self.site.now);
+        if let Some(lack) = self.book.short(&job.spec.counts, together, tasks, &asker) {
+            self.plan.short.push(Short {
+                job: job.spec.id.clone(),
+                tasks,
+                lack,
+            });
+        }
+        let lower = self
+            .lowest_holder
+            .is_some_and(|lowest| lowest > job.spec.priority);
+        let rounds = (tasks / together.max(1)).min(UNIT_SEARCHES_PER_JOB);
+        for _ in 0..rounds {
+            // What is leaving goes to those who wait, in their order, whether or not
+            // they may stop anything.
+            let missing = self.book.missing(&job.spec.counts, together);
+            let may = lower || visit.units_owed;
+            if missing.is_empty() || !may || !self.free_units(visit, missing) {
+                return;
+            }
+        }
+    }
+
+    /// Stops what holds these units, if enough of it may be stopped for the job: work of
+    /// lower priority, or of a team that borrows, for one that its team is guaranteed.
+    fn free_units(&mut self, visit: &Visit<'a>, mut missing: Vec<(Name, u32)>) -> bool {
+        if self.unit_stops >= UNIT_STOPS_PER_PASS {
+            return false;
+        }
+        self.learn_jobs();
+        let mut victims = self.unit_victims(visit, &missing);
+        victims.sort_by(|a, b| a.lost_s.total_cmp(&b.lost_s));
+        let mut lacking = missing.clone();
+        let mut borrowed: HashMap<(&str, &str), u32> = HashMap::new();
+        let mut chosen: Vec<Victim<'a>> = Vec::new();
+        for victim in victims {
+            if lacking.iter().all(|(_, units)| *units == 0) {
+                break;
+            }
+            let helps = lacking
+                .iter()
+                .any(|(count, units)| *units > 0 && victim.units(count) > 0);
+            if !helps || !self.may_take_back(&victim, &mut borrowed) {
+                continue;
+            }
+            for (count, units) in &mut lacking {
+                *units = units.saturating_sub(victim.units(count));
+            }
+            chosen.push(victim);
+        }
+        if lacking.iter().any(|(_, units)| *units > 0) {
+            return false;
+        }
+        // The cheapest came first; a dearer one may have made some of them needless.
+        let mut spare: HashMap<Name, u32> = HashMap::new();
+        for (count, units) in &missing {
+            let freed: u32 = chosen.iter().map(|victim| victim.units(count)).sum();
+            spare.insert(count.clone(), freed.saturating_sub(*units));
+        }
+        chosen.retain(|victim| {
+            let needless = missing
+                .iter()
+                .all(|(count, _)| victim.units(count) <= spare.get(count).copied().unwrap_or(0));
+            if needless {
+                for (count, left) in &mut spare {
+                    *left -= victim.units(count).min(*left);
+                }
+            }
+            !needless
+        });
+        for victim in chosen {
+            self.unit_stops += 1;
+            for _ in 0..victim.tasks {
+                self.book.stops(victim.team, victim.counts, &mut missing);
+            }
+            log::debug!(
+                "job={} gives up units of counts for job={}",
+                victim.attempt.task.job,
+                visit.job.spec.id
+            );
+            let room = &mut self.rooms[victim.at];
+            let machine = room.machine.id.clone();
+            room.leaving += victim.attempt.needs;
+            room.running[victim.index].stopping = true;
+            self.any_leaving = true;
+            self.stop(victim.attempt, machine);
+        }
+        true
+    }
+
+    /// What holds any of these units and may be stopped for the job. A gang stands there
+    /// once, with all its tasks.
+    fn unit_victims(&self, visit: &Visit<'a>, missing: &[(Name, u32)]) -> Vec<Victim<'a>> {
+        let job = visit.job;
+        let mut victims: Vec<Victim<'a>> = Vec::new();
+        let mut gangs: HashMap<&JobId, usize> = HashMap::new();
+        for (at, room) in self.rooms.iter().enumerate() {
+            for (index, running) in room.running.iter().enumerate() {
+                let attempt = running.attempt;
+                let holds = missing.iter().any(|(count, _)| attempt.counts.units(count) > 0);
+                if !holds || running.stopping || attempt.exited() {
+                    continue;
+                }
+                let Some(holder) = running.job else { continue };
+                let lower = holder.spec.priority > job.spec.priority;
+                let borrowed = visit.units_owed
+                    && holder.spec.priority >= job.spec.priority
+                    && holder.spec.team != job.spec.team;
+                if !lower && !borrowed {
+                    continue;
+                }
+                if let Some(known) = gangs.get(&holder.spec.id) {
+                    victims[*known].tasks += 1;
+                    continue;
+                }
+                if holder.spec.shape == Shape::Gang {
+                    gangs.insert(&holder.spec.id, victims.len());
+                }
+                victims.push(Victim {
+                    attempt,
+                    at,
+                    index,
+                    team: &attempt.team,
+                    counts: &attempt.counts,
+                    tasks: 1,
+                    lower,
+                    lost_s: self.lost_work_s(attempt, holder),
+                });
+            }
+        }
+        victims
+    }
+
+    /// Whether all that a victim holds of shared counts is borrowed, beside what others
+    /// chosen before it give back. One of lower priority gives way in any case.
+    fn may_take_back(&self, victim: &Victim<'a>, taken: &mut HashMap<(&'a str, &'a str), u32>) -> bool {
+        if victim.lower {
+            return true;
+        }
+        let held: Vec<(&'a str, u32)> = victim
+            .counts
+            .iter()
+            .map(|(count, _)| &**count)
+            .filter(|count| self.book.get(count).is_some_and(|pool| pool.is_shared()))
+            .map(|count| (count, victim.units(count)))
+            .collect();
+        let enough = !held.is_empty()
+            && held.iter().all(|(count, units)| {
+                let borrowed = self.book.get(count).map_or(0, |pool| pool.borrowed(victim.team));
+                let before = taken.get(&(victim.team, *count)).copied().unwrap_or(0);
+                before + units <= borrowed
+            });
+        if enough {
+            for (count, units) in held {
+                *taken.entry((victim.team, count)).or_default() += units;
+            }
+        }
+        enough
+    }
+}
+
+/// Work that holds units and may be stopped.
+struct Victim<'a> {
+    attempt: &'a Attempt,
+    /// Where it is: its room, and its place there.
+    at: usize,
+    index: usize,
+    team: &'a str,
+    counts: &'a Demand,
+    /// Tasks that end with it.
+    tasks: u32,
+    lower: bool,
+    /// Seconds of work that its stop throws away.
+    lost_s: f64,
+}
+
+impl Victim<'_> {
+    fn units(&self, count: &str) -> u32 {
+        self.counts.units(count).saturating_mul(self.tasks)
+    }
+}
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -18,6 +18,7 @@
 use crate::wire::{Flavors, RentalRequest};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
+use indigopath_counts::{Demand, LingerEntry};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use serde_json::value::RawValue;
@@ -59,8 +60,13 @@
 }
 
 #[derive(Debug, Error)]
-#[error("unreadable record: {0}")]
-pub struct RecordError(String);
+pub enum RecordError {
+    #[error("unreadable record: {0}")]
+    Unreadable(String),
+    /// Whoever cannot read it must not lead: it may name starts.
+    #[error("a later build wrote it, in form {0}")]
+    Later(u16),
+}
 
 /// Who leads. `incarnation` tells a node from its own former life.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -92,6 +98,7 @@
     pub attempt: u64,
     pub team: Arc<str>,
     pub needs: Resources,
+    pub counts: Demand,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -112,9 +119,25 @@
 /// their position, as a value has little room (`value_kb`).
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ShardRecord {
+    /// Form of the record. The first, which had no such field, knew no counts.
+    #[serde(rename = "v", default = "first_form")]
+    form: u16,
     names: Vec<Arc<str>>,
     jobs: Vec<JobEntry>,
     machines: Vec<MachineEntry>,
+    /// Jobs whose tasks hold units of counts, by position.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    counts: Vec<(usize, Demand)>,
+    /// Units that linger after attempts which stood here.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    lingers: Vec<LingerEntry>,
+}
+
+/// Form of shards that this build writes.
+const SHARD_FORM: u16 = 2;
+
+fn first_form() -> u16 {
+    1
 }
 
 /// A job and what each of its tasks takes: job, team, CPUs, GPUs, memory in GB.
@@ -135,8 +158,12 @@
 );
 
 impl ShardRecord {
-    pub fn of(machines: &[MachineRecord]) -> ShardRecord {
-        let mut shard = ShardRecord::default();
+    pub fn of(machines: &[MachineRecord], lingers: Vec<LingerEntry>) -> ShardRecord {
+        let mut shard = ShardRecord {
+            form: SHARD_FORM,
+            lingers,
+            ..ShardRecord::default()
+        };
         let mut names: HashMap<Arc<str>, usize> = HashMap::new();
         let mut jobs: HashMap<(JobId, Arc<str>), usize> = HashMap::new();
         for machine in machines {
@@ -170,7 +197,11 @@
                             needs.gpus,
                             needs.memory_gb,
                         ));
-                        shard.jobs.len() - 1
+                        let at = shard.jobs.len() - 1;
+                        if !start.counts.is_empty() {
+                            shard.counts.push((at, start.counts.clone()));
+                        }
+                        at
                     });
                 starts.push((at, start.index, start.attempt));
             }
@@ -188,9 +219,19 @@
         shard
     }
 
-    /// The machines' records; an error if a position names nothing.
+    /// Units that linger after attempts which stood here.
+    pub fn lingers(&self) -> &[LingerEntry] {
+        &self.lingers
+    }
+
+    /// The machines' records; an error if a position names nothing, or a later build
+    /// wrote what this one may not understand.
     pub fn machines(self) -> Result<Vec<MachineRecord>, RecordError> {
-        let absent = |at: usize| RecordError(format!("nothing stands at position {at}"));
+        if self.form > SHARD_FORM {
+            return Err(RecordError::Later(self.form));
+        }
+        let counts: HashMap<usize, &Demand> = self.counts.iter().map(|(at, counts)| (*at, counts)).collect();
+        let absent = |at: usize| RecordError::Unreadable(format!("nothing stands at position {at}"));
         let name = |at: usize| self.names.get(at).ok_or_else(|| absent(at));
         let mut machines = Vec::with_capacity(self.machines.len());
         for MachineEntry(machine, machine_type, zone, spot, returning, addr, images, starts) in &self.machines
@@ -208,9 +249,9 @@
             for (image, gb) in images {
                 record.images.push((name(*image)?.clone(), *gb));
             }
-            for (job, index, attempt) in starts {
+            for (at, index, attempt) in starts {
                 let JobEntry(job, team, cpus, gpus, memory_gb) =
-                    self.jobs.get(*job).ok_or_else(|| absent(*job))?;
+                    self.jobs.get(*at).ok_or_else(|| absent(*at))?;
                 record.starts.push(StartRecord {
                     job: job.clone(),
                     index: *index,
@@ -221,6 +262,9 @@
                         gpus: *gpus,
                         memory_gb: *memory_gb,
                     },
+                    counts: counts
+                        .get(at)
+                        .map_or_else(Demand::default, |counts| (*counts).clone()),
                 });
             }
             machines.push(record);
@@ -264,7 +308,7 @@
     }
 
     fn from_value(value: &Value) -> Result<Self, RecordError> {
-        Self::deserialize(value).map_err(|error| RecordError(error.to_string()))
+        Self::deserialize(value).map_err(|error| RecordError::Unreadable(error.to_string()))
     }
 }
 
@@ -299,13 +343,13 @@
 pub fn decode_done(text: &str, chunk: u32, done: &mut BTreeSet<u32>) -> Result<(), RecordError> {
     let bits = STANDARD_NO_PAD
         .decode(text)
-        .map_err(|error| RecordError(error.to_string()))?;
+        .map_err(|error| RecordError::Unreadable(error.to_string()))?;
     if bits.len() > (DONE_CHUNK / 8) as usize {
-        return Err(RecordError("a bitmap is too long".to_owned()));
+        return Err(RecordError::Unreadable("a bitmap is too long".to_owned()));
     }
     let start = chunk
         .checked_mul(DONE_CHUNK)
-        .ok_or_else(|| RecordError("a chunk's number is too large".to_owned()))?;
+        .ok_or_else(|| RecordError::Unreadable("a chunk's number is too large".to_owned()))?;
     for (byte, bits) in (0u32..).zip(bits) {
         for bit in (0..8).filter(|bit| bits >> bit & 1 == 1) {
             done.insert(start + byte * 8 + bit);
@@ -359,6 +403,7 @@
 
     #[test]
     fn a_shard_keeps_its_machines() {
+        let seat = Demand::new(&BTreeMap::from([("seat".to_owned(), 2)])).unwrap();
         let start = |job: &str, index, team: &str, gpus| StartRecord {
             job: JobId(Arc::from(job)),
             index,
@@ -368,6 +413,11 @@
                 gpus,
                 ..Resources::default()
             },
+            counts: if job == "wk-2" {
+                seat.clone()
+            } else {
+                Demand::default()
+            },
         };
         // A stranger of a known job stands beside it with a team of its own.
         let machines = vec![
@@ -381,11 +431,57 @@
                 vec![start("wk-1", 1, "", 0.0), start("wk-2", 0, "blue", 2.0)],
             ),
         ];
-        let value = ShardRecord::of(&machines).to_value();
+        let lingers = vec![LingerEntry(
+            Arc::from("seat"),
+            Arc::from("red"),
+            1,
+            1_700_000_000_000,
+        )];
+        let value = ShardRecord::of(&machines, lingers.clone()).to_value();
+        assert_eq!(ShardRecord::from_value(&value).unwrap().lingers(), lingers);
         let read = ShardRecord::from_value(&value).unwrap().machines().unwrap();
         assert_eq!(read, machines);
         let mut broken = value;
         broken["names"] = serde_json::json!([]);
         assert!(ShardRecord::from_value(&broken).unwrap().machines().is_err());
     }
+
+    // What the build before counts had left in the state service, in the middle of work.
+    const BEFORE_COUNTS: &str = include_str!("../tests/support/records_before_counts.json");
+
+    #[test]
+    fn records_of_the_build_before_counts_are_read() {
+        let stored: BTreeMap<String, Value> = serde_json::from_str(BEFORE_COUNTS).unwrap();
+        let shard = ShardRecord::from_value(&stored["s/0"]).unwrap();
+        assert_eq!((shard.form, shard.lingers().len()), (1, 0));
+        let machines = shard.machines().unwrap();
+        assert_eq!(machines.len(), 9);
+        let starts: Vec<&StartRecord> = machines.iter().flat_map(|machine| &machine.starts).collect();
+        assert_eq!(starts.len(), 8);
+        assert!(starts.iter().all(|start| start.counts.is_empty()));
+        assert_eq!(
+            (&*starts[1].job.0, starts[1].index, starts[1].attempt),
+            ("wk-9", 1, 16_777_220)
+        );
+        assert_eq!((&*starts[2].team, starts[2].needs.gpus), ("blue", 4.0));
+        for job in ["j/wk-9", "j/wk-10", "j/wk-11"] {
+            let job = JobSpec::from_value(&stored[job]).unwrap();
+            assert!(job.counts.is_empty() && job.tasks > 1);
+            // What it did not ask for is not written for it either.
+            assert!(job.to_value().get("counts").is_none());
+        }
+        let done = DoneRecord::from_value(&stored["d/0"]).unwrap();
+        let mut read = BTreeSet::new();
+        decode_done(&done.0["wk-11/0"], 0, &mut read).unwrap();
+        assert_eq!(read, (0..7).collect());
+        assert!(EndedRecord::from_value(&stored["e/wk-7"]).is_ok());
+        assert!(LeaderRecord::from_value(&stored["leader"]).is_ok());
+    }
+
+    #[test]
+    fn a_later_builds_shard_is_not_guessed_at() {
+        let mut value = ShardRecord::of(&[], Vec::new()).to_value();
+        value["v"] = (SHARD_FORM + 1).into();
+        assert!(ShardRecord::from_value(&value).unwrap().machines().is_err());
+    }
 }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,6 +1,7 @@
 //! The platform's settings file: parsed here, checked here, read by everyone.
 //! Fields that this version does not know are ignored, as the platform asks.
 
+use indigopath_counts::{DefinitionError, Definitions};
 use serde::Deserialize;
 use std::net::SocketAddrV4;
 use thiserror::Error;
@@ -135,6 +136,12 @@
     pub fleet_max: u32,
     /// Seconds a machine must be idle before it is given back.
     pub idle_return_s: f64,
+    /// Counted resources, such as licence seats, by name.
+    #[serde(rename = "count")]
+    pub counts: Definitions,
+    /// Whether `GET /v1/counts/holders` names the tasks that hold units. It shows ids of
+    /// all teams' jobs to whoever reaches the node.
+    pub show_holders: bool,
 }
 
 impl Default for Operator {
@@ -142,6 +149,8 @@
         Operator {
             fleet_max: crate::constants::FLEET_MAX,
             idle_return_s: crate::constants::IDLE_RETURN_MS as f64 / crate::constants::SECOND_MS as f64,
+            counts: Definitions::new(),
+            show_holders: false,
         }
     }
 }
@@ -161,6 +170,8 @@
     Unreadable(#[from] serde_path_to_error::Error<serde_json::Error>),
     #[error("{field}: {problem}")]
     Field { field: String, problem: String },
+    #[error(transparent)]
+    Count(#[from] DefinitionError),
 }
 
 fn bad(field: impl Into<String>, problem: impl Into<String>) -> SettingsError {
@@ -276,6 +287,10 @@
         if operator.fleet_max == 0 {
             return Err(bad("fleet_max", "must be at least 1"));
         }
+        let teams = &self.deployment.teams;
+        indigopath_counts::check(&operator.counts, |name| {
+            teams.iter().any(|team| team.name == name)
+        })?;
         self.operator = operator;
         Ok(self)
     }
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -486,6 +486,10 @@
     Cancel(JobId),
     Report,
     Health,
+    Counts,
+    Holders,
+    Explain(JobId),
+    Metrics,
     Refuse(u16),
 }
 
@@ -502,8 +506,21 @@
         paths::HEALTH => return allow("GET", Route::Health),
         paths::REPORT => return allow("POST", Route::Report),
         paths::JOBS => return allow("POST", Route::Submit),
+        paths::COUNTS => return allow("GET", Route::Counts),
+        paths::METRICS => return allow("GET", Route::Metrics),
         _ => (),
     }
+    if let Some(rest) = path
+        .strip_prefix(paths::COUNTS)
+        .and_then(|rest| rest.strip_prefix('/'))
+    {
+        let job = rest.strip_prefix(paths::EXPLAIN).and_then(intake::parse_id);
+        return match job {
+            Some(job) => allow("GET", Route::Explain(job)),
+            None if rest == paths::HOLDERS => allow("GET", Route::Holders),
+            None => Route::Refuse(404),
+        };
+    }
     let Some(rest) = path
         .strip_prefix(paths::JOBS)
         .and_then(|rest| rest.strip_prefix('/'))
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -3,6 +3,7 @@
 
 use crate::model::MachineKind;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Prefix of every job's id.
 pub const JOB_PREFIX: &str = "wk-";
@@ -72,6 +73,9 @@
     pub save_s: f64,
     #[serde(rename = "DueS")]
     pub deadline_s: Option<f64>,
+    /// Units of counts that each task takes, by name.
+    #[serde(rename = "Counts", default)]
+    pub counts: Option<BTreeMap<String, u64>>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -425,6 +429,12 @@
     pub const CANCEL: &str = "withdraw";
     pub const REPORT: &str = "/v1/report";
     pub const HEALTH: &str = "/healthz";
+    pub const COUNTS: &str = "/v1/counts";
+    pub const HOLDERS: &str = "holders";
+    pub const EXPLAIN: &str = "explain/";
+    pub const METRICS: &str = "/metrics";
+    /// Where a licence server shows what `lmstat -a` prints.
+    pub const LICENCES: &str = "/lmstat";
     pub const DIRECT: &str = "/do";
     pub const INSPECT: &str = "/inspect";
     pub const FLAVORS: &str = "/flavors";
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -12,6 +12,7 @@
 use crate::rental::Rental;
 use crate::settings::Settings;
 use crate::wire::{Change, Condition, Transaction};
+use indigopath_counts::{Linger, LingerEntry, Lingers};
 use serde_json::value::RawValue;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -71,6 +72,9 @@
 struct Shard {
     version: u64,
     machines: BTreeSet<MachineId>,
+    /// Units of attempts that stood here: they stay in the record from which their
+    /// attempts go, so that at no time either is missing.
+    lingers: Lingers,
     /// Half of its machines moved to that shard, and nobody knows yet whether this
     /// is recorded: until then both are written in one transaction only, so that
     /// at no time a start stands in neither.
@@ -263,11 +267,25 @@
     }
 }
 
-fn texts(parts: &[(u32, Vec<MachineRecord>)]) -> Vec<Box<RawValue>> {
-    parts
-        .iter()
-        .map(|(_, records)| ShardRecord::of(records).to_text())
-        .collect()
+/// What one shard's record is to say.
+struct Part {
+    number: u32,
+    machines: Vec<MachineRecord>,
+    lingers: Vec<LingerEntry>,
+}
+
+impl Part {
+    fn text(&self) -> Box<RawValue> {
+        ShardRecord::of(&self.machines, self.lingers.clone()).to_text()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.machines.is_empty() && self.lingers.is_empty()
+    }
+}
+
+fn texts(parts: &[Part]) -> Vec<Box<RawValue>> {
+    parts.iter().map(Part::text).collect()
 }
 
 impl Writer {
@@ -321,6 +339,38 @@
         machine.shard = Some(number);
     }
 
+    /// Units of an attempt that is gone linger. They are recorded where it stood, with
+    /// the next record that lacks it.
+    pub fn linger(&mut self, number: Option<u32>, linger: Linger) {
+        let number = number.unwrap_or_else(|| {
+            // A machine that never had a record: any will do.
+            let number = self.shards.keys().next().copied().unwrap_or(0);
+            self.stale.insert(number);
+            number
+        });
+        self.shards.entry(number).or_default().lingers.add(linger);
+    }
+
+    /// As read from a record.
+    pub fn linger_read(&mut self, number: u32, version: u64, lingers: Lingers) {
+        let shard = self.shards.entry(number).or_default();
+        shard.version = shard.version.max(version);
+        shard.lingers = lingers;
+    }
+
+    /// All units that linger still.
+    pub fn lingers(&mut self, now: Millis) -> Vec<Linger> {
+        let mut lingers = Vec::new();
+        for (number, shard) in &mut self.shards {
+            if shard.lingers.prune(now) && shard.machines.is_empty() {
+                // Nothing is left for its record to say.
+                self.stale.insert(*number);
+            }
+            lingers.extend(shard.lingers.iter().cloned());
+        }
+        lingers
+    }
+
     fn queue(&mut self, number: u32) {
         if !self.urgent.contains(&number) {
             self.urgent.push_back(number);
@@ -433,7 +483,7 @@
         machines: &mut BTreeMap<MachineId, Machine>,
         jobs: &BTreeMap<JobId, Job>,
         rentals: &BTreeMap<String, Rental>,
-        now: Millis,
+        (now, wall_ms): (Millis, u64),
     ) -> Option<(Vec<u8>, usize)> {
         if most_ops == 0 {
             return None;
@@ -460,7 +510,7 @@
             let Some(number) = self.urgent.pop_front() else {
                 break;
             };
-            if !self.add_shard(&mut batch, number, machines, jobs) {
+            if !self.add_shard(&mut batch, number, machines, jobs, (now, wall_ms)) {
                 // It takes the first place in the next batch.
                 self.urgent.push_front(number);
                 break;
@@ -475,7 +525,7 @@
         }
         if !batch.full()
             && let Some(number) = self.stale.first().copied()
-            && self.add_shard(&mut batch, number, machines, jobs)
+            && self.add_shard(&mut batch, number, machines, jobs, (now, wall_ms))
         {
             self.stale.remove(&number);
         }
@@ -533,6 +583,7 @@
         number: u32,
         machines: &mut BTreeMap<MachineId, Machine>,
         jobs: &BTreeMap<JobId, Job>,
+        (now, wall_ms): (Millis, u64),
     ) -> bool {
         let number = self
             .shards
@@ -544,20 +595,29 @@
         };
         let mut entries = ShardEntries::default();
         let split_to = shard.split_to;
-        let mut parts = vec![(number, entries.of(shard, batch, machines, jobs))];
+        let mut part = |number: u32, shard: &Shard| Part {
+            number,
+            machines: entries.of(shard, batch, machines, jobs),
+            lingers: shard.lingers.to_record(now, wall_ms),
+        };
+        let mut parts = vec![part(number, shard)];
         if let Some(next) = split_to
             && let Some(shard) = self.shards.get(&next)
         {
-            parts.push((next, entries.of(shard, batch, machines, jobs)));
+            parts.push(part(next, shard));
         }
         let mut values = texts(&parts);
-        if split_to.is_none() && values[0].get().len() > self.most_bytes && parts[0].1.len() > 1 {
-            let half = parts[0].1.len() / 2;
-            let others = parts[0].1.split_off(half);
+        if split_to.is_none() && values[0].get().len() > self.most_bytes && parts[0].machines.len() > 1 {
+            let half = parts[0].machines.len() / 2;
+            let others = parts[0].machines.split_off(half);
             let next = next_number(&self.shards);
             log::info!("shard {number} is full: half of its machines move to shard {next}");
             self.split(number, next, &others, machines);
-            parts.push((next, others));
+            parts.push(Part {
+                number: next,
+                machines: others,
+                lingers: Vec::new(),
+            });
             values = texts(&parts);
         }
         if values.iter().any(|text| text.get().len() > self.most_bytes) {
@@ -566,18 +626,19 @@
         }
         let mut numbers = Vec::new();
         let mut changes = Vec::new();
-        for ((number, records), value) in parts.iter().zip(values) {
+        for (part, value) in parts.iter().zip(values) {
+            let number = &part.number;
             let version = self.shards.get(number).map_or(0, |shard| shard.version);
             let key = records::shard_key(*number);
-            if records.is_empty() && version == 0 {
+            if part.is_empty() && version == 0 {
                 continue;
             }
             entries.conditions.push(Condition {
                 key: key.clone(),
                 version,
             });
-            numbers.push((*number, records.is_empty()));
-            changes.push(if records.is_empty() {
+            numbers.push((*number, part.is_empty()));
+            changes.push(if part.is_empty() {
                 Change::Delete { key }
             } else {
                 Change::Put {
--- /dev/null
+++ b/crates/counts/src/book.rs
@@ -0,0 +1,656 @@
+//! One scheduling pass's view of all counts: who holds what, what is free, what is kept
+//! for whom. It is built anew from the ledger for every pass and keeps nothing itself,
+//! so there is no second truth that could differ from the ledger's.
+
+use crate::constants::{BACKFILL_SAFETY, BACKFILL_UNTIL_S, MACHINE_WAIT_S, RESERVE_AFTER_S};
+use crate::licence::{Feed, Word};
+use crate::{Definition, Definitions, Demand, Name};
+use std::collections::{BTreeMap, HashMap};
+
+/// Why nothing more of a count may start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closed {
+    /// Operators do not define it (any more).
+    Undefined,
+    /// Its licence server has been silent for too long, or was never heard.
+    Silent,
+}
+
+/// Why a task cannot have its units now, for people.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// All are held by tasks.
+    Held,
+    /// Units would be free, but linger after an attempt that did not end by itself.
+    Lingering,
+    /// Users outside hold them.
+    Others,
+    /// What is free is kept for an older, larger request.
+    Kept,
+    /// More is held than there is: the number was lowered, or others took too many.
+    Over,
+    /// Its licence server is silent.
+    Silent,
+    /// Nobody defines it.
+    Undefined,
+}
+
+impl Why {
+    /// For a sentence such as "waits for units of seat: …".
+    pub fn text(self) -> &'static str {
+        match self {
+            Why::Held => "all are held",
+            Why::Lingering => "some linger after attempts that did not end by themselves",
+            Why::Others => "users outside hold them",
+            Why::Kept => "what is free is kept for an older, larger request",
+            Why::Over => "more is held than there is",
+            Why::Silent => "its licence server is silent",
+            Why::Undefined => "no count of that name is defined any more",
+        }
+    }
+}
+
+/// Who asks, as far as it matters for units that are kept for somebody else.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Asker {
+    /// Since its submission, in s.
+    pub age_s: f64,
+    /// Estimated run time of a task, in s; 0 for none.
+    pub estimate_s: f64,
+}
+
+/// Units kept for the first request in the order that is old enough.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Kept {
+    units: u32,
+    /// Estimated time, in s, until all that it waits for is there; what ends sooner may
+    /// use the units meanwhile. Negative once nobody may.
+    ready_s: f64,
+}
+
+/// What a team has of a count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TeamUse<'a> {
+    pub team: &'a str,
+    /// Held and lingering.
+    pub used: u32,
+    /// Of them, leaving or lingering.
+    pub going: u32,
+}
+
+/// One count in a pass.
+#[derive(Debug)]
+pub struct Pool<'a> {
+    pub name: &'a str,
+    pub definition: Option<&'a Definition>,
+    /// What may be held by us and others together.
+    pub units: u32,
+    pub others: u32,
+    /// Units of attempts that may be on a machine, and those started in this pass.
+    pub held: u32,
+    /// Of them, units of attempts that are being stopped.
+    pub leaving: u32,
+    pub lingering: u32,
+    pub closed: Option<Closed>,
+    teams: Vec<TeamUse<'a>>,
+    /// When holders' units come free: seconds left, units.
+    ends: Vec<(f64, u32)>,
+    /// Leaving or lingering units that nobody in this pass counts on yet.
+    coming: u32,
+    kept: Option<Kept>,
+    /// Units for which this pass asks machines.
+    promised: u32,
+    /// Units that were asked for and could not be had.
+    pub wanted: u64,
+}
+
+impl<'a> Pool<'a> {
+    fn new(name: &'a str, definition: Option<&'a Definition>) -> Pool<'a> {
+        Pool {
+            name,
+            definition,
+            units: definition.map_or(0, |definition| definition.units),
+            others: 0,
+            held: 0,
+            leaving: 0,
+            lingering: 0,
+            closed: definition.is_none().then_some(Closed::Undefined),
+            teams: Vec::new(),
+            ends: Vec::new(),
+            coming: 0,
+            kept: None,
+            promised: 0,
+            wanted: 0,
+        }
+    }
+
+    /// Units taken, in whatever way.
+    pub fn taken(&self) -> u64 {
+        u64::from(self.held) + u64::from(self.lingering) + u64::from(self.others)
+    }
+
+    /// Units that may be taken now, whoever asks.
+    pub fn free(&self) -> u32 {
+        if self.closed.is_some() {
+            return 0;
+        }
+        (u64::from(self.units).saturating_sub(self.taken())) as u32
+    }
+
+    /// Held and lingering units beyond what there is.
+    pub fn over(&self) -> u32 {
+        self.taken()
+            .saturating_sub(u64::from(self.units))
+            .min(u64::from(u32::MAX)) as u32
+    }
+
+    /// What this team holds, lingering units included.
+    pub fn used_by(&self, team: &str) -> u32 {
+        self.used(team).map_or(0, |of| of.used)
+    }
+
+    fn used(&self, team: &str) -> Option<&TeamUse<'a>> {
+        self.teams.iter().find(|of| of.team == team)
+    }
+
+    /// Units that the team may still take as its own, not borrowed.
+    pub fn owed(&self, team: &str) -> u32 {
+        let share = self.definition.map_or(0, |definition| definition.share(team));
+        share.saturating_sub(self.used_by(team))
+    }
+
+    /// Whether any team is guaranteed a part of it.
+    pub fn is_shared(&self) -> bool {
+        self.definition
+            .is_some_and(|definition| !definition.shares.is_empty())
+    }
+
+    /// Units kept for a request that waits.
+    pub fn kept(&self) -> u32 {
+        self.kept.map_or(0, |kept| kept.units)
+    }
+
+    /// Teams that hold or let linger any.
+    pub fn teams(&self) -> impl Iterator<Item = TeamUse<'a>> + '_ {
+        self.teams.iter().copied()
+    }
+
+    /// Units that the team has beyond its share, without those that are going anyway.
+    /// None of them may be taken back while nobody is guaranteed any.
+    pub fn borrowed(&self, team: &str) -> u32 {
+        let share = self.definition.map_or(0, |definition| definition.share(team));
+        match self.used(team) {
+            Some(of) if self.is_shared() => (of.used - of.going).saturating_sub(share),
+            _ => 0,
+        }
+    }
+
+    /// Units that this asker may take: what is kept for another it may use only if it
+    /// is through in time.
+    fn open_to(&self, asker: &Asker) -> u32 {
+        match self.kept {
+            Some(kept) if !asker.is_through(kept.ready_s) => self.free().saturating_sub(kept.units),
+            _ => self.free(),
+        }
+    }
+
+    fn use_by(&mut self, team: &'a str, units: u32, going: bool) {
+        let at = self.teams.iter().position(|of| of.team == team);
+        let at = at.unwrap_or_else(|| {
+            self.teams.push(TeamUse {
+                team,
+                used: 0,
+                going: 0,
+            });
+            self.teams.len() - 1
+        });
+        let of = &mut self.teams[at];
+        of.used = of.used.saturating_add(units);
+        if going {
+            of.going = of.going.saturating_add(units);
+        }
+    }
+
+    /// Estimated time, in s, until so many units are free.
+    fn ready_s(&mut self, units: u32) -> f64 {
+        self.ends.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut free = u64::from(self.free());
+        for (left_s, ended) in &self.ends {
+            if free >= u64::from(units) {
+                return *left_s;
+            }
+            free += u64::from(*ended);
+        }
+        if free >= u64::from(units) {
+            self.ends.last().map_or(0.0, |(left_s, _)| *left_s)
+        } else {
+            f64::INFINITY
+        }
+    }
+
+    fn why(&self, units: u32) -> Why {
+        match self.closed {
+            Some(Closed::Undefined) => return Why::Undefined,
+            Some(Closed::Silent) => return Why::Silent,
+            None => (),
+        }
+        if self.over() > 0 {
+            Why::Over
+        } else if self.free() >= units {
+            Why::Kept
+        } else if u64::from(self.free()) + u64::from(self.lingering) >= u64::from(units) {
+            Why::Lingering
+        } else if self.others > 0 && self.held < units {
+            Why::Others
+        } else {
+            Why::Held
+        }
+    }
+}
+
+impl Asker {
+    fn is_through(&self, ready_s: f64) -> bool {
+        self.estimate_s > 0.0 && self.estimate_s * BACKFILL_SAFETY <= ready_s
+    }
+}
+
+/// What a task lacks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lack {
+    pub count: Name,
+    pub why: Why,
+}
+
+/// All counts in one pass.
+#[derive(Debug, Default)]
+pub struct Book<'a> {
+    pools: Vec<Pool<'a>>,
+    index: HashMap<&'a str, usize>,
+}
+
+impl<'a> Book<'a> {
+    /// Nothing is held yet.
+    pub fn new(definitions: &'a Definitions) -> Book<'a> {
+        let mut book = Book::default();
+        for (name, definition) in definitions {
+            book.pool(name, Some(definition));
+        }
+        book
+    }
+
+    /// Takes in what licence servers say, once all that is held is noted. `is_ours` says
+    /// whether a host is a machine of ours.
+    pub fn hear(&mut self, feeds: &BTreeMap<Name, Feed>, now: u64, is_ours: impl Fn(&str) -> bool) {
+        for pool in &mut self.pools {
+            if pool
+                .definition
+                .is_none_or(|definition| definition.server.is_none())
+            {
+                continue;
+            }
+            match feeds.get(pool.name).map(|feed| feed.word(now)) {
+                Some(Word::Fresh(usage)) => {
+                    pool.units = pool.units.min(usage.total);
+                    let ours = pool.held.saturating_add(pool.lingering);
+                    pool.others = usage.others(&is_ours, ours);
+                }
+                Some(Word::Silent) | None => pool.closed = Some(Closed::Silent),
+            }
+        }
+    }
+
+    fn pool(&mut self, name: &'a str, definition: Option<&'a Definition>) -> usize {
+        if let Some(at) = self.index.get(name) {
+            return *at;
+        }
+        self.pools.push(Pool::new(name, definition));
+        self.index.insert(name, self.pools.len() - 1);
+        self.pools.len() - 1
+    }
+
+    pub fn pools(&self) -> impl Iterator<Item = &Pool<'a>> {
+        self.pools.iter()
+    }
+
+    pub fn get(&self, count: &str) -> Option<&Pool<'a>> {
+        self.index.get(count).map(|at| &self.pools[*at])
+    }
+
+    /// An attempt that may be on a machine holds its units. `left_s` is how long it goes
+    /// on, by its owner's estimate; infinite if nobody knows.
+    pub fn hold(&mut self, team: &'a str, demand: &'a Demand, left_s: f64, leaving: bool) {
+        for (name, units) in demand.iter() {
+            let at = self.pool(name, None);
+            let pool = &mut self.pools[at];
+            pool.held = pool.held.saturating_add(units);
+            pool.use_by(team, units, leaving);
+            let linger_s = pool.definition.map_or(0.0, |definition| definition.linger_s);
+            if leaving {
+                pool.leaving = pool.leaving.saturating_add(units);
+                pool.coming = pool.coming.saturating_add(units);
+                pool.ends.push((linger_s, units));
+            } else {
+                pool.ends.push((left_s, units));
+            }
+        }
+    }
+
+    /// Units of an attempt that is gone, but did not end by itself.
+    pub fn linger(&mut self, team: &'a str, count: &'a str, units: u32, left_s: f64) {
+        let at = self.pool(count, None);
+        let pool = &mut self.pools[at];
+        pool.lingering = pool.lingering.saturating_add(units);
+        pool.coming = pool.coming.saturating_add(units);
+        pool.use_by(team, units, true);
+        pool.ends.push((left_s, units));
+    }
+
+    /// How many of `most` tasks may have their units now.
+    pub fn room(&self, demand: &Demand, most: u32, asker: &Asker) -> u32 {
+        let mut room = most;
+        for (name, units) in demand.iter() {
+            let open = self.get(name).map_or(0, |pool| pool.open_to(asker));
+            room = room.min(open / units.max(1));
+        }
+        room
+    }
+
+    /// How many of `most` tasks, lacking machines, could use them once they come: units
+    /// promised to others before are not promised twice.
+    pub fn promise(&mut self, demand: &Demand, most: u32) -> u32 {
+        let mut count = most;
+        for (name, units) in demand.iter() {
+            let open = self
+                .get(name)
+                .map_or(0, |pool| pool.free().saturating_sub(pool.promised));
+            count = count.min(open / units.max(1));
+        }
+        for (name, units) in demand.iter() {
+            if let Some(at) = self.index.get(&**name) {
+                self.pools[*at].promised += units * count;
+            }
+        }
+        count
+    }
+
+    /// One task starts in this pass.
+    pub fn take(&mut self, team: &'a str, demand: &Demand, left_s: f64) {
+        for (name, units) in demand.iter() {
+            let Some(at) = self.index.get(&**name) else {
+                continue;
+            };
+            let pool = &mut self.pools[*at];
+            pool.held = pool.held.saturating_add(units);
+            pool.use_by(team, units, false);
+            pool.ends.push((left_s, units));
+        }
+    }
+
+    /// How many of `most` tasks the team may still run with units of its own. `None`
+    /// where no team is guaranteed any of these counts.
+    pub fn owed(&self, team: &str, demand: &Demand, most: u32) -> Option<u32> {
+        let mut owed = most;
+        let mut shared = false;
+        for (name, units) in demand.iter() {
+            let Some(pool) = self.get(name).filter(|pool| pool.is_shared()) else {
+                continue;
+            };
+            shared = true;
+            owed = owed.min(pool.owed(team) / units.max(1));
+        }
+        shared.then_some(owed)
+    }
+
+    /// `tasks` of a job find too few units, of which `together` must start at once. Notes
+    /// them as waiting, keeps what is free if the job is old enough, and says what it
+    /// lacks first.
+    pub fn short(&mut self, demand: &Demand, together: u32, tasks: u32, asker: &Asker) -> Option<Lack> {
+        let mut lack = None;
+        for (name, units) in demand.iter() {
+            let Some(at) = self.index.get(&**name) else {
+                lack = Some(Lack {
+                    count: name.clone(),
+                    why: Why::Undefined,
+                });
+                continue;
+            };
+            let pool = &mut self.pools[*at];
+            let needed = units.saturating_mul(together);
+            pool.wanted += u64::from(units) * u64::from(tasks);
+            if lack.is_none() && pool.open_to(asker) < needed {
+                lack = Some(Lack {
+                    count: name.clone(),
+                    why: pool.why(needed),
+                });
+            }
+        }
+        self.keep(demand, together, asker, None);
+        lack
+    }
+
+    /// Keeps what is free for a request: nobody after it in the order takes it. Only the
+    /// first request that is old enough has any of a count kept. All requests before it
+    /// in the order may still take everything, so what is kept is held by nobody, and the
+    /// first in the order gets all that it asks for in the end.
+    fn keep(&mut self, demand: &Demand, tasks: u32, asker: &Asker, ready_s: Option<f64>) {
+        if asker.age_s < RESERVE_AFTER_S {
+            return;
+        }
+        let mut latest: f64 = 0.0;
+        for (name, units) in demand.iter() {
+            if let Some(at) = self.index.get(&**name) {
+                latest = latest.max(self.pools[*at].ready_s(units.saturating_mul(tasks)));
+            }
+        }
+        let ready_s = if asker.age_s < BACKFILL_UNTIL_S {
+            ready_s.unwrap_or(latest)
+        } else {
+            -1.0
+        };
+        for (name, units) in demand.iter() {
+            if let Some(at) = self.index.get(&**name) {
+                self.pools[*at].kept.get_or_insert(Kept {
+                    units: units.saturating_mul(tasks),
+                    ready_s,
+                });
+            }
+        }
+    }
+
+    /// `tasks` of a job have their units and lack machines only.
+    pub fn awaits_machines(&mut self, demand: &Demand, tasks: u32, asker: &Asker) {
+        self.keep(demand, tasks, asker, Some(MACHINE_WAIT_S));
+    }
+
+    /// Units that such a request still lacks when all that is leaving or lingering, and
+    /// claimed by nobody before, has come to it. Claims that. Empty where more is held
+    /// than there is, or nothing may start: then no stop would help.
+    pub fn missing(&mut self, demand: &Demand, tasks: u32) -> Vec<(Name, u32)> {
+        let mut missing = Vec::new();
+        for (name, units) in demand.iter() {
+            let Some(at) = self.index.get(&**name) else {
+                return Vec::new();
+            };
+            let pool = &mut self.pools[*at];
+            if pool.closed.is_some() || pool.over() > 0 {
+                return Vec::new();
+            }
+            let needed = units.saturating_mul(tasks);
+            let short = needed.saturating_sub(pool.free());
+            let claimed = short.min(pool.coming);
+            pool.coming -= claimed;
+            if short > claimed {
+                missing.push((name.clone(), short - claimed));
+            }
+        }
+        missing
+    }
+
+    /// Attempts of a team are to be stopped in this pass for a request that lacks so much
+    /// (`missing`). What of them it does not need, others may count on.
+    pub fn stops(&mut self, team: &str, demand: &Demand, missing: &mut [(Name, u32)]) {
+        for (name, units) in demand.iter() {
+            let Some(at) = self.index.get(&**name) else {
+                continue;
+            };
+            let pool = &mut self.pools[*at];
+            pool.leaving = pool.leaving.saturating_add(units);
+            if let Some(of) = pool.teams.iter_mut().find(|of| of.team == team) {
+                of.going = of.going.saturating_add(units).min(of.used);
+            }
+            let mut rest = units;
+            if let Some((_, lacked)) = missing.iter_mut().find(|(count, _)| count == name) {
+                let used = units.min(*lacked);
+                *lacked -= used;
+                rest -= used;
+            }
+            pool.coming = pool.coming.saturating_add(rest);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Usage;
+    use std::sync::Arc;
+
+    fn definitions(text: &str) -> Definitions {
+        serde_json::from_str(text).unwrap()
+    }
+
+    fn demand(parts: &[(&str, u64)]) -> Demand {
+        Demand::new(
+            &parts
+                .iter()
+                .map(|(name, units)| ((*name).to_owned(), *units))
+                .collect(),
+        )
+        .unwrap()
+    }
+
+    fn aged(age_s: f64, estimate_s: f64) -> Asker {
+        Asker { age_s, estimate_s }
+    }
+
+    const FRESH: Asker = Asker {
+        age_s: 0.0,
+        estimate_s: 10.0,
+    };
+
+    #[test]
+    fn held_lingering_and_others_leave_the_rest() {
+        let definitions = definitions(r#"{ "seat": { "units": 6, "server": "127.0.0.1:1" } }"#);
+        let (one, two) = (demand(&[("seat", 1)]), demand(&[("seat", 2)]));
+        let says = |total, host: &str| {
+            let mut feed = Feed::default();
+            feed.ask(0);
+            feed.answered(Ok(Usage {
+                total,
+                in_use: 1,
+                seats: vec![(host.to_owned(), 1)],
+            }));
+            BTreeMap::from([(Arc::from("seat"), feed)])
+        };
+        let is_ours = |host: &str| host.starts_with("m-");
+        let mut book = Book::new(&definitions);
+        book.hold("red", &one, 5.0, false);
+        book.linger("red", "seat", 1, 3.0);
+        book.hear(&says(5, "desk"), 0, is_ours);
+        assert_eq!(book.room(&one, 9, &FRESH), 2);
+        assert_eq!(book.room(&two, 9, &FRESH), 1);
+        let lack = book.short(&two, 2, 2, &FRESH).unwrap();
+        assert_eq!(lack.why, Why::Others);
+        // More is used than there is: nothing starts, and no stop is asked for.
+        let mut book = Book::new(&definitions);
+        book.hold("red", &two, 5.0, false);
+        book.hear(&says(1, "m-1"), 0, is_ours);
+        assert_eq!(
+            (book.room(&one, 9, &FRESH), book.get("seat").unwrap().over()),
+            (0, 1)
+        );
+        assert_eq!(book.missing(&one, 1), []);
+        // Nobody knows what others hold.
+        let mut book = Book::new(&definitions);
+        book.hear(&BTreeMap::new(), 0, is_ours);
+        assert_eq!(book.room(&one, 9, &FRESH), 0);
+        assert_eq!(book.short(&one, 1, 1, &FRESH).unwrap().why, Why::Silent);
+    }
+
+    #[test]
+    fn a_count_that_is_no_longer_defined_lets_nothing_start() {
+        let definitions = Definitions::new();
+        let one = demand(&[("seat", 1)]);
+        let mut book = Book::new(&definitions);
+        assert_eq!(book.room(&one, 1, &FRESH), 0);
+        assert_eq!(book.short(&one, 1, 1, &FRESH).unwrap().why, Why::Undefined);
+        book.hold("red", &one, 1.0, false);
+        assert_eq!(book.room(&one, 1, &FRESH), 0);
+    }
+
+    #[test]
+    fn what_is_free_is_kept_for_an_old_request() {
+        let definitions = definitions(r#"{ "seat": { "units": 4 } }"#);
+        let (one, four) = (demand(&[("seat", 1)]), demand(&[("seat", 4)]));
+        let held = demand(&[("seat", 1)]);
+        let play = |age_s, estimate_s| {
+            let mut book = Book::new(&definitions);
+            book.hold("red", &held, 20.0, false);
+            assert_eq!(book.room(&four, 1, &FRESH), 0);
+            book.short(&four, 1, 1, &aged(age_s, 30.0));
+            book.room(&one, 9, &aged(0.0, estimate_s))
+        };
+        assert_eq!(play(1.0, 100.0), 3, "too young: others go on");
+        assert_eq!(play(RESERVE_AFTER_S, 100.0), 0, "what is free is kept");
+        assert_eq!(
+            play(RESERVE_AFTER_S, 10.0),
+            3,
+            "through before the last unit comes"
+        );
+        assert_eq!(play(RESERVE_AFTER_S, 0.0), 0, "nobody knows when it ends");
+        assert_eq!(play(BACKFILL_UNTIL_S, 10.0), 0, "it has waited long enough");
+    }
+
+    #[test]
+    fn what_is_leaving_or_lingers_is_counted_on_once() {
+        let definitions = definitions(r#"{ "seat": { "units": 4, "linger_s": 20 } }"#);
+        let (one, two) = (demand(&[("seat", 1)]), demand(&[("seat", 2)]));
+        let mut book = Book::new(&definitions);
+        book.hold("red", &one, 50.0, false);
+        book.hold("red", &one, 50.0, true);
+        book.linger("red", "seat", 2, 10.0);
+        // Else every pass of the 20 s would stop another task.
+        assert_eq!(book.missing(&two, 1), []);
+        assert_eq!(book.missing(&one, 1), []);
+        assert_eq!(book.missing(&one, 1), [(Arc::from("seat"), 1)]);
+    }
+
+    #[test]
+    fn shares_are_owed_and_the_rest_is_borrowed() {
+        let definitions =
+            definitions(r#"{ "seat": { "units": 4, "shares": { "red": 2 } }, "free": { "units": 9 } }"#);
+        let one = demand(&[("seat", 1)]);
+        let mut book = Book::new(&definitions);
+        assert_eq!(book.owed("red", &one, 9), Some(2));
+        assert_eq!(book.owed("blue", &one, 9), Some(0));
+        assert_eq!(book.owed("blue", &demand(&[("free", 1)]), 9), None);
+        book.take("red", &one, 1.0);
+        book.take("blue", &one, 1.0);
+        assert_eq!(book.owed("red", &one, 9), Some(1));
+        let borrowed = |book: &Book<'_>| ["blue", "red"].map(|team| book.get("seat").unwrap().borrowed(team));
+        assert_eq!(borrowed(&book), [1, 0]);
+        // What is being stopped already is not to be taken back once more.
+        book.stops("blue", &one, &mut []);
+        assert_eq!(borrowed(&book), [0, 0]);
+    }
+
+    #[test]
+    fn machines_are_asked_for_once_a_unit() {
+        let definitions = definitions(r#"{ "seat": { "units": 3 } }"#);
+        let one = demand(&[("seat", 1)]);
+        let mut book = Book::new(&definitions);
+        assert_eq!(book.promise(&one, 2), 2);
+        assert_eq!(book.promise(&one, 5), 1);
+        assert_eq!(book.promise(&one, 5), 0);
+    }
+}
--- /dev/null
+++ b/crates/counts/src/licence.rs
@@ -0,0 +1,269 @@
+//! A licence server that others use too: what its `lmstat -a` says of one feature, and
+//! for how long that counts.
+//!
+//! The text has a line a feature, and below it one for each client:
+//!
+//! ```text
+//! Users of layout-optimiser:  (Total of 4 licenses issued;  Total of 2 licenses in use)
+//!
+//!   "layout-optimiser" v2.0, vendor: acme, expiry: permanent(no expiration date)
+//!   floating license
+//!
+//!     jo desk-7 desk-7:0 (v2.0) (licences/27000 301), start Mon 11/30 9:12
+//!     jo desk-7 desk-7:0 (v2.0) (licences/27000 302), start Mon 11/30 9:13, 2 licenses
+//!     1 RESERVATION for GROUP planning (licences/27000)
+//! ```
+
+use crate::constants::{SERVER_LINES, SERVER_POLL_MS, SERVER_TRUST_MS};
+use regex::Regex;
+use std::sync::LazyLock;
+use thiserror::Error;
+
+/// What a server says of one feature.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Usage {
+    /// Seats that the licence covers.
+    pub total: u32,
+    /// Seats taken, by whomever.
+    pub in_use: u32,
+    /// Clients by host, with their seats.
+    pub seats: Vec<(String, u32)>,
+}
+
+/// Why an answer says nothing of a feature.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum LicenceError {
+    #[error("it does not name the feature")]
+    Absent,
+    #[error("it has no total for the feature: {0}")]
+    NoTotal(&'static str),
+    #[error("it is longer than {SERVER_LINES} lines")]
+    TooLong,
+}
+
+static FEATURE: LazyLock<Option<Regex>> = LazyLock::new(|| Regex::new(r"^Users of (\S+):\s*(.*)$").ok());
+static TOTAL: LazyLock<Option<Regex>> = LazyLock::new(|| {
+    Regex::new(r"\(Total of (\d+) licenses? issued;\s+Total of (\d+) licenses? in use\)").ok()
+});
+static SEAT: LazyLock<Option<Regex>> = LazyLock::new(|| {
+    Regex::new(r"^\s+\S+ (\S+) .*\(v[^)]*\) \([^)]*/\d+ \d+\), start [^,]*(?:, (\d+) licenses?)?").ok()
+});
+static RESERVED: LazyLock<Option<Regex>> = LazyLock::new(|| Regex::new(r"^\s+(\d+) RESERVATIONs? for ").ok());
+
+/// Reads one feature out of an `lmstat -a` text.
+///
+/// # Errors
+/// The text does not name the feature, or gives no total for it (an uncounted licence, a
+/// vendor daemon that is down), or is too long.
+pub fn parse(text: &str, feature: &str) -> Result<Usage, LicenceError> {
+    let (Some(is_feature), Some(is_total), Some(is_seat), Some(is_reserved)) =
+        (&*FEATURE, &*TOTAL, &*SEAT, &*RESERVED)
+    else {
+        return Err(LicenceError::Absent);
+    };
+    let mut usage: Option<Usage> = None;
+    for (number, line) in text.lines().enumerate() {
+        if number >= SERVER_LINES {
+            return Err(LicenceError::TooLong);
+        }
+        if let Some(found) = is_feature.captures(line) {
+            if usage.is_some() {
+                break;
+            }
+            if &found[1] != feature {
+                continue;
+            }
+            let Some(totals) = is_total.captures(&found[2]) else {
+                let uncounted = found[2].contains("ncounted");
+                return Err(LicenceError::NoTotal(if uncounted {
+                    "its seats are not counted"
+                } else {
+                    "the vendor daemon is down or refuses"
+                }));
+            };
+            usage = Some(Usage {
+                total: totals[1].parse().unwrap_or(0),
+                in_use: totals[2].parse().unwrap_or(u32::MAX),
+                seats: Vec::new(),
+            });
+        } else if let Some(usage) = &mut usage {
+            if let Some(seat) = is_seat.captures(line) {
+                let units = seat
+                    .get(2)
+                    .map_or(1, |units| units.as_str().parse().unwrap_or(u32::MAX));
+                usage.seats.push((seat[1].to_owned(), units));
+            } else if let Some(reserved) = is_reserved.captures(line) {
+                // Nobody's host: kept for others.
+                usage
+                    .seats
+                    .push((String::new(), reserved[1].parse().unwrap_or(u32::MAX)));
+            }
+        }
+    }
+    usage.ok_or(LicenceError::Absent)
+}
+
+impl Usage {
+    /// Seats that others hold: whatever is not on a host of ours. Where the server names
+    /// fewer seats than it says are taken, the rest is others', less what we hold
+    /// (`ours`) and it may not name.
+    pub fn others(&self, is_ours: impl Fn(&str) -> bool, ours: u32) -> u32 {
+        let (mut named, mut on_ours) = (0u32, 0u32);
+        for (host, units) in &self.seats {
+            named = named.saturating_add(*units);
+            if is_ours(host) {
+                on_ours = on_ours.saturating_add(*units);
+            }
+        }
+        let unnamed = self.in_use.saturating_sub(named);
+        (named - on_ours).saturating_add(unnamed.saturating_sub(ours.saturating_sub(on_ours)))
+    }
+}
+
+/// What is known of a count's server.
+#[derive(Debug, Clone, Default)]
+pub struct Feed {
+    heard: Option<(Usage, u64)>,
+    /// When it was last asked, in ms.
+    asked: Option<u64>,
+    waiting: bool,
+    /// What its last answer lacked.
+    pub problem: Option<String>,
+}
+
+/// What counts of a server's word now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word<'a> {
+    /// Heard lately enough.
+    Fresh(&'a Usage),
+    /// Silent for too long, or never heard: nothing new may start.
+    Silent,
+}
+
+impl Feed {
+    /// Whether it is to be asked now; if so, an answer is awaited from here on.
+    pub fn ask(&mut self, now: u64) -> bool {
+        let due = !self.waiting && self.asked.is_none_or(|at| now >= at + SERVER_POLL_MS);
+        if due {
+            self.asked = Some(now);
+            self.waiting = true;
+        }
+        due
+    }
+
+    /// The server answered, or did not. Its word counts from when it was asked.
+    pub fn answered(&mut self, answer: Result<Usage, String>) {
+        self.waiting = false;
+        match answer {
+            Ok(usage) => {
+                self.problem = None;
+                self.heard = self.asked.map(|at| (usage, at));
+            }
+            Err(problem) => self.problem = Some(problem),
+        }
+    }
+
+    pub fn word(&self, now: u64) -> Word<'_> {
+        match &self.heard {
+            Some((usage, at)) if now < at + SERVER_TRUST_MS => Word::Fresh(usage),
+            _ => Word::Silent,
+        }
+    }
+
+    /// The last word, however old, and its age in ms.
+    pub fn last(&self, now: u64) -> Option<(&Usage, u64)> {
+        self.heard
+            .as_ref()
+            .map(|(usage, at)| (usage, now.saturating_sub(*at)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const TEXT: &str = "\
+lmstat - Copyright (c) 1989-2024. All Rights Reserved.
+Flexible License Manager status on Tue 12/1/2026 09:12
+
+License server status: 27000@licences
+    License file(s) on licences: /opt/licence.dat:
+
+  licences: license server UP (MASTER) v11.19
+
+Feature usage info:
+
+Users of other-tool:  (Total of 9 licenses issued;  Total of 1 license in use)
+
+    al desk-1 desk-1:0 (v1.0) (licences/27000 101), start Tue 12/1 8:02
+
+Users of layout-optimiser:  (Total of 6 licenses issued;  Total of 5 licenses in use)
+
+  \"layout-optimiser\" v2.0, vendor: acme, expiry: permanent(no expiration date)
+  floating license
+
+    jo desk-7 desk-7:0 (v2.0) (licences/27000 301), start Mon 11/30 9:12
+    indigo m-000231 /dev/tty (v2.0) (licences/27000 302), start Mon 11/30 9:13, 2 licenses
+    1 RESERVATION for GROUP planning (licences/27000)
+
+Users of uncounted-tool:  (Uncounted, node-locked)
+Users of broken-tool:  (Error: 4 licenses, unsupported by licensed server)
+";
+
+    #[test]
+    fn one_feature_is_read() {
+        let usage = parse(TEXT, "layout-optimiser").unwrap();
+        assert_eq!((usage.total, usage.in_use), (6, 5));
+        assert_eq!(
+            usage.seats,
+            [
+                ("desk-7".to_owned(), 1),
+                ("m-000231".to_owned(), 2),
+                (String::new(), 1)
+            ]
+        );
+        // desk-7, the reservation, and one that it does not name.
+        assert_eq!(usage.others(|host| host.starts_with("m-"), 2), 3);
+        // That one may be ours, checked out since the list was made.
+        assert_eq!(usage.others(|host| host.starts_with("m-"), 3), 2);
+        assert_eq!(parse(TEXT, "other-tool").unwrap().in_use, 1);
+    }
+
+    #[test]
+    fn what_says_nothing_is_an_error() {
+        assert_eq!(parse(TEXT, "layout"), Err(LicenceError::Absent));
+        assert_eq!(parse("", "layout"), Err(LicenceError::Absent));
+        assert!(matches!(
+            parse(TEXT, "uncounted-tool"),
+            Err(LicenceError::NoTotal(_))
+        ));
+        assert!(matches!(
+            parse(TEXT, "broken-tool"),
+            Err(LicenceError::NoTotal(_))
+        ));
+        assert_eq!(
+            parse(&"x\n".repeat(SERVER_LINES + 1), "a"),
+            Err(LicenceError::TooLong)
+        );
+    }
+
+    #[test]
+    fn a_silent_servers_last_word_counts_for_a_while() {
+        let mut feed = Feed::default();
+        assert_eq!(feed.word(0), Word::Silent, "never heard");
+        assert!(feed.ask(0) && !feed.ask(SERVER_POLL_MS), "one question at a time");
+        feed.answered(Ok(Usage::default()));
+        assert!(feed.ask(SERVER_POLL_MS));
+        feed.answered(Err("no answer".to_owned()));
+        assert!(matches!(feed.word(SERVER_TRUST_MS - 1), Word::Fresh(_)));
+        assert_eq!(feed.word(SERVER_TRUST_MS), Word::Silent);
+    }
+
+    proptest! {
+        #[test]
+        fn any_text_is_usage_or_an_error(text in "(Users of a:|  .* licenses in use\\)|[ -~\n]){0,40}") {
+            let _ = parse(&text, "a");
+        }
+    }
+}
--- /dev/null
+++ b/crates/counts/src/linger.rs
@@ -0,0 +1,184 @@
+//! Units that nobody holds any more, but that their licence server has not got back
+//! yet: its client died without a word.
+
+use crate::Name;
+use crate::constants::{LINGER_GRAIN_MS, LINGERS_PER_RECORD};
+use serde::{Deserialize, Serialize};
+
+/// Units of one count and team that come free at the same time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Linger {
+    pub count: Name,
+    pub team: Name,
+    pub units: u32,
+    /// Steady time, in ms, from which on they are free.
+    pub until: u64,
+}
+
+/// The same in a record: count, team, units, and when they are free by the time of day,
+/// in ms since 1970 — steady times mean nothing to another process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LingerEntry(pub Name, pub Name, pub u32, pub u64);
+
+/// Lingering units, as one record holds them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Lingers(Vec<Linger>);
+
+impl Lingers {
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Linger> {
+        self.0.iter()
+    }
+
+    /// Adds lingering units, to others that end about then if there are any.
+    pub fn add(&mut self, linger: Linger) {
+        let near = self.0.iter_mut().find(|other| {
+            other.count == linger.count
+                && other.team == linger.team
+                && other.until.abs_diff(linger.until) < LINGER_GRAIN_MS
+        });
+        match near {
+            Some(other) => {
+                other.units = other.units.saturating_add(linger.units);
+                other.until = other.until.max(linger.until);
+            }
+            None => self.0.push(linger),
+        }
+        if self.0.len() > LINGERS_PER_RECORD {
+            self.condense();
+        }
+    }
+
+    /// One entry a count and team, for as long as the last of them.
+    fn condense(&mut self) {
+        let mut condensed: Vec<Linger> = Vec::new();
+        for linger in self.0.drain(..) {
+            let same = condensed
+                .iter_mut()
+                .find(|other| other.count == linger.count && other.team == linger.team);
+            match same {
+                Some(other) => {
+                    other.units = other.units.saturating_add(linger.units);
+                    other.until = other.until.max(linger.until);
+                }
+                None => condensed.push(linger),
+            }
+        }
+        self.0 = condensed;
+    }
+
+    /// Drops what is free by now; whether there was any.
+    pub fn prune(&mut self, now: u64) -> bool {
+        let before = self.0.len();
+        self.0.retain(|linger| now < linger.until);
+        self.0.len() < before
+    }
+
+    /// As a record holds them.
+    pub fn to_record(&self, now: u64, wall_ms: u64) -> Vec<LingerEntry> {
+        self.0
+            .iter()
+            .filter(|linger| now < linger.until)
+            .map(|linger| {
+                LingerEntry(
+                    linger.count.clone(),
+                    linger.team.clone(),
+                    linger.units,
+                    wall_ms + (linger.until - now),
+                )
+            })
+            .collect()
+    }
+
+    /// As read from a record. `off_ms` is how far any clock may be from the true time of
+    /// day: the writer's may have been early by it, and this one may be late. No unit
+    /// lingers longer than `most_ms` from now, whatever the clocks say.
+    pub fn from_record(
+        entries: impl IntoIterator<Item = LingerEntry>,
+        now: u64,
+        wall_ms: u64,
+        off_ms: u64,
+        most_ms: impl Fn(&str) -> u64,
+    ) -> Lingers {
+        let mut lingers = Lingers::default();
+        for LingerEntry(count, team, units, until_ms) in entries {
+            let left_ms = (until_ms + 2 * off_ms).saturating_sub(wall_ms);
+            let left_ms = left_ms.min(most_ms(&count));
+            if left_ms > 0 {
+                lingers.add(Linger {
+                    count,
+                    team,
+                    units,
+                    until: now + left_ms,
+                });
+            }
+        }
+        lingers
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::sync::Arc;
+
+    fn linger(count: u8, team: u8, units: u32, until: u64) -> Linger {
+        Linger {
+            count: Arc::from(format!("c{count}")),
+            team: Arc::from(format!("t{team}")),
+            units,
+            until,
+        }
+    }
+
+    proptest! {
+        /// However they are put together, a unit is never free before its time, and a
+        /// record read by another process, with clocks off as far as they may be, never
+        /// frees one sooner than its writer would have.
+        #[test]
+        fn no_unit_is_free_too_soon(
+            parts in proptest::collection::vec((0u8..3, 0u8..3, 1u32..5, 1_000u64..40_000), 1..120),
+            at in 0u64..40_000,
+            writer_off in -1_000i64..=1_000,
+            reader_off in -1_000i64..=1_000,
+        ) {
+            const WALL: i64 = 1_700_000_000_000;
+            let mut lingers = Lingers::default();
+            for (count, team, units, until) in &parts {
+                lingers.add(linger(*count, *team, *units, *until));
+            }
+            let held = |lingers: &Lingers, count: u8, now: u64| -> u32 {
+                let name = format!("c{count}");
+                lingers.iter().filter(|one| *one.count == *name && now < one.until).map(|one| one.units).sum()
+            };
+            let true_units = |count: u8, now: u64| -> u32 {
+                parts.iter().filter(|part| part.0 == count && now < part.3).map(|part| part.2).sum()
+            };
+            // Written at 0 by one process, read at `at` by another whose steady clock
+            // began elsewhere.
+            let record = lingers.to_record(0, (WALL + writer_off) as u64);
+            let wall = (WALL + at as i64 + reader_off) as u64;
+            let read = Lingers::from_record(record, 500, wall, 1_000, |_| 60_000);
+            for count in 0..3 {
+                for now in [at, at + 777, 39_000.max(at)] {
+                    prop_assert!(held(&lingers, count, now) >= true_units(count, now));
+                    prop_assert!(held(&read, count, 500 + now - at) >= true_units(count, now));
+                }
+            }
+            prop_assert!(lingers.iter().count() <= LINGERS_PER_RECORD);
+            lingers.prune(40_000);
+            prop_assert!(lingers.is_empty());
+        }
+    }
+
+    #[test]
+    fn a_clock_set_back_keeps_no_unit_for_ever() {
+        let entries = vec![LingerEntry(Arc::from("c"), Arc::from("t"), 1, 9_000_000)];
+        let read = Lingers::from_record(entries, 0, 1_000, 50, |_| 20_000);
+        assert_eq!(read.iter().map(|one| one.until).collect::<Vec<_>>(), [20_000]);
+    }
+}
--- a/crates/indigopath/src/event_loop.rs
+++ b/crates/indigopath/src/event_loop.rs
@@ -2,7 +2,7 @@
 //! what the sockets bring is queued, and the core works through it in batches.
 
 use crate::http;
-use indigopath_core::io::{CallId, Destination, Effect, Outcome, RequestId};
+use indigopath_core::io::{CallId, Content, Destination, Effect, Outcome, RequestId};
 use indigopath_core::node::{Command, Node};
 use indigopath_core::peers::{Frame, MAX_FRAME};
 use indigopath_core::settings::Settings;
@@ -218,6 +218,7 @@
                 request,
                 status,
                 retry_after_s,
+                content,
                 body,
             } => {
                 let Some(key) = self.requests.remove(&request) else {
@@ -234,7 +235,14 @@
                 {
                     *waiting = None;
                     *closing = !*keep_alive;
-                    http::write_answer(&mut connection.output, status, retry_after_s, *keep_alive, &body);
+                    http::write_answer(
+                        &mut connection.output,
+                        status,
+                        retry_after_s,
+                        content,
+                        *keep_alive,
+                        &body,
+                    );
                 }
                 connection.since = now;
                 self.serve(key);
@@ -300,6 +308,7 @@
             Destination::State => Some(self.state),
             Destination::Cloud => Some(self.cloud),
             Destination::Worker(addr) => addr.parse().ok(),
+            Destination::Licences(addr) => Some(*addr),
         }
     }
 
@@ -637,6 +646,7 @@
                     &mut connection.output,
                     broken.status(),
                     None,
+                    Content::Json,
                     false,
                     body.as_bytes(),
                 );
--- a/crates/indigopath/src/http.rs
+++ b/crates/indigopath/src/http.rs
@@ -3,6 +3,7 @@
 
 use httparse::{Header, Status};
 use indigopath_core::constants::MAX_BODY;
+use indigopath_core::io::Content;
 use thiserror::Error;
 
 /// Largest head of a message, in bytes.
@@ -237,11 +238,16 @@
     out: &mut Vec<u8>,
     status: u16,
     retry_after_s: Option<u64>,
+    content: Content,
     keep_alive: bool,
     body: &[u8],
 ) {
+    let content = match content {
+        Content::Json => "application/json",
+        Content::Metrics => "application/openmetrics-text; version=1.0.0; charset=utf-8",
+    };
     let mut head = format!(
-        "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+        "HTTP/1.1 {status} {}\r\nContent-Type: {content}\r\nContent-Length: {}\r\n",
         reason(status),
         body.len()
     );
@@ -308,7 +314,7 @@
     #[test]
     fn answers_by_length_chunks_or_close() {
         let mut bytes = Vec::new();
-        write_answer(&mut bytes, 503, Some(1), true, b"{}");
+        write_answer(&mut bytes, 503, Some(1), Content::Json, true, b"{}");
         let answer = parse_answer(&bytes, false).unwrap().unwrap();
         assert_eq!(
             (answer.status, answer.keep_alive, answer.body.as_slice()),
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod cloud;
+pub mod licences;
 mod script;
 pub mod state;
 pub mod worker;
--- /dev/null
+++ b/crates/sim/src/licences.rs
@@ -0,0 +1,131 @@
+//! A stand-in for a licence server: it hands out seats, refuses those beyond its total,
+//! and gets a dead client's seat back only after a while. It shows its state as
+//! `lmstat -a` does.
+
+use std::collections::BTreeMap;
+
+/// Which attempt on which host has a seat.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Client {
+    pub host: String,
+    pub task: String,
+    pub attempt: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Seat {
+    units: u32,
+    /// When it comes back, for a client that died.
+    back_at: Option<u64>,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Feature {
+    pub total: u32,
+    pub linger_ms: u64,
+    /// Seats of users who are nobody's task.
+    pub others: u32,
+    seats: BTreeMap<Client, Seat>,
+    /// Check-outs that were refused.
+    pub refused: u32,
+    /// Most seats that tasks had at a time, dead ones included.
+    pub most: u32,
+}
+
+impl Feature {
+    /// Seats taken, by whomever.
+    pub fn in_use(&self) -> u32 {
+        self.others + self.seats.values().map(|seat| seat.units).sum::<u32>()
+    }
+
+    /// Seats of tasks, dead ones included.
+    pub fn of_tasks(&self) -> u32 {
+        self.in_use() - self.others
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct LicenceServer {
+    pub features: BTreeMap<String, Feature>,
+    pub outage: bool,
+}
+
+impl LicenceServer {
+    /// A client asks for seats; false, and nothing is given, if there are too few.
+    pub fn check_out(&mut self, feature: &str, client: Client, units: u32) -> bool {
+        let Some(feature) = self.features.get_mut(feature) else {
+            return false;
+        };
+        // Asked twice, it has them already.
+        if feature.seats.contains_key(&client) {
+            return true;
+        }
+        if feature.in_use() + units > feature.total {
+            feature.refused += 1;
+            return false;
+        }
+        feature.seats.insert(client, Seat { units, back_at: None });
+        feature.most = feature.most.max(feature.of_tasks());
+        true
+    }
+
+    /// Users outside take so many seats, as far as there are any.
+    pub fn take_outside(&mut self, feature: &str, units: u32) {
+        if let Some(feature) = self.features.get_mut(feature) {
+            let free = feature.total.saturating_sub(feature.of_tasks());
+            feature.others = units.min(free);
+        }
+    }
+
+    /// Looks after its clients: `fate` says what has become of one.
+    pub fn step(&mut self, now: u64, fate: impl Fn(&Client) -> Fate) {
+        for feature in self.features.values_mut() {
+            let linger_ms = feature.linger_ms;
+            feature.seats.retain(|client, seat| {
+                if seat.back_at.is_none() {
+                    match fate(client) {
+                        Fate::Alive => return true,
+                        Fate::GaveBack => return false,
+                        Fate::Died => seat.back_at = Some(now + linger_ms),
+                    }
+                }
+                seat.back_at.is_none_or(|at| now < at)
+            });
+        }
+    }
+
+    /// What `lmstat -a` prints.
+    pub fn lmstat(&self) -> String {
+        let mut text = "lmstat\nFeature usage info:\n\n".to_owned();
+        for (name, feature) in &self.features {
+            text.push_str(&format!(
+                "Users of {name}:  (Total of {} licenses issued;  Total of {} licenses in use)\n\n",
+                feature.total,
+                feature.in_use()
+            ));
+            for (client, seat) in &feature.seats {
+                text.push_str(&format!(
+                    "    indigo {} {} (v1.0) (licences/27000 101), start Tue 12/1 9:00, {} licenses\n",
+                    client.host, client.task, seat.units
+                ));
+            }
+            for user in 0..feature.others {
+                text.push_str(&format!(
+                    "    jo desk-{user} desk-{user}:0 (v1.0) (licences/27000 102), start Tue 12/1 9:00\n"
+                ));
+            }
+            text.push('\n');
+        }
+        text
+    }
+}
+
+/// What has become of a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    Alive,
+    /// It ended by itself and gave its seat back.
+    GaveBack,
+    /// It is gone, and did not say so.
+    Died,
+}
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -1,17 +1,22 @@
 //! Reads and plays a scenario. A line is `at SECONDS VERB …`, `expect …` (checked
 //! at the end), `teams GPUS` (what each may use, for a large fleet) or `until
-//! SECONDS`; `#` starts a comment.
+//! SECONDS`; `#` starts a comment. `count NAME units=4 linger=20 red=2 server` defines a
+//! count, with a team's share, and perhaps a licence server that the leader asks.
 
 use crate::world::{Cut, Event, JobFacts, Mishap, NODES, RESTART_MS, UserKind, World};
+use indigopath_core::settings::Operator;
 use indigopath_core::wire::TaskState;
+use indigopath_counts::Definition;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 
 pub fn run(text: &str) -> Result<(), String> {
     let mut actions: BTreeMap<(u64, usize), String> = BTreeMap::new();
     let mut expects = Vec::new();
     let mut until = 0;
     let mut gpus_max = None;
+    let mut operator = Operator::default();
     for (number, line) in text.lines().enumerate() {
         let line = line.split('#').next().unwrap_or("").trim();
         let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
@@ -26,6 +31,7 @@
             }
             "expect" => expects.push(rest.to_owned()),
             "teams" => gpus_max = Some(rest.parse::<f64>().map_err(|error| error.to_string())?),
+            "count" => define(&mut operator, rest)?,
             "until" => until = rest.parse::<u64>().map_err(|error| error.to_string())? * 1000,
             other => return Err(format!("line {}: unknown word {other}", number + 1)),
         }
@@ -33,7 +39,7 @@
     if expects.is_empty() || until == 0 {
         return Err("a scenario needs `expect` and `until`".to_owned());
     }
-    let mut world = World::new(gpus_max);
+    let mut world = World::new(gpus_max, operator);
     while world.now < until {
         while let Some(entry) = actions.first_entry().filter(|entry| entry.key().0 <= world.now) {
             let action = entry.remove();
@@ -60,6 +66,28 @@
     }
 }
 
+/// Defines a count, or changes it.
+fn define(operator: &mut Operator, text: &str) -> Result<(), String> {
+    let (plain, keyed) = words(text);
+    let name = plain.first().ok_or("a count needs a name")?;
+    let mut definition = Definition::of(0);
+    for (key, value) in keyed {
+        match key {
+            "units" => definition.units = number(value)? as u32,
+            "linger" => definition.linger_s = number(value)?,
+            team => {
+                let share = number(value)? as u32;
+                definition.shares.insert(team.to_owned(), share);
+            }
+        }
+    }
+    if plain.contains(&"server") {
+        definition.server = Some(SocketAddrV4::new([127, 0, 2, 1].into(), 7788));
+    }
+    operator.counts.insert((*name).into(), definition);
+    Ok(())
+}
+
 /// Splits `key=value` words from plain ones.
 fn words(text: &str) -> (Vec<&str>, BTreeMap<&str, &str>) {
     let mut plain = Vec::new();
@@ -96,9 +124,10 @@
         image: get("image", "img-1"),
         image_gb: amount("image_gb", "1")?,
         broken: flag("broken"),
+        counts: counts(&get("counts", ""))?,
         ..JobFacts::default()
     };
-    let body = json!({
+    let mut body = json!({
         "Id": id, "Lane": get("class", "batch"), "Crew": facts.team, "Shape": shape,
         "Urgency": get("priority", "standard"), "Picks": facts.tasks,
         "Cpus": amount("cpus", "2")?, "Gpus": facts.gpus, "MemGb": 4.0,
@@ -109,9 +138,23 @@
         "StashEveryS": facts.checkpoint_s, "StashS": facts.save_s,
         "DueS": keyed.get("due").map(|due| number(due)).transpose()?,
     });
+    if !facts.counts.is_empty() {
+        body["Counts"] = json!(facts.counts);
+    }
     Ok((body.clone(), JobFacts { body, ..facts }))
 }
 
+/// Units by count, as in `seat:2,other:1`.
+fn counts(text: &str) -> Result<BTreeMap<String, u32>, String> {
+    text.split(',')
+        .filter(|part| !part.is_empty())
+        .map(|part| {
+            let (name, units) = part.split_once(':').ok_or("a count needs units, as in seat:1")?;
+            Ok((name.to_owned(), number(units)? as u32))
+        })
+        .collect()
+}
+
 fn nodes_named(world: &World, name: &str) -> Result<Vec<usize>, String> {
     match name {
         "all" => Ok((0..NODES).collect()),
@@ -248,14 +291,23 @@
         "outage" => {
             match arg(1)? {
                 "state" => world.state.start_outage(world.now),
+                "licences" => world.licences.outage = true,
                 _ => world.cloud.outage = true,
             }
             later(actions, world, &format!("restore {}", arg(1)?));
         }
         "restore" => match arg(1)? {
             "state" => world.state.end_outage(world.now),
+            "licences" => world.licences.outage = false,
             _ => world.cloud.outage = false,
         },
+        // Operators change a count: nodes find it when they start.
+        "redefine" => define(
+            &mut world.operator,
+            action.split_once(' ').map_or("", |(_, rest)| rest),
+        )?,
+        // Users outside hold so many seats.
+        "others" => world.licences.take_outside(arg(1)?, number(arg(2)?)? as u32),
         "lose-answer" => world.mishaps.push(Mishap::LoseAnswer {
             path: arg(1)?.to_owned(),
         }),
@@ -342,6 +394,16 @@
             let total = world.calls.total.get(*kind).copied().unwrap_or(0);
             compare(total as f64, sign, want)
         }
+        // Seats that tasks have, or had at most, dead ones included.
+        ["seats", count, sign, want] | ["most-seats", count, sign, want] => {
+            let feature = world.licences.features.get(*count).ok_or("no such count")?;
+            let seats = if words[0] == "seats" {
+                feature.of_tasks()
+            } else {
+                feature.most
+            };
+            compare(f64::from(seats), sign, want)
+        }
         ["machines", sign, want] => compare(world.workers.len() as f64, sign, want),
         ["rented", sign, want] => compare(f64::from(world.cloud.rentals), sign, want),
         ["fenced", sign, want] => compare(f64::from(world.state.fenced), sign, want),
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -3,13 +3,14 @@
 //! time. The same scenario always plays the same way.
 
 use crate::cloud::Cloud;
+use crate::licences::{Client, Fate, LicenceServer};
 use crate::state::{Reply, StateService};
 use crate::worker::{self, GANG_PEER_MS, Worker};
 use indigopath_core::io::{CallId, Destination, Effect, Outcome, RequestId};
 use indigopath_core::node::{Command, Node};
 use indigopath_core::peers::Frame;
-use indigopath_core::settings::{Peer, Settings};
-use indigopath_core::wire::{Flavors, TaskState};
+use indigopath_core::settings::{Operator, Peer, Settings};
+use indigopath_core::wire::{Cause, Flavors, TaskState};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -38,6 +39,8 @@
     pub saved_s: f64,
     /// Submitted with a mistake: it fails everywhere.
     pub broken: bool,
+    /// Seats that each task checks out.
+    pub counts: BTreeMap<String, u32>,
     pub accepted: bool,
     pub wants_cancel: bool,
     pub told: Option<String>,
@@ -171,6 +174,9 @@
     pub(crate) warnings: Vec<String>,
     /// GPUs that each team may use, in place of the settings'.
     pub(crate) gpus_max: Option<f64>,
+    /// The operators' own settings, as nodes find them when they start.
+    pub(crate) operator: Operator,
+    pub(crate) licences: LicenceServer,
     pub(crate) calls: Calls,
 }
 
@@ -199,7 +205,7 @@
 }
 
 impl World {
-    pub(crate) fn new(gpus_max: Option<f64>) -> World {
+    pub(crate) fn new(gpus_max: Option<f64>, operator: Operator) -> World {
         let mut world = World {
             now: 0,
             queue: BTreeMap::new(),
@@ -221,8 +227,15 @@
             most_refused: 0,
             warnings: Vec::new(),
             gpus_max,
+            licences: LicenceServer::default(),
+            operator,
             calls: Calls::default(),
         };
+        for (name, definition) in &world.operator.counts {
+            let feature = world.licences.features.entry(name.to_string()).or_default();
+            feature.total = definition.units;
+            feature.linger_ms = (definition.linger_s * 1000.0) as u64;
+        }
         let flavors: Flavors =
             serde_json::from_str(include_str!("../../core/tests/support/flavors.json")).unwrap();
         world.cloud.types = flavors.types;
@@ -258,6 +271,7 @@
                 team.gpus_max = most;
             }
         }
+        let settings = settings.with_operator(self.operator.clone()).unwrap();
         let (now, wall) = (self.now, self.wall());
         let controller = &mut self.nodes[index];
         controller.life += 1;
@@ -339,6 +353,7 @@
             self.deliver(event);
         }
         self.step_machines();
+        self.step_licences();
         self.step_watches();
         self.step_users();
         for index in 0..NODES {
@@ -531,6 +546,7 @@
             Destination::State => "requests",
             Destination::Cloud => "cloud",
             Destination::Worker(_) => "workers",
+            Destination::Licences(_) => "licences",
         };
         self.calls.note(kind, 1, self.now);
         let mut silent = false;
@@ -580,6 +596,9 @@
                 }
                 Some((status, json_bytes(&value)))
             }
+            Destination::Licences(_) => {
+                (!self.licences.outage).then(|| (200, self.licences.lmstat().into_bytes()))
+            }
             Destination::Worker(addr) => {
                 let Some(worker) = self.workers.get_mut(addr) else {
                     return;
@@ -689,12 +708,49 @@
                 self.send(&id, &format!("n{node}"), event);
             }
             for task in arrived {
+                self.check_out(&id, &task);
                 self.check_start(&id, &task.job, task.index);
             }
         }
         self.step_gangs();
     }
 
+    /// The licence server sees which of its clients still run.
+    fn step_licences(&mut self) {
+        if self.licences.features.is_empty() {
+            return;
+        }
+        let workers = &self.workers;
+        self.licences.step(self.now, |client| {
+            let task = workers.get(&client.host).and_then(|worker| {
+                let mut tasks = worker.tasks.iter();
+                tasks.find(|task| task.attempt == client.attempt && task.name() == client.task)
+            });
+            match task {
+                Some(task) if task.on() => Fate::Alive,
+                Some(task) if task.why == Some(Cause::Done) => Fate::GaveBack,
+                _ => Fate::Died,
+            }
+        });
+    }
+
+    /// A task that came to be on a machine checks its seats out.
+    fn check_out(&mut self, machine: &str, task: &worker::Task) {
+        for (count, units) in self.jobs[&task.job].counts.clone() {
+            let client = Client {
+                host: machine.to_owned(),
+                task: task.name(),
+                attempt: task.attempt,
+            };
+            if !self.licences.check_out(&count, client, units) {
+                self.breach(
+                    "oversubscribed",
+                    format!("{} is refused a seat of {count}", task.name()),
+                );
+            }
+        }
+    }
+
     /// Gangs start together, end together and notice a lost member.
     fn step_gangs(&mut self) {
         if self.jobs.values().all(|job| job.shape != "gang") {
@@ -931,5 +987,6 @@
         Destination::State => "state".to_owned(),
         Destination::Cloud => "cloud".to_owned(),
         Destination::Worker(addr) => addr.clone(),
+        Destination::Licences(_) => "licences".to_owned(),
     }
 }
