--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -113,8 +113,8 @@
         }
         let status = outcome.status();
         match (outcome, status) {
-            (_, Some(200)) => machine.direct_settled(true),
-            (Outcome::NotSent, _) | (_, Some(400 | 409)) => machine.direct_settled(false),
+            (_, Some(200)) => machine.direct_settled(true, session),
+            (Outcome::NotSent, _) | (_, Some(400 | 409)) => machine.direct_settled(false, session),
             _ => machine.direct_unanswered(token, session),
         }
         let Some(report) = outcome.read::<Report>(&[200, 409]) else {
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -153,8 +153,8 @@
     /// What becomes of its units, now that it is no longer on its machine. Only a task
     /// that says it is done, or that was never let in, has surely given them back; what
     /// was stopped or lost may have left them with their server for a while, and so may
-    /// a late start of a task that had ended (`pinned`).
-    fn freed(&self, pinned: bool) -> Change {
+    /// a late start of a task that had ended (`pinned`). `sent`: its start has ever left.
+    fn freed(&self, sent: bool, pinned: bool) -> Change {
         let by_itself = matches!(
             self.why,
             Some(Cause::Done | Cause::NoRoom | Cause::Busy | Cause::Unknown)
@@ -162,10 +162,19 @@
         Change::Freed {
             team: self.team.clone(),
             counts: self.counts.clone(),
-            lingers: !self.never_sent() && (pinned || !self.exited() || !by_itself),
+            lingers: sent && (pinned || !self.exited() || !by_itself),
         }
     }
 
+    /// Its start may have reached an earlier session than this, which ended with all that
+    /// was on the machine: nobody saw it, but its units may be with their server still.
+    fn may_have_been_in_session_before(&self, session: u64) -> bool {
+        !self.exited()
+            && self.seen.is_none()
+            && (self.pin.is_some_and(|pin| pin.session < session)
+                || self.sent.is_some_and(|(sent, _)| sent < session))
+    }
+
     fn matches(&self, task: &TaskId, number: u64) -> bool {
         self.number == number && self.task == *task
     }
@@ -457,6 +466,10 @@
             let fetched = attempt.fetched_image();
             let held = !attempt.counts.is_empty() && attempt.may_be_there();
             let pinned = attempt.exited() && attempt.pin.is_some();
+            // Told before the pin goes, which is the only trace of a start that nobody
+            // answered.
+            let sent = !attempt.never_sent();
+            let unseen = held && attempt.may_have_been_in_session_before(session);
             if let Some(pin) = attempt.pin {
                 // A later session or a higher token refuses the old command.
                 if session > pin.session || report.token > pin.token {
@@ -479,7 +492,10 @@
                 None => attempt.missing(session, seq, fenced, &mut changes),
             };
             if held && (!stays || !attempt.may_be_there()) {
-                changes.push(attempt.freed(pinned));
+                changes.push(attempt.freed(sent, pinned));
+            } else if unseen {
+                // It stays, to be sent again, and holds its units anew.
+                changes.push(attempt.freed(sent, pinned));
             }
             if !stays || attempt.exited() && !attempt.had_image() {
                 given_up.extend(fetched);
@@ -590,8 +606,13 @@
 
     /// The direct command got an answer, or failed in a way that says it was not
     /// carried out; its starts are no longer under way.
-    pub fn direct_settled(&mut self, executed: bool) {
-        let at = (self.session, self.seq);
+    pub fn direct_settled(&mut self, executed: bool, session: u64) {
+        // A later session may have reported meanwhile, and lacks what this one started.
+        let at = if session == self.session {
+            (self.session, self.seq)
+        } else {
+            (session, 0)
+        };
         for attempt in self.attempts.iter_mut().filter(|attempt| attempt.in_flight) {
             attempt.in_flight = false;
             if executed && attempt.seen.is_none() {
@@ -617,7 +638,7 @@
         let mut changes = Vec::new();
         for attempt in attempts {
             if !attempt.counts.is_empty() && attempt.may_be_there() {
-                changes.push(attempt.freed(attempt.pin.is_some()));
+                changes.push(attempt.freed(!attempt.never_sent(), attempt.pin.is_some()));
             }
             if !attempt.exited() {
                 changes.push(Change::Vanished {
@@ -876,4 +897,64 @@
         machine.absorb(&report(1, 1, TOKEN, Some(TaskState::Running)), TOKEN, 0);
         assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Stop]);
     }
+
+    fn seat() -> Demand {
+        Demand::new(&[("seat".to_owned(), 1)].into()).unwrap()
+    }
+
+    /// What became of units in these changes: whether each linger.
+    fn freed(changes: Vec<Change>) -> Vec<bool> {
+        let freed = changes.into_iter().filter_map(|change| match change {
+            Change::Freed { lingers, .. } => Some(lingers),
+            _ => None,
+        });
+        freed.collect()
+    }
+
+    #[test]
+    fn units_come_back_at_once_only_from_what_says_it_is_done() {
+        let done = |why| {
+            let mut machine = machine(|attempt| attempt.counts = seat());
+            machine.orders(Some((1, 0)), true, 0);
+            let mut exit = report(1, 1, TOKEN, Some(TaskState::Exited));
+            exit.tasks[0].why = Some(why);
+            freed(machine.absorb(&exit, TOKEN, 0).unwrap())
+        };
+        assert_eq!(done(Cause::Done), [false]);
+        assert_eq!(done(Cause::NoRoom), [false], "it was never let in");
+        for why in [
+            Cause::Stopped,
+            Cause::Error,
+            Cause::Alone,
+            Cause::Peers,
+            Cause::Other,
+        ] {
+            assert_eq!(done(why), [true], "{why:?}");
+        }
+        let mut machine = machine(|attempt| attempt.counts = seat());
+        assert_eq!(freed(machine.clear()), [false], "nothing was ever sent");
+        let mut machine = self::machine(|attempt| {
+            attempt.counts = seat();
+            attempt.inherited = true;
+        });
+        assert_eq!(freed(machine.clear()), [true], "a former leader may have sent it");
+    }
+
+    // Nobody saw it run: its start went unanswered, and the session in which it may have
+    // run ended. Its pin was gone by the time the ledger asked whether it had been sent.
+    #[test]
+    fn units_of_a_start_that_may_have_run_in_a_session_before_linger() {
+        let mut machine = machine(|attempt| attempt.counts = seat());
+        machine.absorb(&report(1, 1, TOKEN, None), TOKEN, 0);
+        assert_eq!(verbs(&mut machine, None), [Verb::Start]);
+        machine.direct_unanswered(TOKEN, 1);
+        let changes = machine.absorb(&report(2, 1, TOKEN, None), TOKEN, 0).unwrap();
+        assert_eq!(freed(changes), [true]);
+        assert_eq!(verbs(&mut machine, None), [Verb::Start], "and it is sent again");
+        // The answer of an earlier session arrives after a report of a later one.
+        machine.absorb(&report(3, 1, TOKEN, None), TOKEN, 0);
+        machine.direct_settled(true, 2);
+        let changes = machine.absorb(&report(3, 2, TOKEN, None), TOKEN, 0).unwrap();
+        assert_eq!(freed(changes), [true]);
+    }
 }
--- a/crates/sim/src/licences.rs
+++ b/crates/sim/src/licences.rs
@@ -33,6 +33,14 @@
 }
 
 impl Feature {
+    pub fn new(total: u32, linger_ms: u64) -> Feature {
+        Feature {
+            total,
+            linger_ms,
+            ..Feature::default()
+        }
+    }
+
     /// Seats taken, by whomever.
     pub fn in_use(&self) -> u32 {
         self.others + self.seats.values().map(|seat| seat.units).sum::<u32>()
