--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -158,6 +158,11 @@
 impl Operator {
     /// Reads the operators' settings from whatever notation held them.
     pub fn from_value(value: serde_json::Value) -> Result<Operator, SettingsError> {
+        // Two blocks of one name come as a list, which reads as nonsense below.
+        let counts = value.get("count").and_then(serde_json::Value::as_object);
+        if let Some((name, _)) = counts.into_iter().flatten().find(|(_, value)| value.is_array()) {
+            return Err(bad(format!("count.{name}"), "is defined more than once"));
+        }
         Ok(serde_path_to_error::deserialize(value)?)
     }
 }
@@ -329,6 +334,15 @@
         for (text, field) in [
             (r#"{ "fleet": 7 }"#, "fleet"),
             (r#"{ "fleet_max": "x" }"#, "fleet_max"),
+            (
+                r#"{ "count": { "seat": [{ "units": 1 }, { "units": 2 }] } }"#,
+                "count.seat",
+            ),
+            (r#"{ "count": { "seat": { "units": 1.5 } } }"#, "count.seat.units"),
+            (
+                r#"{ "count": { "seat": { "units": 1, "server": "x:1" } } }"#,
+                "count.seat.server",
+            ),
         ] {
             let problem = read(text).unwrap_err().to_string();
             assert!(problem.contains(field), "{problem}");
--- /dev/null
+++ b/crates/indigopath/src/counts.rs
@@ -0,0 +1,320 @@
+//! `indigopath counts`: what the leader says of counted resources, as a table or as JSON.
+
+use clap::{Args, Subcommand, ValueEnum};
+use comfy_table::presets;
+use comfy_table::{CellAlignment, Table};
+use indigopath_core::wire::paths;
+use indigopath_counts::status::{CountList, CountStatus, Explanation, HolderList};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Longest wait for a node's answer, in ms: a node answers from memory.
+const TIMEOUT_MS: u64 = 3_000;
+
+#[derive(Args)]
+pub struct CountsArgs {
+    #[command(subcommand)]
+    what: Option<What>,
+    /// Controller to ask; several may be given, and the one that leads answers
+    #[arg(
+        long = "node",
+        value_name = "ADDRESS:PORT",
+        env = "INDIGOPATH_NODES",
+        value_delimiter = ',',
+        global = true
+    )]
+    nodes: Vec<SocketAddrV4>,
+    /// How to show it
+    #[arg(long, value_enum, default_value_t = Format::Table, global = true)]
+    format: Format,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Every count at a glance (the default)
+    List,
+    /// Tasks that hold units, and units that linger
+    Holders {
+        /// Of this count only
+        count: Option<String>,
+    },
+    /// Why a job waits
+    Explain {
+        /// The job's id
+        job: String,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Format {
+    Table,
+    Json,
+}
+
+#[derive(Debug, Error)]
+pub enum CountsError {
+    #[error("no controller is named: give --node ADDRESS:PORT, or set INDIGOPATH_NODES")]
+    NoNode,
+    #[error("no controller that leads answered: {0}")]
+    NoAnswer(String),
+    #[error("{0}")]
+    Refused(String),
+    #[error("a controller's answer cannot be read: {0}")]
+    Unreadable(#[from] serde_json::Error),
+}
+
+/// Asks, and returns what is to be printed.
+///
+/// # Errors
+/// Nobody who leads answers, the answer is a refusal, or it cannot be read.
+pub fn run(args: &CountsArgs) -> Result<String, CountsError> {
+    match args.what.as_ref().unwrap_or(&What::List) {
+        What::List => {
+            let list: CountList = ask(&args.nodes, paths::COUNTS)?;
+            show(args.format, &list, list_table)
+        }
+        What::Holders { count } => {
+            let path = format!("{}/{}", paths::COUNTS, paths::HOLDERS);
+            let mut list: HolderList = ask(&args.nodes, &path)?;
+            if let Some(count) = count {
+                list.holders.retain(|holder| holder.count == *count);
+            }
+            show(args.format, &list, holders_table)
+        }
+        What::Explain { job } => {
+            let path = format!("{}/{}{job}", paths::COUNTS, paths::EXPLAIN);
+            let explanation: Explanation = ask(&args.nodes, &path)?;
+            show(args.format, &explanation, explain_text)
+        }
+    }
+}
+
+fn show<T: Serialize>(
+    format: Format,
+    value: &T,
+    table: impl Fn(&T) -> String,
+) -> Result<String, CountsError> {
+    Ok(match format {
+        Format::Table => table(value),
+        Format::Json => serde_json::to_string_pretty(value)?,
+    })
+}
+
+/// The first answer of a node that leads.
+fn ask<T: DeserializeOwned>(nodes: &[SocketAddrV4], path: &str) -> Result<T, CountsError> {
+    if nodes.is_empty() {
+        return Err(CountsError::NoNode);
+    }
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .timeout_global(Some(Duration::from_millis(TIMEOUT_MS)))
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let mut problems = Vec::new();
+    for node in nodes {
+        let answer = agent
+            .get(format!("http://{node}{path}"))
+            .call()
+            .and_then(|mut answer| Ok((answer.status().as_u16(), answer.body_mut().read_to_string()?)));
+        match answer {
+            Ok((200, body)) => return Ok(serde_json::from_str(&body)?),
+            Ok((421, _)) => problems.push(format!("{node} does not lead")),
+            Ok((503, body)) => problems.push(format!("{node}: {}", error_of(&body))),
+            Ok((_, body)) => return Err(CountsError::Refused(error_of(&body))),
+            Err(error) => problems.push(format!("{node}: {error}")),
+        }
+    }
+    Err(CountsError::NoAnswer(problems.join("; ")))
+}
+
+/// The reason in an answer that is none.
+fn error_of(body: &str) -> String {
+    serde_json::from_str::<serde_json::Value>(body)
+        .ok()
+        .and_then(|value| value["error"].as_str().map(str::to_owned))
+        .unwrap_or_else(|| body.to_owned())
+}
+
+fn table(head: &[&str], right: &[usize], rows: impl Iterator<Item = Vec<String>>) -> String {
+    let mut table = Table::new();
+    table.load_style(presets::NOTHING).set_header(head.to_vec());
+    for row in rows {
+        table.add_row(row);
+    }
+    for at in right {
+        if let Some(column) = table.column_mut(*at) {
+            column.set_cell_alignment(CellAlignment::Right);
+        }
+    }
+    table.trim_fmt()
+}
+
+fn list_table(list: &CountList) -> String {
+    if list.counts.is_empty() {
+        return "no counts are defined".to_owned();
+    }
+    let rows = list.counts.iter().map(|count| {
+        let mut row = vec![count.name.clone()];
+        row.extend(
+            [
+                u64::from(count.usable),
+                u64::from(count.held),
+                u64::from(count.lingering),
+                u64::from(count.others),
+                u64::from(count.free),
+                u64::from(count.kept),
+                count.waiting,
+            ]
+            .map(|units| units.to_string()),
+        );
+        row.push(note(count));
+        row
+    });
+    let head = [
+        "COUNT", "UNITS", "HELD", "LINGER", "OTHERS", "FREE", "KEPT", "WAITING", "",
+    ];
+    table(&head, &[1, 2, 3, 4, 5, 6, 7], rows)
+}
+
+/// What is unusual about a count.
+fn note(count: &CountStatus) -> String {
+    let mut notes = Vec::new();
+    notes.extend(count.closed.clone());
+    let taken = u64::from(count.held) + u64::from(count.lingering) + u64::from(count.others);
+    if taken > u64::from(count.usable) && count.closed.is_none() {
+        notes.push("more is taken than there is: nothing starts".to_owned());
+    }
+    if count.units.is_some_and(|units| count.usable < units) {
+        notes.push(format!(
+            "its licence covers fewer than the {} defined",
+            count.units.unwrap_or(0)
+        ));
+    }
+    if count.leaving > 0 {
+        notes.push(format!("{} are being given up", count.leaving));
+    }
+    let shares: Vec<String> = count
+        .teams
+        .iter()
+        .filter(|team| team.share > 0)
+        .map(|team| format!("{} {}/{}", team.team, team.used, team.share))
+        .collect();
+    if !shares.is_empty() {
+        notes.push(format!("shares {}", shares.join(", ")));
+    }
+    notes.join("; ")
+}
+
+fn holders_table(list: &HolderList) -> String {
+    if list.holders.is_empty() {
+        return "nobody holds any".to_owned();
+    }
+    let rows = list.holders.iter().map(|holder| {
+        vec![
+            holder.count.clone(),
+            holder.units.to_string(),
+            holder.team.clone(),
+            holder.task.clone().unwrap_or_else(|| "-".to_owned()),
+            holder.machine.clone().unwrap_or_else(|| "-".to_owned()),
+            holder.state.clone(),
+            if holder.task.is_some() {
+                format!("for {:.0} s", holder.seconds)
+            } else {
+                format!("{:.0} s more", holder.seconds)
+            },
+        ]
+    });
+    let head = ["COUNT", "UNITS", "TEAM", "TASK", "MACHINE", "STATE", "TIME"];
+    table(&head, &[1], rows)
+}
+
+fn explain_text(explanation: &Explanation) -> String {
+    let mut text = format!(
+        "{}: {} tasks wait; {}",
+        explanation.id, explanation.waiting, explanation.verdict
+    );
+    if explanation.counts.is_empty() {
+        return text;
+    }
+    let rows = explanation.counts.iter().map(|asked| {
+        vec![
+            asked.count.clone(),
+            asked.needs.to_string(),
+            asked.free.to_string(),
+            asked.kept.to_string(),
+            asked.ahead.to_string(),
+            asked.why.clone().unwrap_or_default(),
+        ]
+    });
+    text.push('\n');
+    text.push_str(&table(
+        &["COUNT", "NEEDS", "FREE", "KEPT", "AHEAD", ""],
+        &[1, 2, 3, 4],
+        rows,
+    ));
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use indigopath_counts::status::{Asked, TeamStatus};
+
+    #[test]
+    fn a_table_says_what_is_unusual() {
+        let count = CountStatus {
+            name: "seat".to_owned(),
+            units: Some(4),
+            usable: 3,
+            held: 3,
+            leaving: 1,
+            lingering: 1,
+            others: 0,
+            free: 0,
+            kept: 0,
+            waiting: 12,
+            oversubscribed: 1,
+            closed: None,
+            teams: vec![TeamStatus {
+                team: "red".to_owned(),
+                share: 2,
+                used: 1,
+            }],
+            server: None,
+        };
+        let text = list_table(&CountList { counts: vec![count] });
+        let lines: Vec<&str> = text.lines().collect();
+        assert!(lines[0].trim_start().starts_with("COUNT"), "{text}");
+        assert!(lines[1].contains("more is taken than there is"), "{text}");
+        assert!(lines[1].contains("fewer than the 4 defined"), "{text}");
+        assert!(lines[1].contains("red 1/2"), "{text}");
+    }
+
+    #[test]
+    fn an_explanation_is_a_sentence_and_the_figures() {
+        let text = explain_text(&Explanation {
+            id: "wk-7".to_owned(),
+            waiting: 3,
+            verdict: "3 of its tasks wait for units of seat: all are held".to_owned(),
+            counts: vec![Asked {
+                count: "seat".to_owned(),
+                needs: 1,
+                free: 0,
+                kept: 0,
+                ahead: 5,
+                why: Some("all are held".to_owned()),
+            }],
+        });
+        assert!(text.starts_with("wk-7: 3 tasks wait; 3 of its tasks wait for units of seat"));
+        assert_eq!(text.lines().count(), 3, "{text}");
+    }
+
+    #[test]
+    fn nobody_to_ask_is_said_plainly() {
+        let error = ask::<CountList>(&[], paths::COUNTS).unwrap_err();
+        assert!(error.to_string().contains("--node"));
+    }
+}
--- a/crates/indigopath/src/main.rs
+++ b/crates/indigopath/src/main.rs
@@ -1,10 +1,11 @@
 //! indigopath: an elastic cluster scheduler for small sites.
 #![forbid(unsafe_code)]
 
+mod counts;
 mod event_loop;
 mod http;
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, CommandFactory, Parser, Subcommand};
 use indigopath_core::settings::{Operator, Settings, SettingsError};
 use log::LevelFilter;
 use std::io::Write;
@@ -42,6 +43,13 @@
 enum Command {
     /// Check the settings files and say what is wrong with them
     Check(Files),
+    /// Show counted resources: licences and other named counts
+    Counts(counts::CountsArgs),
+    /// Print completions for a shell
+    Completions {
+        /// The shell
+        shell: clap_complete::Shell,
+    },
 }
 
 #[derive(Debug, Error)]
@@ -105,9 +113,29 @@
         .init();
 }
 
+/// Prints what was asked for, or why it cannot be had.
+fn show(outcome: Result<String, counts::CountsError>) -> ExitCode {
+    match outcome {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("indigopath: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let (files, check) = match (cli.command, cli.files) {
+        (Some(Command::Counts(args)), _) => return show(counts::run(&args)),
+        (Some(Command::Completions { shell }), _) => {
+            let mut command = Cli::command();
+            clap_complete::generate(shell, &mut command, "indigopath", &mut std::io::stdout());
+            return ExitCode::SUCCESS;
+        }
         (Some(Command::Check(files)), _) => (files, true),
         (None, Some(files)) => (files, false),
         (None, None) => {
--- a/crates/sim/src/cloud.rs
+++ b/crates/sim/src/cloud.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How far the machine list lags, in ms.
+/// How far the machine list lags, in ms, unless said otherwise.
 const LAG_MS: u64 = 3_000;
 
 pub struct Rented {
@@ -14,6 +14,8 @@
     pub at: u64,
     pub up_at: u64,
     pub gone_at: Option<u64>,
+    /// Where its worker is reached, if not by its name.
+    pub addr: Option<String>,
 }
 
 #[derive(Default)]
@@ -28,6 +30,7 @@
     pub duds: u32,
     pub rentals: u32,
     returned: Vec<String>,
+    pub lag_ms: Option<u64>,
 }
 
 impl Cloud {
@@ -53,6 +56,7 @@
             at: now,
             up_at,
             gone_at: None,
+            addr: None,
         };
         self.machines.insert(id.clone(), rented);
         self.rentals += 1;
@@ -111,7 +115,7 @@
     }
 
     fn list(&self, now: u64) -> Value {
-        let then = now.saturating_sub(LAG_MS);
+        let then = now.saturating_sub(self.lag_ms.unwrap_or(LAG_MS));
         let machines = self
             .machines
             .iter()
@@ -120,7 +124,7 @@
             })
             .map(|(id, machine)| ListedMachine {
                 id: id.clone(),
-                addr: Some(id.clone()),
+                addr: machine.addr.clone().or_else(|| Some(id.clone())),
                 machine_type: machine.machine_type.clone(),
                 zone: machine.zone.clone(),
                 spot: machine.spot,
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod cloud;
 pub mod licences;
+pub mod live;
 mod script;
 pub mod state;
 pub mod worker;
--- /dev/null
+++ b/crates/sim/src/live.rs
@@ -0,0 +1,389 @@
+//! The same stand-ins in real time, on loopback, round real controller processes.
+//!
+//! All models share one clock that goes in even steps and catches up with real time
+//! before anything is asked of them, so a busy machine makes them late, never wrong: a
+//! worker whose lease is over has ended its tasks by the time that anybody hears of it.
+
+use crate::cloud::Cloud;
+use crate::licences::{Client, LicenceServer};
+use crate::state::{Reply, StateService};
+use crate::worker::{Times, Worker};
+use crate::world::{JobFacts, fate};
+use indigopath_core::wire::{Cause, TaskState};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::io::Cursor;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+use tiny_http::{Method, Request, Response, Server};
+
+/// Grain of the models' clock, in ms.
+const STEP_MS: u64 = 10;
+
+/// Longest wait for a controller's answer, in ms.
+const CALL_MS: u64 = 4_000;
+
+/// Everything that the stand-ins know.
+pub struct Models {
+    pub now: u64,
+    pub state: StateService,
+    pub cloud: Cloud,
+    pub licences: LicenceServer,
+    pub workers: BTreeMap<String, Worker>,
+    pub jobs: BTreeMap<String, JobFacts>,
+    /// Starts with seats that the licence server refused.
+    pub refused: Vec<String>,
+    /// Tasks that came to be on a machine.
+    pub starts: u32,
+    started: Instant,
+    times: Times,
+}
+
+impl Models {
+    /// Lets time pass up to now, step by step.
+    fn catch_up(&mut self) {
+        let real = self.started.elapsed().as_millis() as u64;
+        while self.now + STEP_MS <= real {
+            self.now += STEP_MS;
+            self.state.expire(self.now);
+            // Whoever ends does so before anybody else begins.
+            self.settle();
+            let ids: Vec<String> = self.workers.keys().cloned().collect();
+            let mut arrived = Vec::new();
+            for id in ids {
+                let Some(worker) = self.workers.get_mut(&id) else {
+                    continue;
+                };
+                for task in worker.step(&mut self.jobs, self.now) {
+                    arrived.push((id.clone(), task));
+                }
+            }
+            self.settle();
+            for (host, task) in arrived {
+                self.starts += 1;
+                let counts = self.jobs.get(&task.job).map(|facts| facts.counts.clone());
+                for (count, units) in counts.unwrap_or_default() {
+                    let client = Client {
+                        host: host.clone(),
+                        task: task.name(),
+                        attempt: task.attempt,
+                    };
+                    if !self.licences.check_out(&count, client, units) {
+                        self.refused
+                            .push(format!("{} on {host} at {} ms", task.name(), self.now));
+                    }
+                }
+            }
+            self.settle();
+        }
+    }
+
+    /// The licence server sees who has ended.
+    fn settle(&mut self) {
+        let workers = &self.workers;
+        self.licences.step(self.now, |client| fate(workers, client));
+    }
+
+    /// Tasks that run now: machine and name.
+    pub fn running(&self) -> Vec<(String, String)> {
+        let tasks = self.workers.values().flat_map(|worker| {
+            let running = worker
+                .tasks
+                .iter()
+                .filter(|task| task.state == TaskState::Running);
+            running.map(|task| (worker.id.clone(), task.name()))
+        });
+        tasks.collect()
+    }
+
+    /// A task's process dies, and its seat stays with the licence server for a while.
+    pub fn kill_task(&mut self, host: &str, name: &str) {
+        if let Some(worker) = self.workers.get_mut(host) {
+            for task in worker.tasks.iter_mut().filter(|task| task.name() == name) {
+                task.exit(Cause::Error);
+            }
+        }
+        self.settle();
+    }
+
+    /// A machine stops with all that is on it.
+    pub fn kill_machine(&mut self, host: &str) {
+        self.workers.remove(host);
+        self.settle();
+    }
+}
+
+/// The stand-ins, running until this is dropped.
+pub struct Live {
+    models: Arc<Mutex<Models>>,
+    over: Arc<AtomicBool>,
+    pub state: SocketAddrV4,
+    pub cloud: SocketAddrV4,
+    pub licences: SocketAddrV4,
+    servers: Vec<Arc<Server>>,
+}
+
+impl Drop for Live {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        for server in &self.servers {
+            server.unblock();
+        }
+    }
+}
+
+type Shared = Arc<Mutex<Models>>;
+
+/// Status and body.
+type Answer = (u16, Vec<u8>);
+
+/// How a stand-in answers: method, path, body.
+type Handle = dyn Fn(&str, &str, &[u8]) -> Answer + Send + Sync;
+
+fn lock(models: &Shared) -> MutexGuard<'_, Models> {
+    let mut models = models.lock().unwrap_or_else(PoisonError::into_inner);
+    models.catch_up();
+    models
+}
+
+impl Live {
+    /// Starts them. Workers report to `nodes`, which are named n0, n1, …
+    pub fn start(cloud: Cloud, licences: LicenceServer, times: Times, nodes: Vec<SocketAddrV4>) -> Live {
+        let models = Arc::new(Mutex::new(Models {
+            now: 0,
+            state: StateService::default(),
+            cloud,
+            licences,
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            refused: Vec::new(),
+            starts: 0,
+            started: Instant::now(),
+            times,
+        }));
+        let over = Arc::new(AtomicBool::new(false));
+        let mut servers = Vec::new();
+        let mut serve = |handle: fn(&Shared, &AtomicBool, &str, &str, &[u8]) -> Answer| {
+            let (models, over) = (models.clone(), over.clone());
+            let (server, addr) = listen(move |method, path, body| handle(&models, &over, method, path, body));
+            servers.push(server);
+            addr
+        };
+        let state = serve(serve_state);
+        let cloud = serve(|models, _, method, path, body| serve_cloud(models, method, path, body));
+        let licences = serve(|models, _, _, path, _| match path {
+            "/lmstat" => (200, lock(models).licences.lmstat().into_bytes()),
+            _ => (404, Vec::new()),
+        });
+        thread::spawn({
+            let (models, over) = (models.clone(), over.clone());
+            move || boot_machines(&models, &over, &nodes)
+        });
+        Live {
+            models,
+            over,
+            state,
+            cloud,
+            licences,
+            servers,
+        }
+    }
+
+    /// Looks at, or changes, what the stand-ins know, at the present time.
+    pub fn with<T>(&self, act: impl FnOnce(&mut Models) -> T) -> T {
+        act(&mut lock(&self.models))
+    }
+}
+
+/// Serves HTTP on a port of its own, a thread a request: watches wait.
+fn listen(
+    handle: impl Fn(&str, &str, &[u8]) -> Answer + Send + Sync + 'static,
+) -> (Arc<Server>, SocketAddrV4) {
+    let server = Arc::new(Server::http("127.0.0.1:0").expect("a port on loopback"));
+    let addr = match server.server_addr().to_ip() {
+        Some(SocketAddr::V4(addr)) => addr,
+        other => panic!("no IPv4 port: {other:?}"),
+    };
+    let handle = Arc::new(handle);
+    let serving = server.clone();
+    thread::spawn(move || {
+        while let Ok(request) = serving.recv() {
+            let handle = handle.clone();
+            thread::spawn(move || answer(request, &*handle));
+        }
+    });
+    (server, addr)
+}
+
+fn answer(mut request: Request, handle: &Handle) {
+    let mut body = Vec::new();
+    if request.as_reader().read_to_end(&mut body).is_err() {
+        return;
+    }
+    let method = match request.method() {
+        Method::Get => "GET",
+        Method::Delete => "DELETE",
+        _ => "POST",
+    };
+    let path = request.url().to_owned();
+    let (status, bytes) = handle(method, &path, &body);
+    let length = bytes.len();
+    let response = Response::new(status.into(), Vec::new(), Cursor::new(bytes), Some(length), None);
+    // Whoever asked may be gone.
+    let _ = request.respond(response.with_chunked_threshold(usize::MAX));
+}
+
+fn serve_state(models: &Shared, over: &AtomicBool, method: &str, path: &str, body: &[u8]) -> Answer {
+    let text = |value: Value| value.to_string().into_bytes();
+    let reply = {
+        let mut models = lock(models);
+        let now = models.now;
+        models.state.handle(method, path, body, now)
+    };
+    match reply {
+        Reply::Now(status, value) => (status, text(value)),
+        Reply::Wait { prefix, after, until } => loop {
+            thread::sleep(Duration::from_millis(STEP_MS));
+            let models = lock(models);
+            if let Some(news) = models.state.news(&prefix, after) {
+                return (200, text(news));
+            }
+            if models.now >= until || over.load(Ordering::Relaxed) {
+                return (200, text(models.state.empty_news()));
+            }
+        },
+    }
+}
+
+fn serve_cloud(models: &Shared, method: &str, path: &str, body: &[u8]) -> Answer {
+    let mut models = lock(models);
+    let now = models.now;
+    let (status, value) = models.cloud.handle(method, path, body, now);
+    for id in models.cloud.take_returned() {
+        models.workers.remove(&id);
+    }
+    models.settle();
+    (status, value.to_string().into_bytes())
+}
+
+/// Starts a worker for every machine that is up.
+fn boot_machines(models: &Shared, over: &Arc<AtomicBool>, nodes: &[SocketAddrV4]) {
+    let mut seen = 0;
+    while !over.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(STEP_MS));
+        let mut due = Vec::new();
+        {
+            let mut models = lock(models);
+            let (now, times) = (models.now, models.times);
+            // Machines come up in the order of their names here.
+            let up: Vec<String> = models
+                .cloud
+                .machines
+                .iter()
+                .skip(seen)
+                .take_while(|(_, machine)| machine.up_at <= now)
+                .map(|(id, _)| id.clone())
+                .collect();
+            seen += up.len();
+            for id in up {
+                let machine = &models.cloud.machines[&id];
+                if machine.gone_at.is_some() {
+                    continue;
+                }
+                let mut worker = Worker::new(&id, &machine.machine_type, &machine.zone, machine.spot, now);
+                worker.times = times;
+                models.workers.insert(id.clone(), worker);
+                due.push(id);
+            }
+        }
+        for id in due {
+            let (models, over, nodes) = (models.clone(), over.clone(), nodes.to_vec());
+            thread::spawn(move || be_worker(&models, &over, &id, &nodes));
+        }
+    }
+}
+
+/// A worker's life: its address, and its reports.
+fn be_worker(models: &Shared, over: &AtomicBool, id: &str, nodes: &[SocketAddrV4]) {
+    let (server, addr) = listen({
+        let (models, id) = (models.clone(), id.to_owned());
+        move |_, path, body| {
+            let mut models = lock(&models);
+            let now = models.now;
+            let Models { workers, jobs, .. } = &mut *models;
+            let Some(worker) = workers.get_mut(&id) else {
+                return (404, Vec::new());
+            };
+            let answer = match path {
+                "/do" => worker.direct(body, jobs, now),
+                _ => (200, worker.report(now)),
+            };
+            models.settle();
+            answer
+        }
+    });
+    {
+        let mut models = lock(models);
+        if let Some(worker) = models.workers.get_mut(id) {
+            worker.addr = addr.to_string();
+        }
+        if let Some(machine) = models.cloud.machines.get_mut(id) {
+            machine.addr = Some(addr.to_string());
+        }
+    }
+    let client = HttpClient::new(CALL_MS);
+    while !over.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(STEP_MS));
+        let due = {
+            let mut models = lock(models);
+            let now = models.now;
+            let Some(worker) = models.workers.get_mut(id) else {
+                break;
+            };
+            let (node, session) = (worker.node, worker.session);
+            worker
+                .due_report(now)
+                .map(|(number, body)| (number, body, node, session))
+        };
+        let Some((number, body, node, session)) = due else {
+            continue;
+        };
+        let outcome = client.call("POST", nodes[node], "/v1/report", &body);
+        let mut models = lock(models);
+        let now = models.now;
+        let Models { workers, jobs, .. } = &mut *models;
+        if let Some(worker) = workers.get_mut(id) {
+            worker.answered(number, session, outcome, nodes.len(), jobs, now);
+        }
+        models.settle();
+    }
+    server.unblock();
+}
+
+/// A client of HTTP that waits for its answer, for users and workers.
+pub struct HttpClient(ureq::Agent);
+
+impl HttpClient {
+    pub fn new(timeout_ms: u64) -> HttpClient {
+        let config = ureq::Agent::config_builder()
+            .timeout_global(Some(Duration::from_millis(timeout_ms)))
+            .http_status_as_error(false)
+            .build();
+        HttpClient(config.into())
+    }
+
+    /// Status and body, or nothing if no answer came.
+    pub fn call(&self, method: &str, to: SocketAddrV4, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+        let url = format!("http://{to}{path}");
+        let answer = match method {
+            "GET" => self.0.get(url).call(),
+            _ => self.0.post(url).content_type("application/json").send(body),
+        };
+        let mut answer = answer.ok()?;
+        let body = answer.body_mut().read_to_vec().ok()?;
+        Some((answer.status().as_u16(), body))
+    }
+}
--- a/crates/sim/src/worker.rs
+++ b/crates/sim/src/worker.rs
@@ -6,11 +6,32 @@
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
-pub const REPORT_MS: u64 = 3_000;
-pub const LEASE_MS: u64 = 30_000;
-const GANG_WAIT_MS: u64 = 30_000;
 pub const GANG_PEER_MS: u64 = 5_000;
 
+/// What the platform's settings say of workers, in ms.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    pub report_ms: u64,
+    pub lease_ms: u64,
+    pub gang_wait_ms: u64,
+    /// Shortest time between two reports.
+    pub least_ms: u64,
+    /// Wait before the next node is tried.
+    pub retry_ms: u64,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Times {
+            report_ms: 3_000,
+            lease_ms: 30_000,
+            gang_wait_ms: 30_000,
+            least_ms: 500,
+            retry_ms: 1_000,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct Task {
     pub job: String,
@@ -39,6 +60,9 @@
 
 pub struct Worker {
     pub id: String,
+    /// Where direct commands reach it.
+    pub addr: String,
+    pub times: Times,
     pub machine_type: String,
     pub zone: String,
     pub spot: bool,
@@ -63,6 +87,8 @@
     pub fn new(id: &str, machine_type: &str, zone: &str, spot: bool, now: u64) -> Worker {
         Worker {
             id: id.to_owned(),
+            addr: id.to_owned(),
+            times: Times::default(),
             machine_type: machine_type.to_owned(),
             zone: zone.to_owned(),
             spot,
@@ -87,7 +113,7 @@
         self.seq += 1;
         let report = Report {
             machine: self.id.clone(),
-            addr: self.id.clone(),
+            addr: self.addr.clone(),
             machine_type: self.machine_type.clone(),
             zone: self.zone.clone(),
             spot: self.spot,
@@ -118,12 +144,14 @@
         self.reports += 1;
         self.in_flight = Some((self.reports, now));
         self.last_report = now;
-        self.next_report = now + REPORT_MS;
+        self.next_report = now + self.times.report_ms;
         Some((self.reports, self.report(now)))
     }
 
     fn changed(&mut self, now: u64) {
-        self.next_report = self.next_report.min((self.last_report + 500).max(now));
+        self.next_report = self
+            .next_report
+            .min((self.last_report + self.times.least_ms).max(now));
     }
 
     pub fn answered(
@@ -172,7 +200,7 @@
 
     fn try_next(&mut self, nodes: usize, now: u64) {
         self.node = (self.node + 1) % nodes;
-        self.next_report = now + 1_000;
+        self.next_report = now + self.times.retry_ms;
     }
 
     /// A direct command.
@@ -256,7 +284,7 @@
         if now < self.hung_until {
             return Vec::new();
         }
-        if now > self.lease_from + LEASE_MS {
+        if now > self.lease_from + self.times.lease_ms {
             self.tasks.clear();
             self.session += 1;
             self.lease_from = now;
@@ -268,6 +296,7 @@
             self.in_flight = None;
             self.try_next(3, now);
         }
+        let gang_wait_ms = self.times.gang_wait_ms;
         let mut arrived = Vec::new();
         let mut changed = false;
         for task in &mut self.tasks {
@@ -296,7 +325,7 @@
                         }
                     }
                 }
-                TaskState::Waiting if now >= task.since + GANG_WAIT_MS => task.exit(Cause::Alone),
+                TaskState::Waiting if now >= task.since + gang_wait_ms => task.exit(Cause::Alone),
                 TaskState::Running if facts.shape != "daemon" => {
                     let progress_s = task.progress_from + (now - task.since) as f64 / 1000.0;
                     if task.lost_mates_at.is_some_and(|at| now >= at) {
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -720,17 +720,7 @@
             return;
         }
         let workers = &self.workers;
-        self.licences.step(self.now, |client| {
-            let task = workers.get(&client.host).and_then(|worker| {
-                let mut tasks = worker.tasks.iter();
-                tasks.find(|task| task.attempt == client.attempt && task.name() == client.task)
-            });
-            match task {
-                Some(task) if task.on() => Fate::Alive,
-                Some(task) if task.why == Some(Cause::Done) => Fate::GaveBack,
-                _ => Fate::Died,
-            }
-        });
+        self.licences.step(self.now, |client| fate(workers, client));
     }
 
     /// A task that came to be on a machine checks its seats out.
@@ -980,6 +970,19 @@
     }
 }
 
+/// What has become of a client of the licence server.
+pub fn fate(workers: &BTreeMap<String, Worker>, client: &Client) -> Fate {
+    let task = workers.get(&client.host).and_then(|worker| {
+        let mut tasks = worker.tasks.iter();
+        tasks.find(|task| task.attempt == client.attempt && task.name() == client.task)
+    });
+    match task {
+        Some(task) if task.on() => Fate::Alive,
+        Some(task) if task.why == Some(Cause::Done) => Fate::GaveBack,
+        _ => Fate::Died,
+    }
+}
+
 fn json_bytes(value: &Value) -> Vec<u8> {
     value.to_string().into_bytes()
 }
--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,32 @@
+# Operators' own settings, with everything that is off unless it stands here. Start a
+# controller with them:
+#
+#   target/release/indigopath --config FILE --operator deploy/operator.hcl
+#
+# and check them first:
+#
+#   target/release/indigopath check --config FILE --operator deploy/operator.hcl
+
+# Seconds that a machine is idle before it is given back.
+idle_return_s = 25
+
+# A counted resource: seats of a licence, or anything else of which there is a number.
+# A job asks with "Counts": {"layout-optimiser": 1}, what one task takes.
+count "layout-optimiser" {
+  # How many there are; 0 lets nothing start.
+  units = 4
+
+  # For how long a unit stays taken after a task that did not end by itself: until the
+  # licence server has given a dead client's seat back.
+  linger_s = 20
+
+  # Units that teams are guaranteed; the rest, and what they do not use, is borrowed.
+  # shares = { floorflow-00 = 2 }
+
+  # A licence server that others use too: GET /lmstat there shows what `lmstat -a` prints.
+  # server = "127.0.0.1:7788"
+}
+
+# Whether GET /v1/counts/holders names the tasks that hold units. It shows ids of all
+# teams' jobs to whoever reaches a controller.
+show_holders = true
