Counts: a pass reads each demand once, and equal demands are one in memory

Change: a demand of one count, as most are, is resolved once a turn; the leader shares equal demands, of jobs and of attempts, so the few different ones stay where they were just read.

--- a/crates/core/src/leader/counts.rs
+++ b/crates/core/src/leader/counts.rs
@@ -5,7 +5,7 @@
 use crate::io::Effect;
 use indigopath_counts::constants::{SERVER_BYTES, SERVER_TIMEOUT_MS};
 use indigopath_counts::status::{Asked, CountStatus, Explanation, Holder, ServerStatus, TeamStatus};
-use indigopath_counts::{Closed, Definitions, Demand, Feed, Linger, Name, Policy, Pool, parse};
+use indigopath_counts::{Closed, Definitions, Demand, Demands, Feed, Linger, Name, Policy, Pool, parse};
 use placement::{Short, Units};
 use std::net::SocketAddrV4;
 
@@ -31,6 +31,8 @@
     feeds: BTreeMap<Name, Feed>,
     /// For how long units of each count linger.
     linger_ms: HashMap<Name, u64>,
+    /// Demands of jobs and attempts, each once.
+    demands: Demands,
     /// Units that linger, as at the last pass or look.
     lingers: Vec<Linger>,
     /// Who waited for units after the last pass, in the order of service.
@@ -72,6 +74,13 @@
         }
     }
 
+    /// Shares a demand with its equals.
+    pub(super) fn share_demand(&mut self, demand: &mut Demand) {
+        if !demand.is_empty() {
+            *demand = self.counted.demands.share(std::mem::take(demand));
+        }
+    }
+
     /// Brings what lingers up to date, before a pass or a look.
     pub(super) fn settle_lingers(&mut self, now: Millis) {
         let before = self.counted.lingers.len();
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -420,7 +420,8 @@
         io: &mut Io,
     ) -> Result<(), records::RecordError> {
         if item.key.starts_with(records::JOBS) {
-            let spec = JobSpec::from_value(&item.value)?;
+            let mut spec = JobSpec::from_value(&item.value)?;
+            self.share_demand(&mut spec.counts);
             self.jobs
                 .insert(spec.id.clone(), Job::new(spec, item.version, io.now, io.wall_ms));
         } else if let Some(number) = records::parse_number(records::DONE, &item.key) {
@@ -460,6 +461,9 @@
             self.writer.linger_read(number, item.version, lingers);
             for record in shard.machines()? {
                 let mut machine = Machine::from_record(&record, io.now);
+                for attempt in &mut machine.attempts {
+                    self.share_demand(&mut attempt.counts);
+                }
                 self.writer.join(&mut machine, number, item.version);
                 self.machines.insert(machine.id.clone(), machine);
             }
@@ -478,13 +482,14 @@
     }
 
     /// A job was accepted, by this node or another.
-    pub fn job_accepted(&mut self, spec: JobSpec, version: u64, io: &Io) {
+    pub fn job_accepted(&mut self, mut spec: JobSpec, version: u64, io: &Io) {
         if self.load.is_some()
             || self.jobs.contains_key(&spec.id)
             || version <= self.writer.ended_at(&spec.id)
         {
             return;
         }
+        self.share_demand(&mut spec.counts);
         self.jobs
             .insert(spec.id.clone(), Job::new(spec, version, io.now, io.wall_ms));
         self.changed = true;
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -13,7 +13,7 @@
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
 use crate::settings::{Deployment, Team};
 use crate::wire::{MachineType, Priority, Shape};
-use indigopath_counts::{Book, Demand, Name};
+use indigopath_counts::{Book, Demand, Name, Only};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
@@ -183,6 +183,10 @@
     rank: Rank,
     /// Its team is guaranteed the units that it asks for here.
     units_owed: bool,
+    /// It asks for units of counts.
+    counted: bool,
+    /// Of one count only, as most do.
+    only: Option<Only>,
 }
 
 /// Grace that lets a task save.
@@ -593,7 +597,7 @@
         if allowed == 0 {
             return;
         }
-        let with_units = self.with_units(job, allowed);
+        let with_units = self.with_units(visit, allowed);
         if with_units > 0 {
             self.place_allowed(visit, with_units);
         }
@@ -659,16 +663,17 @@
                 }
             }
         }
-        let mut unplaced = self.promised_units(job, left);
+        let mut unplaced = self.promised_units(visit, left);
         while unplaced > 0 && self.make_room(&ask, &zones, None) {
             unplaced -= 1;
         }
-        self.note_unplaced(job, unplaced, &zones);
+        self.note_unplaced(visit, unplaced, &zones);
     }
 
-    fn note_unplaced(&mut self, job: &Job, tasks: u32, open: &Open) {
+    fn note_unplaced(&mut self, visit: &Visit<'a>, tasks: u32, open: &Open) {
+        let job = visit.job;
         if tasks > 0 && open.iter().any(|open| *open) {
-            self.keep_units(job);
+            self.keep_units(visit);
             self.plan.unplaced.push(Unplaced {
                 job: job.spec.id.clone(),
                 tasks,
@@ -696,7 +701,7 @@
         if self.quota_left(&job.spec, tasks) < tasks {
             return;
         }
-        if self.with_units(job, tasks) < tasks {
+        if self.with_units(visit, tasks) < tasks {
             self.lack_units(visit, tasks, tasks);
             return;
         }
@@ -724,7 +729,7 @@
                 }
             }
             // Its units are spoken for by the time its machines are there.
-            None if self.promised_units(job, tasks) < tasks => (),
+            None if self.promised_units(visit, tasks) < tasks => (),
             None => {
                 // Room for a larger gang is made by renting: stopping others for a
                 // part of it would waste their work without starting it.
@@ -732,7 +737,7 @@
                     return;
                 }
                 self.ordinary_short |= !job.spec.spot;
-                self.note_unplaced(job, tasks, &zones);
+                self.note_unplaced(visit, tasks, &zones);
             }
         }
     }
--- a/crates/core/src/placement/units.rs
+++ b/crates/core/src/placement/units.rs
@@ -94,11 +94,20 @@
                 Rank::BeyondMachines
             },
             units_owed: false,
+            counted: !job.spec.counts.is_empty(),
+            only: None,
         };
-        let owed = if job.spec.counts.is_empty() {
-            None
-        } else {
-            self.book.owed(&job.spec.team, &job.spec.counts, waiting)
+        if !whole.counted {
+            order.push(whole);
+            return;
+        }
+        let whole = Visit {
+            only: self.book.only(&job.spec.counts),
+            ..whole
+        };
+        let owed = match whole.only {
+            Some(only) => self.book.owed_of(only, &job.spec.team, waiting),
+            None => self.book.owed(&job.spec.team, &job.spec.counts, waiting),
         };
         let Some(owed) = owed else {
             order.push(whole);
@@ -136,27 +145,34 @@
     }
 
     /// How many of `most` tasks of the job may have their units now.
-    pub(super) fn with_units(&self, job: &Job, most: u32) -> u32 {
-        if job.spec.counts.is_empty() {
+    pub(super) fn with_units(&self, visit: &Visit<'a>, most: u32) -> u32 {
+        if !visit.counted {
             return most;
         }
-        let asker = self.asker(job);
-        self.book.room(&job.spec.counts, most, &asker)
+        let asker = self.asker(visit.job);
+        match visit.only {
+            Some(only) => self.book.room_of(only, most, &asker),
+            None => self.book.room(&visit.job.spec.counts, most, &asker),
+        }
     }
 
     /// How many of `tasks` that lack machines would have units once these came. For the
     /// others nothing is rented.
-    pub(super) fn promised_units(&mut self, job: &Job, tasks: u32) -> u32 {
-        if job.spec.counts.is_empty() {
+    pub(super) fn promised_units(&mut self, visit: &Visit<'a>, tasks: u32) -> u32 {
+        if !visit.counted || tasks == 0 {
             return tasks;
         }
-        self.book.promise(&job.spec.counts, tasks)
+        match visit.only {
+            Some(only) => self.book.promise_of(only, tasks),
+            None => self.book.promise(&visit.job.spec.counts, tasks),
+        }
     }
 
     /// Tasks of the job wait for machines: what is free is kept for it if it is old, or
     /// its units would be gone whenever its machines are there.
-    pub(super) fn keep_units(&mut self, job: &Job) {
-        if !job.spec.counts.is_empty() {
+    pub(super) fn keep_units(&mut self, visit: &Visit<'a>) {
+        let job = visit.job;
+        if visit.counted {
             let asker = self.asker(job);
             if self
                 .book
--- a/crates/counts/benches/pass.rs
+++ b/crates/counts/benches/pass.rs
@@ -10,7 +10,7 @@
 use indigopath_core::placement::{self, Site, Types, Units};
 use indigopath_core::settings::Deployment;
 use indigopath_core::wire::{Flavors, TaskState};
-use indigopath_counts::{Asker, Book, Definition, Definitions, Demand, Policy};
+use indigopath_counts::{Asker, Book, Definition, Definitions, Demand, Demands, Policy};
 use serde_json::json;
 use std::collections::{BTreeMap, HashMap};
 use std::hint::black_box;
@@ -48,6 +48,8 @@
         "Rate": 1.0, "LowPrice": 0.5, "StartupS": 10, "Yards": ["east", "west"]
     }] }))
     .expect("machine types");
+    // As the leader does.
+    let demands = std::cell::RefCell::new(Demands::default());
     let spec = |number: u32| -> JobSpec {
         let value = json!({
             "id": format!("wk-{number}"), "class": "slots", "team": if number.is_multiple_of(2) { "red" } else { "blue" },
@@ -59,7 +61,7 @@
         });
         let mut spec: JobSpec = serde_json::from_value(value).expect("a job");
         if counted {
-            spec.counts = demand(number);
+            spec.counts = demands.borrow_mut().share(demand(number));
         }
         spec
     };
--- a/crates/counts/src/book.rs
+++ b/crates/counts/src/book.rs
@@ -292,6 +292,13 @@
     pub why: Why,
 }
 
+/// The one count of a demand, as a book has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Only {
+    at: usize,
+    units: u32,
+}
+
 /// What a request lacks beyond what comes to it anyway.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Missing {
@@ -398,6 +405,42 @@
         pool.ends.push((left_s, units));
     }
 
+    /// Where the one count of a demand stands, and its units; `None` if it names several,
+    /// or one that nobody defines or holds. A pass asks after thousands of jobs, one after
+    /// the other: their demands lie all over memory, and are read once this way.
+    pub fn only(&self, demand: &Demand) -> Option<Only> {
+        let mut parts = demand.iter();
+        let (name, units) = parts.next()?;
+        let at = *self.index.get(&**name)?;
+        parts.next().is_none().then_some(Only { at, units })
+    }
+
+    /// The pool of such a demand.
+    fn only_pool(&self, only: Only) -> &Pool<'a> {
+        &self.pools[only.at]
+    }
+
+    /// As `room`, for a demand of one count.
+    pub fn room_of(&self, only: Only, most: u32, asker: &Asker) -> u32 {
+        most.min(self.only_pool(only).open_to(asker) / only.units.max(1))
+    }
+
+    /// As `owed`, for a demand of one count.
+    pub fn owed_of(&self, only: Only, team: &str, most: u32) -> Option<u32> {
+        let pool = self.only_pool(only);
+        pool.is_shared()
+            .then(|| most.min(pool.owed(team) / only.units.max(1)))
+    }
+
+    /// As `promise`, for a demand of one count.
+    pub fn promise_of(&mut self, only: Only, most: u32) -> u32 {
+        let pool = &mut self.pools[only.at];
+        let open = pool.free().saturating_sub(pool.promised);
+        let count = most.min(open / only.units.max(1));
+        pool.promised += only.units * count;
+        count
+    }
+
     /// How many of `most` tasks may have their units now.
     pub fn room(&self, demand: &Demand, most: u32, asker: &Asker) -> u32 {
         let mut room = most;
--- a/crates/counts/src/constants.rs
+++ b/crates/counts/src/constants.rs
@@ -10,6 +10,9 @@
 /// Most counts that one task may ask for. Each is looked up for every job in a pass.
 pub const MAX_DEMAND: usize = 16;
 
+/// Most different demands that are remembered, to share them: users choose them freely.
+pub const DEMANDS_KEPT: usize = 1_000;
+
 /// Longest name of a count, in bytes: it stands in records and in metrics' labels.
 pub const MAX_NAME: usize = 64;
 
--- a/crates/counts/src/demand.rs
+++ b/crates/counts/src/demand.rs
@@ -1,8 +1,9 @@
 //! What a task asks for.
 
-use crate::constants::{MAX_DEMAND, MAX_UNITS};
+use crate::constants::{DEMANDS_KEPT, MAX_DEMAND, MAX_UNITS};
 use crate::definition::is_name;
 use crate::{Definitions, Name};
+use rustc_hash::FxHashSet;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -94,3 +95,41 @@
         Ok(())
     }
 }
+
+/// Equal demands as one: a pass reads those of thousands of jobs, and finds the few
+/// different ones where it has just been.
+#[derive(Debug, Clone, Default)]
+pub struct Demands(FxHashSet<Demand>);
+
+impl Demands {
+    /// The same demand, shared with its equals.
+    pub fn share(&mut self, demand: Demand) -> Demand {
+        if let Some(known) = self.0.get(&demand) {
+            return known.clone();
+        }
+        if self.0.len() >= DEMANDS_KEPT {
+            // They live on with their jobs.
+            self.0.clear();
+        }
+        self.0.insert(demand.clone());
+        demand
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn equal_demands_are_one() {
+        let seat = |units| Demand::new(&BTreeMap::from([("seat".to_owned(), units)])).unwrap();
+        let mut demands = Demands::default();
+        let first = demands.share(seat(1));
+        assert!(Arc::ptr_eq(&first.0, &demands.share(seat(1)).0));
+        assert!(!Arc::ptr_eq(&first.0, &demands.share(seat(2)).0));
+        for units in 1..3 * DEMANDS_KEPT as u64 {
+            assert_eq!(demands.share(seat(units)), seat(units));
+        }
+        assert!(demands.0.len() <= DEMANDS_KEPT);
+    }
+}
--- a/crates/counts/src/lib.rs
+++ b/crates/counts/src/lib.rs
@@ -25,9 +25,9 @@
 mod linger;
 pub mod status;
 
-pub use book::{Asker, Book, Closed, Lack, Missing, Policy, Pool, TeamUse, Why};
+pub use book::{Asker, Book, Closed, Lack, Missing, Only, Policy, Pool, TeamUse, Why};
 pub use definition::{Definition, DefinitionError, Definitions, check, is_name};
-pub use demand::{Demand, DemandError, Unmeetable};
+pub use demand::{Demand, DemandError, Demands, Unmeetable};
 pub use licence::{Feed, LicenceError, Usage, Word, parse};
 pub use linger::{Linger, LingerEntry, Lingers};
 
