--- a/crates/core/src/leader/counts.rs
+++ b/crates/core/src/leader/counts.rs
@@ -412,7 +412,11 @@
             needs: u64::from(units) * u64::from(job.together()),
             free: book.get(count).map_or(0, |pool| pool.free()),
             kept: self.counted.kept.get(count).copied().unwrap_or(0),
-            ahead: self.units_wanted(count, Some(id)),
+            ahead: if short.is_empty() {
+                0
+            } else {
+                self.units_wanted(count, Some(id))
+            },
             why: short
                 .iter()
                 .find(|short| short.lack.count == *count)
--- a/crates/core/src/placement/units.rs
+++ b/crates/core/src/placement/units.rs
@@ -35,11 +35,10 @@
             let left_s = (linger.until - now) as f64 / SECOND_MS as f64;
             book.linger(&linger.team, &linger.count, linger.units, left_s);
         }
-        if !self.feeds.is_empty() {
-            book.hear(self.feeds, now, |host| {
-                machines.contains_key(host) || self.gone.contains_key(host)
-            });
-        }
+        // A server that nobody has asked yet closes its count as well.
+        book.hear(self.feeds, now, |host| {
+            machines.contains_key(host) || self.gone.contains_key(host)
+        });
     }
 }
 
