--- a/crates/core/src/placement/units.rs
+++ b/crates/core/src/placement/units.rs
@@ -148,10 +148,12 @@
         if !visit.counted {
             return most;
         }
-        let asker = self.asker(visit.job);
         match visit.only {
-            Some(only) => self.book.room_of(only, most, &asker),
-            None => self.book.room(&visit.job.spec.counts, most, &asker),
+            Some(only) => self.book.room_of(only, most, || self.asker(visit.job)),
+            None => {
+                let asker = self.asker(visit.job);
+                self.book.room(&visit.job.spec.counts, most, &asker)
+            }
         }
     }
 
@@ -171,7 +173,8 @@
     /// its units would be gone whenever its machines are there.
     pub(super) fn keep_units(&mut self, visit: &Visit<'a>) {
         let job = visit.job;
-        if visit.counted {
+        let age_s = job.age_ms(self.site.now) as f64 / SECOND_MS as f64;
+        if visit.counted && self.book.keeps_at(age_s) {
             let asker = self.asker(job);
             if self
                 .book
--- a/crates/counts/benches/pass.rs
+++ b/crates/counts/benches/pass.rs
@@ -22,7 +22,7 @@
 const MACHINES: u32 = 1_000;
 /// Tasks on each machine, which fill it.
 const EACH: u32 = 4;
-const PAIRS: usize = 41;
+const PAIRS: usize = 201;
 
 struct World {
     deployment: Deployment,
--- a/crates/counts/src/book.rs
+++ b/crates/counts/src/book.rs
@@ -51,6 +51,9 @@
     }
 }
 
+/// Holders of a count for which room is made at once.
+const ENDS_AT_FIRST: u32 = 64;
+
 /// From when on what is free is kept for a request that finds too little.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Policy {
@@ -142,7 +145,7 @@
             lingering: 0,
             closed: definition.is_none().then_some(Closed::Undefined),
             teams: Vec::new(),
-            ends: Vec::new(),
+            ends: Vec::with_capacity(definition.map_or(0, |known| known.units.min(ENDS_AT_FIRST)) as usize),
             coming: 0,
             ending: 0,
             kept: None,
@@ -295,7 +298,7 @@
 /// The one count of a demand, as a book has it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Only {
-    at: usize,
+    at: u32,
     units: u32,
 }
 
@@ -325,8 +328,9 @@
     /// The same, with other bounds on waiting than the usual ones.
     pub fn with_policy(definitions: &'a Definitions, policy: Policy) -> Book<'a> {
         let mut book = Book {
+            pools: Vec::with_capacity(definitions.len()),
+            index: FxHashMap::with_capacity_and_hasher(definitions.len(), Default::default()),
             policy,
-            ..Book::default()
         };
         for (name, definition) in definitions {
             book.pool(name, Some(definition));
@@ -411,18 +415,29 @@
     pub fn only(&self, demand: &Demand) -> Option<Only> {
         let mut parts = demand.iter();
         let (name, units) = parts.next()?;
-        let at = *self.index.get(&**name)?;
+        let at = u32::try_from(*self.index.get(&**name)?).ok()?;
         parts.next().is_none().then_some(Only { at, units })
     }
 
     /// The pool of such a demand.
     fn only_pool(&self, only: Only) -> &Pool<'a> {
-        &self.pools[only.at]
+        &self.pools[only.at as usize]
+    }
+
+    /// As `room`, for a demand of one count. Who asks matters only where units are kept.
+    pub fn room_of(&self, only: Only, most: u32, asker: impl FnOnce() -> Asker) -> u32 {
+        let pool = self.only_pool(only);
+        let open = if pool.kept.is_some() {
+            pool.open_to(&asker())
+        } else {
+            pool.free().saturating_sub(pool.claimed)
+        };
+        most.min(open / only.units.max(1))
     }
 
-    /// As `room`, for a demand of one count.
-    pub fn room_of(&self, only: Only, most: u32, asker: &Asker) -> u32 {
-        most.min(self.only_pool(only).open_to(asker) / only.units.max(1))
+    /// Whether units may be kept for a request of this age, in s.
+    pub fn keeps_at(&self, age_s: f64) -> bool {
+        age_s >= self.policy.reserve_after_s
     }
 
     /// As `owed`, for a demand of one count.
@@ -434,7 +449,7 @@
 
     /// As `promise`, for a demand of one count.
     pub fn promise_of(&mut self, only: Only, most: u32) -> u32 {
-        let pool = &mut self.pools[only.at];
+        let pool = &mut self.pools[only.at as usize];
         let open = pool.free().saturating_sub(pool.promised);
         let count = most.min(open / only.units.max(1));
         pool.promised += only.units * count;
@@ -535,7 +550,7 @@
     /// in the order may still take everything, so what is kept is held by nobody, and the
     /// first in the order gets all that it asks for in the end.
     fn keep(&mut self, demand: &Demand, tasks: u32, asker: &Asker, ready_s: Option<f64>) -> bool {
-        if asker.age_s < self.policy.reserve_after_s {
+        if !self.keeps_at(asker.age_s) {
             return false;
         }
         let mut latest: f64 = 0.0;
