Read once more: one check-out, one fate, one reply, one way a pool is held and opened

A pool counted units wanted that nobody read; room and promise of a demand of one count repeated those of several; world, live and oracle each checked seats out and judged clients; node built replies by hand; three plots shared a shell; feeds were made at each look. Change: each in one place; the constant that only named another is gone, a comment on stops that said something else is right.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -323,7 +323,7 @@
 /// lagging listing or a late report from a machine that is really there.
 pub const GONE_MEMORY_MS: u64 = 300_000;
 
-/// How often, in ms, a class that stays behind is warned of again: often enough that
+/// How often, in ms, what stays wrong (a class behind, a count) is warned of again: often enough that
 /// whoever comes on call sees it, too seldom to bury the rest of the log.
 pub const WARNING_REPEAT_MS: u64 = 300_000;
 
@@ -414,15 +414,12 @@
 
 // ---- counted resources -------------------------------------------------------
 
-/// Interval, in ms, at which a warning about a count (its licence server is silent, more
-/// is held than there is) is said again while it lasts: as for classes.
-pub const COUNT_WARNING_REPEAT_MS: u64 = WARNING_REPEAT_MS;
-
 /// How long, in ms, something must have been wrong with a count before operators are
 /// told. A new leader hears its servers within seconds.
 pub const COUNT_WARNING_AFTER_MS: u64 = 10_000;
 
-/// Most attempts that one pass stops to free units for others: as many as it may start.
+/// Most victims, gangs counted once, that one pass stops to free units for others: each
+/// costs work done, and the next pass sees what came of it.
 pub const UNIT_STOPS_PER_PASS: usize = 64;
 
 /// Most tasks of a job for which one pass tries to free units.
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -216,26 +216,35 @@
         self.call(Destination::State, method, path, body, timeout_ms)
     }
 
-    pub fn reply(&mut self, request: RequestId, status: u16, body: &impl Serialize) {
-        let body = json(body);
+    fn answer(
+        &mut self,
+        request: RequestId,
+        status: u16,
+        retry_after_s: Option<u64>,
+        content: Content,
+        body: Vec<u8>,
+    ) {
         self.effects.push(Effect::Reply {
             request,
             status,
-            retry_after_s: None,
-            content: Content::Json,
+            retry_after_s,
+            content,
             body,
         });
     }
 
+    /// A body that is written already.
+    pub fn reply_bytes(&mut self, request: RequestId, status: u16, content: Content, body: Vec<u8>) {
+        self.answer(request, status, None, content, body);
+    }
+
+    pub fn reply(&mut self, request: RequestId, status: u16, body: &impl Serialize) {
+        self.reply_bytes(request, status, Content::Json, json(body));
+    }
+
     pub fn reply_later(&mut self, request: RequestId, retry_after_s: u64, problem: &str) {
         let body = json(&crate::wire::ErrorAnswer { error: problem });
-        self.effects.push(Effect::Reply {
-            request,
-            status: 503,
-            retry_after_s: Some(retry_after_s),
-            content: Content::Json,
-            body,
-        });
+        self.answer(request, 503, Some(retry_after_s), Content::Json, body);
     }
 
     pub fn reply_error(&mut self, request: RequestId, status: u16, problem: &str) {
--- a/crates/core/src/leader/counts.rs
+++ b/crates/core/src/leader/counts.rs
@@ -55,7 +55,11 @@
         let linger_ms = definitions
             .iter()
             .map(|(name, definition)| (name.clone(), definition.linger_ms()));
+        let asked = definitions
+            .iter()
+            .filter(|(_, definition)| definition.server.is_some());
         Counted {
+            feeds: asked.map(|(name, _)| (name.clone(), Feed::default())).collect(),
             linger_ms: linger_ms.collect(),
             ..Counted::default()
         }
@@ -139,14 +143,9 @@
 
     pub(super) fn poll_servers(&mut self, definitions: &Definitions, io: &mut Io) {
         let mut due: BTreeSet<SocketAddrV4> = BTreeSet::new();
-        for (name, definition) in definitions {
-            let Some(server) = definition.server else { continue };
-            let feed = match self.counted.feeds.get_mut(name) {
-                Some(feed) => feed,
-                None => self.counted.feeds.entry(name.clone()).or_default(),
-            };
+        for (name, feed) in &mut self.counted.feeds {
             if feed.ask(io.now) {
-                due.insert(server);
+                due.extend(definitions.get(name).and_then(|definition| definition.server));
             }
         }
         for server in due {
@@ -177,13 +176,10 @@
             Outcome::NotSent => Err("nobody listens there".to_owned()),
             Outcome::NoAnswer => Err("it does not answer".to_owned()),
         };
-        for (name, definition) in definitions {
-            if definition.server != Some(server) {
+        for (name, feed) in &mut self.counted.feeds {
+            if definitions.get(name).and_then(|definition| definition.server) != Some(server) {
                 continue;
             }
-            let Some(feed) = self.counted.feeds.get_mut(name) else {
-                continue;
-            };
             let before = feed.last(now).map(|(usage, _)| (usage.total, usage.in_use));
             feed.answered(match &text {
                 Ok(text) => parse(text, name).map_err(|error| error.to_string()),
@@ -277,7 +273,7 @@
             });
             let due = match lasting.told {
                 None => io.now >= lasting.since + COUNT_WARNING_AFTER_MS,
-                Some(at) => io.now >= at + COUNT_WARNING_REPEAT_MS,
+                Some(at) => io.now >= at + WARNING_REPEAT_MS,
             };
             if due {
                 lasting.told = Some(io.now);
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -138,7 +138,6 @@
                     counts,
                     lingers,
                 } => {
-                    self.changed = true;
                     if lingers {
                         self.freed(shard, &team, &counts, io.now);
                     }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -286,13 +286,7 @@
             report_to: self.leader(),
         };
         let body = crate::io::json(&redirect);
-        self.io.effects.push(Effect::Reply {
-            request,
-            status: 421,
-            retry_after_s: None,
-            content: Content::Json,
-            body,
-        });
+        self.io.reply_bytes(request, 421, Content::Json, body);
     }
 
     /// Only who leads, and surely still does, knows who holds what.
@@ -341,13 +335,9 @@
             counts: counts.unwrap_or_default(),
         };
         match self.metrics.encode(&standing) {
-            Ok(text) => self.io.effects.push(Effect::Reply {
-                request,
-                status: 200,
-                retry_after_s: None,
-                content: Content::Metrics,
-                body: text.into_bytes(),
-            }),
+            Ok(text) => self
+                .io
+                .reply_bytes(request, 200, Content::Metrics, text.into_bytes()),
             Err(error) => {
                 log::error!("metrics cannot be written: {error}");
                 self.io.reply_error(request, 503, "metrics cannot be written");
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -295,9 +295,7 @@
             for attempt in machine.attempts.iter().filter(|attempt| attempt.may_be_there()) {
                 used += attempt.needs;
                 *usage_of(&mut usage, &attempt.team) += attempt.needs;
-                if !attempt.counts.is_empty() {
-                    units::hold(&mut book, attempt, site.now);
-                }
+                units::hold(&mut book, attempt, site.now);
                 let stopping = attempt.stop.is_some();
                 if stopping {
                     leaving += attempt.needs;
--- a/crates/core/src/placement/units.rs
+++ b/crates/core/src/placement/units.rs
@@ -46,7 +46,7 @@
 pub fn book<'a>(machines: &'a BTreeMap<MachineId, Machine>, units: &Units<'a>, now: Millis) -> Book<'a> {
     let mut book = Book::with_policy(units.definitions, units.policy);
     for attempt in machines.values().flat_map(|machine| &machine.attempts) {
-        if !attempt.counts.is_empty() && attempt.may_be_there() {
+        if attempt.may_be_there() {
             hold(&mut book, attempt, now);
         }
     }
@@ -54,8 +54,11 @@
     book
 }
 
-/// Notes the units of an attempt that may be on its machine.
+/// Notes the units, if any, of an attempt that may be on its machine.
 pub(super) fn hold<'a>(book: &mut Book<'a>, attempt: &'a Attempt, now: Millis) {
+    if attempt.counts.is_empty() {
+        return;
+    }
     let over_s = attempt.ran_s(now) - attempt.estimate_s;
     let left_s = if attempt.estimate_s <= 0.0 {
         f64::INFINITY
@@ -197,7 +200,7 @@
     pub(super) fn lack_units(&mut self, visit: &Visit<'a>, together: u32, tasks: u32) {
         let job = visit.job;
         let asker = self.asker(job);
-        let (lack, kept) = self.book.short(&job.spec.counts, together, tasks, &asker);
+        let (lack, kept) = self.book.short(&job.spec.counts, together, &asker);
         if kept {
             self.plan.keepers.insert(job.spec.id.clone());
         }
--- a/crates/core/tests/counts_oracle.rs
+++ b/crates/core/tests/counts_oracle.rs
@@ -7,9 +7,9 @@
 use indigopath_core::model::{JobId, MachineId, Resources, TaskId};
 use indigopath_core::placement::{self, Units};
 use indigopath_core::records::{MachineRecord, Record, ShardRecord};
-use indigopath_core::wire::{Cause, DirectOrders, Report, ReportAnswer};
+use indigopath_core::wire::{DirectOrders, Report, ReportAnswer};
 use indigopath_counts::{Asker, Definition, Definitions, Demand, Linger, Lingers, Policy};
-use indigopath_sim::licences::{Client, Fate, Feature, LicenceServer};
+use indigopath_sim::licences::{Fate, Feature, LicenceServer};
 use indigopath_sim::worker::Worker;
 use indigopath_sim::world::JobFacts;
 use proptest::prelude::*;
@@ -100,6 +100,7 @@
             run_s: 4.0,
             image: "img".to_owned(),
             image_gb: 0.2,
+            counts: BTreeMap::from([("seat".to_owned(), 1)]),
             ..JobFacts::default()
         };
         let mut definition = Definition::of(UNITS);
@@ -381,17 +382,9 @@
 
     fn licences_step(&mut self) {
         let workers = &self.workers;
-        self.licences.step(self.now, |client: &Client| {
-            let worker = workers.iter().find(|worker| worker.id == client.host);
-            let task = worker.and_then(|worker| {
-                let mut tasks = worker.tasks.iter();
-                tasks.find(|task| task.attempt == client.attempt && task.name() == client.task)
-            });
-            match task {
-                Some(task) if task.on() => Fate::Alive,
-                Some(task) if task.why == Some(Cause::Done) => Fate::GaveBack,
-                _ => Fate::Died,
-            }
+        self.licences.step(self.now, |client| {
+            let host = workers.iter().find(|worker| worker.id == client.host);
+            Fate::on(host, client)
         });
     }
 
@@ -412,13 +405,9 @@
             let arrived = self.workers[at].step(&mut self.jobs, now);
             for task in arrived {
                 self.started += 1;
-                let client = Client {
-                    host: self.workers[at].id.clone(),
-                    task: task.name(),
-                    attempt: task.attempt,
-                };
-                let given = self.licences.check_out("seat", client, 1);
-                prop_assert!(given, "{} is refused its seat at {now}", task.name());
+                let seat = &self.jobs[JOB].counts;
+                let refused = self.licences.admit(seat, &self.workers[at].id, &task);
+                prop_assert!(refused.is_empty(), "{} is refused its seat at {now}", task.name());
             }
         }
         self.licences_step();
--- a/crates/counts/src/book.rs
+++ b/crates/counts/src/book.rs
@@ -129,8 +129,6 @@
     claimed: u32,
     /// Units for which this pass asks machines.
     promised: u32,
-    /// Units that were asked for and could not be had.
-    pub wanted: u64,
 }
 
 impl<'a> Pool<'a> {
@@ -151,7 +149,6 @@
             kept: None,
             claimed: 0,
             promised: 0,
-            wanted: 0,
         }
     }
 
@@ -218,16 +215,28 @@
         }
     }
 
-    /// Units that this asker may take: what is kept for another it may use only if it
-    /// is through in time.
-    fn open_to(&self, asker: &Asker) -> u32 {
+    /// Units that somebody may take: what is kept for another only if he is through in
+    /// time. Who asks matters, and is asked, only then.
+    fn open_to(&self, asker: impl FnOnce() -> Asker) -> u32 {
         let open = self.free().saturating_sub(self.claimed);
         match self.kept {
-            Some(kept) if !asker.is_through(kept.ready_s) => open.saturating_sub(kept.units),
+            Some(kept) if !asker().is_through(kept.ready_s) => open.saturating_sub(kept.units),
             _ => open,
         }
     }
 
+    /// Units for which machines may be asked: not promised yet.
+    fn unpromised(&self) -> u32 {
+        self.free().saturating_sub(self.promised)
+    }
+
+    /// Units are held from now on, and come free in so many seconds.
+    fn hold(&mut self, team: &'a str, units: u32, left_s: f64, going: bool) {
+        self.held = self.held.saturating_add(units);
+        self.use_by(team, units, going);
+        self.ends.push((left_s, units));
+    }
+
     fn use_by(&mut self, team: &'a str, units: u32, going: bool) {
         let at = self.teams.iter().position(|of| of.team == team);
         let at = at.unwrap_or_else(|| {
@@ -382,19 +391,18 @@
         for (name, units) in demand.iter() {
             let at = self.pool(name, None);
             let pool = &mut self.pools[at];
-            pool.held = pool.held.saturating_add(units);
-            pool.use_by(team, units, leaving);
             let linger_s = pool.definition.map_or(0.0, |definition| definition.linger_s);
-            // What ends by itself before a stopped one's unit would be free needs no stop.
-            if !leaving && left_s <= linger_s {
-                pool.ending = pool.ending.saturating_add(units);
-            }
             if leaving {
                 pool.leaving = pool.leaving.saturating_add(units);
                 pool.coming = pool.coming.saturating_add(units);
-                pool.ends.push((linger_s, units));
+                pool.hold(team, units, linger_s, true);
             } else {
-                pool.ends.push((left_s, units));
+                // What ends by itself before a stopped one's unit would be free needs no
+                // stop.
+                if left_s <= linger_s {
+                    pool.ending = pool.ending.saturating_add(units);
+                }
+                pool.hold(team, units, left_s, false);
             }
         }
     }
@@ -424,15 +432,9 @@
         &self.pools[only.at as usize]
     }
 
-    /// As `room`, for a demand of one count. Who asks matters only where units are kept.
+    /// As `room`, for a demand of one count.
     pub fn room_of(&self, only: Only, most: u32, asker: impl FnOnce() -> Asker) -> u32 {
-        let pool = self.only_pool(only);
-        let open = if pool.kept.is_some() {
-            pool.open_to(&asker())
-        } else {
-            pool.free().saturating_sub(pool.claimed)
-        };
-        most.min(open / only.units.max(1))
+        most.min(self.only_pool(only).open_to(asker) / only.units.max(1))
     }
 
     /// Whether units may be kept for a request of this age, in s.
@@ -450,8 +452,7 @@
     /// As `promise`, for a demand of one count.
     pub fn promise_of(&mut self, only: Only, most: u32) -> u32 {
         let pool = &mut self.pools[only.at as usize];
-        let open = pool.free().saturating_sub(pool.promised);
-        let count = most.min(open / only.units.max(1));
+        let count = most.min(pool.unpromised() / only.units.max(1));
         pool.promised += only.units * count;
         count
     }
@@ -460,7 +461,7 @@
     pub fn room(&self, demand: &Demand, most: u32, asker: &Asker) -> u32 {
         let mut room = most;
         for (name, units) in demand.iter() {
-            let open = self.get(name).map_or(0, |pool| pool.open_to(asker));
+            let open = self.get(name).map_or(0, |pool| pool.open_to(|| *asker));
             room = room.min(open / units.max(1));
         }
         room
@@ -471,9 +472,7 @@
     pub fn promise(&mut self, demand: &Demand, most: u32) -> u32 {
         let mut count = most;
         for (name, units) in demand.iter() {
-            let open = self
-                .get(name)
-                .map_or(0, |pool| pool.free().saturating_sub(pool.promised));
+            let open = self.get(name).map_or(0, Pool::unpromised);
             count = count.min(open / units.max(1));
         }
         for (name, units) in demand.iter() {
@@ -490,10 +489,7 @@
             let Some(at) = self.index.get(&**name) else {
                 continue;
             };
-            let pool = &mut self.pools[*at];
-            pool.held = pool.held.saturating_add(units);
-            pool.use_by(team, units, false);
-            pool.ends.push((left_s, units));
+            self.pools[*at].hold(team, units, left_s, false);
         }
     }
 
@@ -512,16 +508,10 @@
         shared.then_some(owed)
     }
 
-    /// `tasks` of a job find too few units, of which `together` must start at once. Notes
-    /// them as waiting, keeps what is free if the job is old enough, and says what it
-    /// lacks first, and whether anything is kept for it.
-    pub fn short(
-        &mut self,
-        demand: &Demand,
-        together: u32,
-        tasks: u32,
-        asker: &Asker,
-    ) -> (Option<Lack>, bool) {
+    /// So many tasks of a job, which start at once or not at all, find too few units. Keeps
+    /// what is free if the job is old enough, and says what it lacks first, and whether
+    /// anything is kept for it.
+    pub fn short(&mut self, demand: &Demand, together: u32, asker: &Asker) -> (Option<Lack>, bool) {
         let mut lack = None;
         for (name, units) in demand.iter() {
             let Some(at) = self.index.get(&**name) else {
@@ -531,10 +521,9 @@
                 });
                 continue;
             };
-            let pool = &mut self.pools[*at];
+            let pool = &self.pools[*at];
             let needed = units.saturating_mul(together);
-            pool.wanted += u64::from(units) * u64::from(tasks);
-            if lack.is_none() && pool.open_to(asker) < needed {
+            if lack.is_none() && pool.open_to(|| *asker) < needed {
                 lack = Some(Lack {
                     count: name.clone(),
                     why: pool.why(needed),
@@ -704,7 +693,7 @@
         book.hear(&says(5, "desk"), 0, is_ours);
         assert_eq!(book.room(&one, 9, &FRESH), 2);
         assert_eq!(book.room(&two, 9, &FRESH), 1);
-        let lack = book.short(&two, 2, 2, &FRESH).0.unwrap();
+        let lack = book.short(&two, 2, &FRESH).0.unwrap();
         assert_eq!(lack.why, Why::Others);
         // More is used than there is: nothing starts, and no stop is asked for.
         let mut book = Book::new(&definitions);
@@ -719,7 +708,7 @@
         let mut book = Book::new(&definitions);
         book.hear(&BTreeMap::new(), 0, is_ours);
         assert_eq!(book.room(&one, 9, &FRESH), 0);
-        assert_eq!(book.short(&one, 1, 1, &FRESH).0.unwrap().why, Why::Silent);
+        assert_eq!(book.short(&one, 1, &FRESH).0.unwrap().why, Why::Silent);
     }
 
     #[test]
@@ -728,7 +717,7 @@
         let one = demand(&[("seat", 1)]);
         let mut book = Book::new(&definitions);
         assert_eq!(book.room(&one, 1, &FRESH), 0);
-        assert_eq!(book.short(&one, 1, 1, &FRESH).0.unwrap().why, Why::Undefined);
+        assert_eq!(book.short(&one, 1, &FRESH).0.unwrap().why, Why::Undefined);
         book.hold("red", &one, 1.0, false);
         assert_eq!(book.room(&one, 1, &FRESH), 0);
     }
@@ -746,7 +735,7 @@
                 kept_s,
                 ..aged(age_s, 30.0)
             };
-            book.short(&four, 1, 1, &old);
+            book.short(&four, 1, &old);
             book.room(&one, 9, &aged(0.0, estimate_s))
         };
         assert_eq!(play(1.0, 0.0, 100.0), 3, "too young: others go on");
--- a/crates/experiments/src/report.rs
+++ b/crates/experiments/src/report.rs
@@ -107,12 +107,26 @@
     Ok(std::fs::write(path, text)?)
 }
 
-fn use_plot(outcome: &Outcome, colour: RGBColor) -> Result<String, ReportError> {
-    let mut svg = String::new();
+type Area<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
+
+/// A plot of this size as SVG text.
+fn svg(
+    size: (u32, u32),
+    draw: impl FnOnce(&Area<'_>) -> Result<(), ReportError>,
+) -> Result<String, ReportError> {
+    let mut text = String::new();
     {
-        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let area = SVGBackend::with_string(&mut text, size).into_drawing_area();
         area.fill(&WHITE).map_err(plot)?;
-        let mut chart = ChartBuilder::on(&area)
+        draw(&area)?;
+        area.present().map_err(plot)?;
+    }
+    Ok(text)
+}
+
+fn use_plot(outcome: &Outcome, colour: RGBColor) -> Result<String, ReportError> {
+    svg(SIZE, |area| {
+        let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(30)
             .y_label_area_size(45)
@@ -134,9 +148,8 @@
             .map_err(plot)?;
         let held = outcome.series.iter().map(|(at, held, _)| (*at, *held));
         chart.draw_series(LineSeries::new(held, colour)).map_err(plot)?;
-        area.present().map_err(plot)?;
-    }
-    Ok(svg)
+        Ok(())
+    })
 }
 
 fn waits_plot(outcomes: &[Outcome]) -> Result<String, ReportError> {
@@ -151,11 +164,8 @@
         .flat_map(|outcome| &outcome.waits)
         .map(|waits| waits.p95_s)
         .fold(1.0, f64::max);
-    let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, (SIZE.0, SIZE.1 + 60)).into_drawing_area();
-        area.fill(&WHITE).map_err(plot)?;
-        let mut chart = ChartBuilder::on(&area)
+    svg((SIZE.0, SIZE.1 + 60), |area| {
+        let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(30)
             .y_label_area_size(55)
@@ -192,9 +202,8 @@
             .background_style(WHITE.mix(0.8))
             .draw()
             .map_err(plot)?;
-        area.present().map_err(plot)?;
-    }
-    Ok(svg)
+        Ok(())
+    })
 }
 
 fn again_plot(outcomes: &[Outcome]) -> Result<String, ReportError> {
@@ -202,11 +211,8 @@
         .iter()
         .map(|outcome| outcome.again.most_s)
         .fold(11.0, f64::max);
-    let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        area.fill(&WHITE).map_err(plot)?;
-        let mut chart = ChartBuilder::on(&area)
+    svg(SIZE, |area| {
+        let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(30)
             .y_label_area_size(45)
@@ -232,7 +238,6 @@
             .background_style(WHITE.mix(0.8))
             .draw()
             .map_err(plot)?;
-        area.present().map_err(plot)?;
-    }
-    Ok(svg)
+        Ok(())
+    })
 }
--- a/crates/sim/src/licences.rs
+++ b/crates/sim/src/licences.rs
@@ -2,6 +2,8 @@
 //! and gets a dead client's seat back only after a while. It shows its state as
 //! `lmstat -a` does.
 
+use crate::worker::{Task, Worker};
+use indigopath_core::wire::Cause;
 use std::collections::BTreeMap;
 
 /// Which attempt on which host has a seat.
@@ -60,7 +62,7 @@
 
 impl LicenceServer {
     /// A client asks for seats; false, and nothing is given, if there are too few.
-    pub fn check_out(&mut self, feature: &str, client: Client, units: u32) -> bool {
+    fn check_out(&mut self, feature: &str, client: Client, units: u32) -> bool {
         let Some(feature) = self.features.get_mut(feature) else {
             return false;
         };
@@ -77,6 +79,19 @@
         true
     }
 
+    /// A task that came to be on a host asks for all its seats; the features that refuse.
+    pub fn admit(&mut self, counts: &BTreeMap<String, u32>, host: &str, task: &Task) -> Vec<String> {
+        let client = Client {
+            host: host.to_owned(),
+            task: task.name(),
+            attempt: task.attempt,
+        };
+        let refused = counts
+            .iter()
+            .filter(|(feature, units)| !self.check_out(feature, client.clone(), **units));
+        refused.map(|(feature, _)| feature.clone()).collect()
+    }
+
     /// Users outside take so many seats, as far as there are any.
     pub fn take_outside(&mut self, feature: &str, units: u32) {
         if let Some(feature) = self.features.get_mut(feature) {
@@ -137,3 +152,18 @@
     /// It is gone, and did not say so.
     Died,
 }
+
+impl Fate {
+    /// Of a client whose host this is, if it is there at all.
+    pub fn on(host: Option<&Worker>, client: &Client) -> Fate {
+        let task = host.and_then(|worker| {
+            let mut tasks = worker.tasks.iter();
+            tasks.find(|task| task.attempt == client.attempt && task.name() == client.task)
+        });
+        match task {
+            Some(task) if task.on() => Fate::Alive,
+            Some(task) if task.why == Some(Cause::Done) => Fate::GaveBack,
+            _ => Fate::Died,
+        }
+    }
+}
--- a/crates/sim/src/live.rs
+++ b/crates/sim/src/live.rs
@@ -5,10 +5,10 @@
 //! worker whose lease is over has ended its tasks by the time that anybody hears of it.
 
 use crate::cloud::Cloud;
-use crate::licences::{Client, LicenceServer};
+use crate::licences::{Fate, LicenceServer};
 use crate::state::{Reply, StateService};
 use crate::worker::{Times, Worker};
-use crate::world::{JobFacts, fate};
+use crate::world::JobFacts;
 use indigopath_core::wire::{Cause, TaskState};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -64,18 +64,14 @@
             self.settle();
             for (host, task) in arrived {
                 self.starts += 1;
-                let counts = self.jobs.get(&task.job).map(|facts| facts.counts.clone());
-                for (count, units) in counts.unwrap_or_default() {
-                    let client = Client {
-                        host: host.clone(),
-                        task: task.name(),
-                        attempt: task.attempt,
-                    };
-                    if !self.licences.check_out(&count, client, units) {
-                        self.refused
-                            .push(format!("{} on {host} at {} ms", task.name(), self.now));
-                    }
-                }
+                let Some(facts) = self.jobs.get(&task.job) else {
+                    continue;
+                };
+                let refused = self.licences.admit(&facts.counts, &host, &task);
+                let lines = refused
+                    .iter()
+                    .map(|count| format!("{} on {host}: {count} at {} ms", task.name(), self.now));
+                self.refused.extend(lines);
             }
             self.settle();
         }
@@ -84,7 +80,8 @@
     /// The licence server sees who has ended.
     fn settle(&mut self) {
         let workers = &self.workers;
-        self.licences.step(self.now, |client| fate(workers, client));
+        self.licences
+            .step(self.now, |client| Fate::on(workers.get(&client.host), client));
     }
 
     /// Tasks that run now: machine and name.
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -3,14 +3,14 @@
 //! time. The same scenario always plays the same way.
 
 use crate::cloud::Cloud;
-use crate::licences::{Client, Fate, Feature, LicenceServer};
+use crate::licences::{Fate, Feature, LicenceServer};
 use crate::state::{Reply, StateService};
 use crate::worker::{self, GANG_PEER_MS, Worker};
 use indigopath_core::io::{CallId, Destination, Effect, Outcome, RequestId};
 use indigopath_core::node::{Command, Node};
 use indigopath_core::peers::Frame;
 use indigopath_core::settings::{Operator, Peer, Settings};
-use indigopath_core::wire::{Cause, Flavors, TaskState};
+use indigopath_core::wire::{Flavors, TaskState};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -720,23 +720,18 @@
             return;
         }
         let workers = &self.workers;
-        self.licences.step(self.now, |client| fate(workers, client));
+        self.licences
+            .step(self.now, |client| Fate::on(workers.get(&client.host), client));
     }
 
     /// A task that came to be on a machine checks its seats out.
     fn check_out(&mut self, machine: &str, task: &worker::Task) {
-        for (count, units) in self.jobs[&task.job].counts.clone() {
-            let client = Client {
-                host: machine.to_owned(),
-                task: task.name(),
-                attempt: task.attempt,
-            };
-            if !self.licences.check_out(&count, client, units) {
-                self.breach(
-                    "oversubscribed",
-                    format!("{} is refused a seat of {count}", task.name()),
-                );
-            }
+        let counts = &self.jobs[&task.job].counts;
+        for count in self.licences.admit(counts, machine, task) {
+            self.breach(
+                "oversubscribed",
+                format!("{} is refused a seat of {count}", task.name()),
+            );
         }
     }
 
@@ -970,19 +965,6 @@
     }
 }
 
-/// What has become of a client of the licence server.
-pub fn fate(workers: &BTreeMap<String, Worker>, client: &Client) -> Fate {
-    let task = workers.get(&client.host).and_then(|worker| {
-        let mut tasks = worker.tasks.iter();
-        tasks.find(|task| task.attempt == client.attempt && task.name() == client.task)
-    });
-    match task {
-        Some(task) if task.on() => Fate::Alive,
-        Some(task) if task.why == Some(Cause::Done) => Fate::GaveBack,
-        _ => Fate::Died,
-    }
-}
-
 fn json_bytes(value: &Value) -> Vec<u8> {
     value.to_string().into_bytes()
 }
