Commands refuse bad input that they took: an empty load, no tasks, an id that is none

Change: bounds on both, the id is checked before anybody is asked, an error line ends at 500 characters.

--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -21,10 +21,10 @@
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Tasks of the run that is shown in full
-    #[arg(long, default_value_t = 20_000)]
+    #[arg(long, default_value_t = 20_000, value_parser = clap::value_parser!(u32).range(1..=1_000_000))]
     tasks: u32,
     /// Work offered, as a part of all units
-    #[arg(long, default_value_t = 1.0)]
+    #[arg(long, default_value_t = 1.0, value_parser = load)]
     load: f64,
     /// Further seeds, each with a tenth of the tasks, to look for oversubscription
     #[arg(long, default_value_t = 1_000)]
@@ -34,6 +34,16 @@
     out: PathBuf,
 }
 
+/// Without a sound load nothing ever waits, and every bar is met.
+fn load(text: &str) -> Result<f64, String> {
+    let load = text.parse::<f64>().map_err(|error| error.to_string())?;
+    if (0.1..=10.0).contains(&load) {
+        Ok(load)
+    } else {
+        Err("must be between 0.1 and 10".to_owned())
+    }
+}
+
 /// Least part of the units in use while work waits for them and no kill lingers.
 const USE_BAR: f64 = 0.95;
 
--- a/crates/indigopath/src/counts.rs
+++ b/crates/indigopath/src/counts.rs
@@ -3,6 +3,7 @@
 use clap::{Args, Subcommand, ValueEnum};
 use comfy_table::presets;
 use comfy_table::{CellAlignment, Table};
+use indigopath_core::intake::parse_id;
 use indigopath_core::wire::paths;
 use indigopath_counts::status::{CountList, CountStatus, Explanation, HolderList};
 use serde::Serialize;
@@ -60,6 +61,8 @@
     NoNode,
     #[error("no controller that leads answered: {0}")]
     NoAnswer(String),
+    #[error("{0:?} is no job id: one is wk- and a number")]
+    NoJob(String),
     #[error("{0}")]
     Refused(String),
     #[error("a controller's answer cannot be read: {0}")]
@@ -85,6 +88,7 @@
             show(args.format, &list, holders_table)
         }
         What::Explain { job } => {
+            let job = parse_id(job).ok_or_else(|| CountsError::NoJob(job.clone()))?;
             let path = format!("{}/{}{job}", paths::COUNTS, paths::EXPLAIN);
             let explanation: Explanation = ask(&args.nodes, &path)?;
             show(args.format, &explanation, explain_text)
--- a/crates/indigopath/src/main.rs
+++ b/crates/indigopath/src/main.rs
@@ -17,6 +17,9 @@
 /// Exit status when the settings cannot be used.
 const BAD_SETTINGS: u8 = 2;
 
+/// Longest line that says what is wrong with the settings, in characters.
+const LONGEST_ERROR: usize = 500;
+
 /// Token of the term in which this node leads, for the log; 0 while it does not.
 static TOKEN: AtomicU64 = AtomicU64::new(0);
 
@@ -146,11 +149,11 @@
     let settings = match load(&files) {
         Ok(settings) => settings,
         Err(error) => {
-            // One line, whatever the parser says.
-            eprintln!(
-                "indigopath: {}",
-                error.to_string().split_whitespace().collect::<Vec<_>>().join(" ")
-            );
+            // One line of a bearable length, whatever the parser says: it quotes the file.
+            let words = error.to_string();
+            let line: String = words.split_whitespace().collect::<Vec<_>>().join(" ");
+            let line: String = line.chars().take(LONGEST_ERROR).collect();
+            eprintln!("indigopath: {line}");
             return ExitCode::from(BAD_SETTINGS);
         }
     };
