--- a/crates/core/src/leader/counts.rs
+++ b/crates/core/src/leader/counts.rs
@@ -297,19 +297,10 @@
             .teams()
             .map(|of| TeamStatus {
                 team: of.team.to_owned(),
-                share: definition.map_or(0, |definition| definition.share(of.team)),
+                share: of.share,
                 used: of.used,
             })
             .collect();
-        for (team, share) in definition.iter().flat_map(|definition| &definition.shares) {
-            if teams.iter().all(|known| known.team != *team) {
-                teams.push(TeamStatus {
-                    team: team.clone(),
-                    share: *share,
-                    used: 0,
-                });
-            }
-        }
         teams.sort_by(|a, b| a.team.cmp(&b.team));
         let server = definition.and_then(|definition| definition.server).map(|addr| {
             let feed = self.counted.feeds.get(pool.name);
--- a/crates/counts/src/book.rs
+++ b/crates/counts/src/book.rs
@@ -96,12 +96,25 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TeamUse<'a> {
     pub team: &'a str,
+    /// Units that it is guaranteed.
+    pub share: u32,
     /// Held and lingering.
     pub used: u32,
     /// Of them, leaving or lingering.
     pub going: u32,
 }
 
+impl<'a> TeamUse<'a> {
+    fn none(team: &'a str) -> TeamUse<'a> {
+        TeamUse {
+            team,
+            share: 0,
+            used: 0,
+            going: 0,
+        }
+    }
+}
+
 /// One count in a pass.
 #[derive(Debug)]
 pub struct Pool<'a> {
@@ -116,6 +129,7 @@
     pub leaving: u32,
     pub lingering: u32,
     pub closed: Option<Closed>,
+    /// Teams that have a share, or hold or let linger any.
     teams: Vec<TeamUse<'a>>,
     /// When holders' units come free: seconds left, units.
     ends: Vec<(f64, u32)>,
@@ -133,6 +147,11 @@
 
 impl<'a> Pool<'a> {
     fn new(name: &'a str, definition: Option<&'a Definition>) -> Pool<'a> {
+        let shares = definition.into_iter().flat_map(|definition| &definition.shares);
+        let teams = shares.map(|(team, share)| TeamUse {
+            share: *share,
+            ..TeamUse::none(team)
+        });
         Pool {
             name,
             definition,
@@ -142,7 +161,7 @@
             leaving: 0,
             lingering: 0,
             closed: definition.is_none().then_some(Closed::Undefined),
-            teams: Vec::new(),
+            teams: teams.collect(),
             ends: Vec::with_capacity(definition.map_or(0, |known| known.units.min(ENDS_AT_FIRST)) as usize),
             coming: 0,
             ending: 0,
@@ -172,19 +191,13 @@
             .min(u64::from(u32::MAX)) as u32
     }
 
-    /// What this team holds, lingering units included.
-    pub fn used_by(&self, team: &str) -> u32 {
-        self.used(team).map_or(0, |of| of.used)
-    }
-
-    fn used(&self, team: &str) -> Option<&TeamUse<'a>> {
+    fn team(&self, team: &str) -> Option<&TeamUse<'a>> {
         self.teams.iter().find(|of| of.team == team)
     }
 
     /// Units that the team may still take as its own, not borrowed.
     pub fn owed(&self, team: &str) -> u32 {
-        let share = self.definition.map_or(0, |definition| definition.share(team));
-        share.saturating_sub(self.used_by(team))
+        self.team(team).map_or(0, |of| of.share.saturating_sub(of.used))
     }
 
     /// Whether any team is guaranteed a part of it.
@@ -200,7 +213,7 @@
             .saturating_add(self.claimed)
     }
 
-    /// Teams that hold or let linger any.
+    /// Teams that have a share, or hold or let linger any.
     pub fn teams(&self) -> impl Iterator<Item = TeamUse<'a>> + '_ {
         self.teams.iter().copied()
     }
@@ -208,9 +221,8 @@
     /// Units that the team has beyond its share, without those that are going anyway.
     /// None of them may be taken back while nobody is guaranteed any.
     pub fn borrowed(&self, team: &str) -> u32 {
-        let share = self.definition.map_or(0, |definition| definition.share(team));
-        match self.used(team) {
-            Some(of) if self.is_shared() => (of.used - of.going).saturating_sub(share),
+        match self.team(team) {
+            Some(of) if self.is_shared() => (of.used - of.going).saturating_sub(of.share),
             _ => 0,
         }
     }
@@ -240,11 +252,7 @@
     fn use_by(&mut self, team: &'a str, units: u32, going: bool) {
         let at = self.teams.iter().position(|of| of.team == team);
         let at = at.unwrap_or_else(|| {
-            self.teams.push(TeamUse {
-                team,
-                used: 0,
-                going: 0,
-            });
+            self.teams.push(TeamUse::none(team));
             self.teams.len() - 1
         });
         let of = &mut self.teams[at];
--- a/crates/counts/src/definition.rs
+++ b/crates/counts/src/definition.rs
@@ -36,11 +36,6 @@
         }
     }
 
-    /// Units that the team is guaranteed.
-    pub fn share(&self, team: &str) -> u32 {
-        self.shares.get(team).copied().unwrap_or(0)
-    }
-
     /// For how long a unit lingers, in ms, with room for clocks that drift apart.
     pub fn linger_ms(&self) -> u64 {
         let ms = (self.linger_s * 1_000.0).ceil() as u64;
