--- /dev/null
+++ b/crates/classad/src/expr.rs
@@ -0,0 +1,246 @@
+//! Expressions as trees.
+
+use crate::constants::MAX_DEPTH;
+use crate::functions::Function;
+use crate::{Name, Value};
+use std::sync::Arc;
+
+/// Whose attribute is meant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Scope {
+    /// The enclosing records', else the own ad's, else the other's.
+    Any,
+    My,
+    Target,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unary {
+    Minus,
+    Plus,
+    Not,
+    BitNot,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Binary {
+    Or,
+    And,
+    BitOr,
+    BitXor,
+    BitAnd,
+    Equal,
+    NotEqual,
+    Is,
+    Isnt,
+    Less,
+    AtMost,
+    More,
+    AtLeast,
+    ShiftLeft,
+    ShiftRight,
+    ShiftRightZero,
+    Plus,
+    Minus,
+    Times,
+    Divide,
+    Modulo,
+}
+
+impl Binary {
+    /// How tightly it binds; all of them lean to the left.
+    pub(crate) fn binding(self) -> u8 {
+        match self {
+            Binary::Or => 2,
+            Binary::And => 3,
+            Binary::BitOr => 4,
+            Binary::BitXor => 5,
+            Binary::BitAnd => 6,
+            Binary::Equal | Binary::NotEqual | Binary::Is | Binary::Isnt => 7,
+            Binary::Less | Binary::AtMost | Binary::More | Binary::AtLeast => 8,
+            Binary::ShiftLeft | Binary::ShiftRight | Binary::ShiftRightZero => 9,
+            Binary::Plus | Binary::Minus => 10,
+            Binary::Times | Binary::Divide | Binary::Modulo => 11,
+        }
+    }
+
+    pub fn text(self) -> &'static str {
+        match self {
+            Binary::Or => "||",
+            Binary::And => "&&",
+            Binary::BitOr => "|",
+            Binary::BitXor => "^",
+            Binary::BitAnd => "&",
+            Binary::Equal => "==",
+            Binary::NotEqual => "!=",
+            Binary::Is => "=?=",
+            Binary::Isnt => "=!=",
+            Binary::Less => "<",
+            Binary::AtMost => "<=",
+            Binary::More => ">",
+            Binary::AtLeast => ">=",
+            Binary::ShiftLeft => "<<",
+            Binary::ShiftRight => ">>",
+            Binary::ShiftRightZero => ">>>",
+            Binary::Plus => "+",
+            Binary::Minus => "-",
+            Binary::Times => "*",
+            Binary::Divide => "/",
+            Binary::Modulo => "%",
+        }
+    }
+}
+
+/// The attributes of a record, in the order written.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Record(pub Vec<(Name, Expr)>);
+
+impl Record {
+    pub(crate) fn find(&self, key: &str) -> Option<&Expr> {
+        // The last of a name counts, as if it had been set again.
+        let found = self.0.iter().rev().find(|(name, _)| name.key() == key);
+        found.map(|(_, expr)| expr)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Kind {
+    Literal(Value),
+    Attribute(Scope, Name),
+    Select(Box<Expr>, Name),
+    Index(Box<(Expr, Expr)>),
+    Unary(Unary, Box<Expr>),
+    Binary(Binary, Box<(Expr, Expr)>),
+    /// `a ? b : c`
+    Choose(Box<(Expr, Expr, Expr)>),
+    /// `a ?: b`: the second where the first is UNDEFINED.
+    Otherwise(Box<(Expr, Expr)>),
+    Call(&'static Function, Vec<Expr>),
+    List(Vec<Expr>),
+    Record(Arc<Record>),
+}
+
+/// An expression, and where it begins in its text.
+#[derive(Debug, Clone)]
+pub struct Expr {
+    pub kind: Kind,
+    /// Byte at which it begins.
+    pub at: usize,
+    depth: u16,
+}
+
+/// Wherever they stand, the same expressions are equal.
+impl PartialEq for Expr {
+    fn eq(&self, other: &Expr) -> bool {
+        self.kind == other.kind
+    }
+}
+
+impl Expr {
+    pub fn literal(value: Value) -> Expr {
+        Expr {
+            kind: Kind::Literal(value),
+            at: 0,
+            depth: 1,
+        }
+    }
+
+    /// `None` if it would be nested too deeply: whoever walks it does so by recursion.
+    pub(crate) fn new(kind: Kind, at: usize) -> Option<Expr> {
+        let mut expr = Expr { kind, at, depth: 0 };
+        let below = expr.children().map(|child| child.depth).max().unwrap_or(0);
+        expr.depth = below + 1;
+        (expr.depth <= MAX_DEPTH).then_some(expr)
+    }
+
+    /// The expressions of which it is made.
+    pub fn children(&self) -> impl Iterator<Item = &Expr> {
+        let (few, many, record): ([Option<&Expr>; 3], &[Expr], &[(Name, Expr)]) = match &self.kind {
+            Kind::Literal(_) | Kind::Attribute(..) => ([None; 3], &[], &[]),
+            Kind::Select(one, _) | Kind::Unary(_, one) => ([Some(one), None, None], &[], &[]),
+            Kind::Index(two) | Kind::Binary(_, two) | Kind::Otherwise(two) => {
+                ([Some(&two.0), Some(&two.1), None], &[], &[])
+            }
+            Kind::Choose(three) => ([Some(&three.0), Some(&three.1), Some(&three.2)], &[], &[]),
+            Kind::Call(_, arguments) => ([None; 3], arguments, &[]),
+            Kind::List(entries) => ([None; 3], entries, &[]),
+            Kind::Record(record) => ([None; 3], &[], &record.0),
+        };
+        few.into_iter()
+            .flatten()
+            .chain(many)
+            .chain(record.iter().map(|(_, expr)| expr))
+    }
+
+    /// Every attribute that it names, whether or not an evaluation would come to it: those
+    /// of its own records are left out.
+    pub fn references(&self) -> Vec<Reference<'_>> {
+        let mut found = Vec::new();
+        self.collect(&mut Vec::new(), &mut found);
+        found
+    }
+
+    fn collect<'e>(&'e self, records: &mut Vec<&'e Record>, found: &mut Vec<Reference<'e>>) {
+        match &self.kind {
+            Kind::Attribute(scope, name) => {
+                let own =
+                    *scope == Scope::Any && records.iter().any(|record| record.find(name.key()).is_some());
+                if !own {
+                    found.push(Reference {
+                        scope: *scope,
+                        name,
+                        at: self.at,
+                    });
+                }
+            }
+            Kind::Record(record) => {
+                records.push(record);
+                for (_, expr) in &record.0 {
+                    expr.collect(records, found);
+                }
+                records.pop();
+            }
+            _ => {
+                for child in self.children() {
+                    child.collect(records, found);
+                }
+            }
+        }
+    }
+
+    /// The functions that it calls, and where.
+    pub fn calls(&self) -> Vec<(&'static Function, usize)> {
+        let mut found = Vec::new();
+        let mut open = vec![self];
+        while let Some(expr) = open.pop() {
+            if let Kind::Call(function, _) = &expr.kind {
+                found.push((*function, expr.at));
+            }
+            open.extend(expr.children());
+        }
+        found.sort_by_key(|(_, at)| *at);
+        found
+    }
+
+    /// The parts that all must hold: those between its outermost `&&`.
+    pub fn terms(&self) -> Vec<&Expr> {
+        let mut terms = Vec::new();
+        let mut open = vec![self];
+        while let Some(expr) = open.pop() {
+            match &expr.kind {
+                Kind::Binary(Binary::And, two) => open.extend([&two.1, &two.0]),
+                _ => terms.push(expr),
+            }
+        }
+        terms
+    }
+}
+
+/// A name in an expression.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reference<'e> {
+    pub scope: Scope,
+    pub name: &'e Name,
+    /// Byte at which it stands.
+    pub at: usize,
+}
--- /dev/null
+++ b/crates/classad/src/functions.rs
@@ -0,0 +1,845 @@
+//! The function library, as HTCondor's manual lists it ("Predefined Functions").
+//!
+//! Unless a function is there to tell them apart, an ERROR among its arguments makes it
+//! ERROR and an UNDEFINED one makes it UNDEFINED.
+
+use crate::Value;
+use crate::constants::MAX_MADE;
+use crate::eval::{Call, Evaluator, Fault};
+use crate::expr::Binary;
+use chrono::DateTime;
+use std::cmp::Ordering;
+use std::fmt::Write;
+use std::sync::Arc;
+
+/// A function of the language.
+pub struct Function {
+    /// As the manual writes it; found without case.
+    pub name: &'static str,
+    /// Fewest arguments.
+    pub least: usize,
+    /// Most arguments, if there is a most.
+    pub most: Option<usize>,
+    /// Its value follows from its arguments alone, not from when it is asked.
+    pub steady: bool,
+    pub(crate) call: fn(&mut Evaluator, Call<'_>) -> Value,
+}
+
+impl PartialEq for Function {
+    fn eq(&self, other: &Function) -> bool {
+        self.name == other.name
+    }
+}
+
+impl std::fmt::Debug for Function {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.name)
+    }
+}
+
+type Body = fn(&mut Evaluator, Call<'_>) -> Value;
+
+const fn function(name: &'static str, least: usize, most: Option<usize>, call: Body) -> Function {
+    Function {
+        name,
+        least,
+        most,
+        steady: true,
+        call,
+    }
+}
+
+const fn exactly(name: &'static str, arguments: usize, call: Body) -> Function {
+    function(name, arguments, Some(arguments), call)
+}
+
+const fn up_to(name: &'static str, least: usize, most: usize, call: Body) -> Function {
+    function(name, least, Some(most), call)
+}
+
+const fn of_the_time(name: &'static str, least: usize, most: usize, call: Body) -> Function {
+    Function {
+        steady: false,
+        ..function(name, least, Some(most), call)
+    }
+}
+
+pub fn find(name: &str) -> Option<&'static Function> {
+    FUNCTIONS
+        .iter()
+        .find(|function| function.name.eq_ignore_ascii_case(name))
+}
+
+pub fn names() -> impl Iterator<Item = &'static str> {
+    FUNCTIONS.iter().map(|function| function.name)
+}
+
+static FUNCTIONS: [Function; 69] = [
+    // Types.
+    exactly("isUndefined", 1, |e, c| {
+        Value::Bool(matches!(c.value(0, e), Value::Undefined))
+    }),
+    exactly("isError", 1, |e, c| {
+        Value::Bool(matches!(c.value(0, e), Value::Error))
+    }),
+    exactly("isString", 1, |e, c| {
+        Value::Bool(matches!(c.value(0, e), Value::Str(_)))
+    }),
+    exactly("isInteger", 1, |e, c| {
+        Value::Bool(matches!(c.value(0, e), Value::Int(_)))
+    }),
+    exactly("isReal", 1, |e, c| {
+        Value::Bool(matches!(c.value(0, e), Value::Real(_)))
+    }),
+    exactly("isBoolean", 1, |e, c| {
+        Value::Bool(matches!(c.value(0, e), Value::Bool(_)))
+    }),
+    exactly("isList", 1, |e, c| {
+        Value::Bool(matches!(c.value(0, e), Value::List(_)))
+    }),
+    exactly("isClassAd", 1, |e, c| {
+        Value::Bool(matches!(c.value(0, e), Value::Record(_)))
+    }),
+    exactly("bool", 1, to_bool),
+    exactly("int", 1, |e, c| rounded(e, c, f64::trunc)),
+    exactly("real", 1, to_real),
+    exactly("string", 1, |e, c| {
+        strict(e, c, |e, values| e.text(plain(&values[0])))
+    }),
+    // Choices.
+    exactly("ifThenElse", 3, if_then_else),
+    exactly("eval", 1, evaluate),
+    exactly("unparse", 1, |e, c| {
+        let text = c.arguments.first().map(ToString::to_string).unwrap_or_default();
+        e.text(text)
+    }),
+    // Numbers.
+    exactly("floor", 1, |e, c| rounded(e, c, f64::floor)),
+    exactly("ceiling", 1, |e, c| rounded(e, c, f64::ceil)),
+    exactly("round", 1, |e, c| rounded(e, c, f64::round_ties_even)),
+    exactly("abs", 1, absolute),
+    exactly("pow", 2, power),
+    exactly("quantize", 2, quantize),
+    exactly("sum", 1, |e, c| {
+        over_list(e, c, |e, numbers| fold(e, numbers, Binary::Plus))
+    }),
+    exactly("avg", 1, |e, c| over_list(e, c, average)),
+    exactly("min", 1, |e, c| {
+        over_list(e, c, |_, numbers| extreme(numbers, Ordering::Less))
+    }),
+    exactly("max", 1, |e, c| {
+        over_list(e, c, |_, numbers| extreme(numbers, Ordering::Greater))
+    }),
+    // Strings.
+    function("strcat", 0, None, |e, c| {
+        strict(e, c, |e, values| {
+            let text = values.iter().map(plain).collect();
+            e.text(text)
+        })
+    }),
+    function("join", 1, None, join),
+    up_to("substr", 2, 3, substr),
+    exactly("strcmp", 2, |e, c| {
+        strings(e, c, |e, s| order(e, s[0].cmp(&s[1])))
+    }),
+    exactly("stricmp", 2, |e, c| {
+        strings(e, c, |e, s| {
+            order(e, s[0].to_ascii_lowercase().cmp(&s[1].to_ascii_lowercase()))
+        })
+    }),
+    exactly("toUpper", 1, |e, c| {
+        strings(e, c, |e, s| e.text(s[0].to_uppercase()))
+    }),
+    exactly("toLower", 1, |e, c| {
+        strings(e, c, |e, s| e.text(s[0].to_lowercase()))
+    }),
+    exactly("size", 1, size),
+    up_to("split", 1, 2, |e, c| {
+        strings(e, c, |_, s| {
+            let separators = s.get(1).map_or(" ,", |separators| separators);
+            Value::List(entries(&s[0], separators).map(Value::from).collect())
+        })
+    }),
+    exactly("splitUserName", 1, |e, c| {
+        strings(e, c, |_, s| at_sign(&s[0], true))
+    }),
+    exactly("splitSlotName", 1, |e, c| {
+        strings(e, c, |_, s| at_sign(&s[0], false))
+    }),
+    exactly("strlen", 1, |e, c| {
+        strings(e, c, |_, s| Value::Int(s[0].chars().count() as i64))
+    }),
+    // Patterns.
+    up_to("regexp", 2, 3, |e, c| {
+        matching(e, c, 2, |e, r, s| e.text_matches(r, &s[1]))
+    }),
+    up_to("regexps", 3, 4, |e, c| {
+        matching(e, c, 3, |e, r, s| replaced(e, r, s, Part::Match))
+    }),
+    up_to("replace", 3, 4, |e, c| {
+        matching(e, c, 3, |e, r, s| replaced(e, r, s, Part::First))
+    }),
+    up_to("replaceAll", 3, 4, |e, c| {
+        matching(e, c, 3, |e, r, s| replaced(e, r, s, Part::All))
+    }),
+    up_to("regexpMember", 2, 3, regexp_member),
+    up_to("stringList_regexpMember", 2, 4, |e, c| {
+        strings(e, c, |e, s| {
+            let separators = s.get(2).map_or(" ,", |separators| separators);
+            let options = s.get(3).map_or("", |options| options);
+            let Some(pattern) = e.pattern(&s[0], options) else {
+                return e.fail(Fault::Call("stringList_regexpMember", "no pattern".to_owned()));
+            };
+            Value::Bool(entries(&s[1], separators).any(|entry| pattern.is_match(entry)))
+        })
+    }),
+    // Lists.
+    exactly("member", 2, |e, c| member(e, c, Binary::Equal)),
+    exactly("identicalMember", 2, |e, c| member(e, c, Binary::Is)),
+    exactly("anyCompare", 3, |e, c| compare_all(e, c, true)),
+    exactly("allCompare", 3, |e, c| compare_all(e, c, false)),
+    // Lists in strings.
+    up_to("stringListSize", 1, 2, |e, c| {
+        on_list(e, c, 1, |_, _, list| Value::Int(list.len() as i64))
+    }),
+    up_to("stringListSum", 1, 2, |e, c| {
+        on_numbers(e, c, |e, n| fold(e, n, Binary::Plus))
+    }),
+    up_to("stringListAvg", 1, 2, |e, c| on_numbers(e, c, average)),
+    up_to("stringListMin", 1, 2, |e, c| {
+        on_numbers(e, c, |_, n| extreme(n, Ordering::Less))
+    }),
+    up_to("stringListMax", 1, 2, |e, c| {
+        on_numbers(e, c, |_, n| extreme(n, Ordering::Greater))
+    }),
+    up_to("stringListMember", 2, 3, |e, c| {
+        on_list(e, c, 2, |_, s, list| Value::Bool(list.contains(&&*s[0])))
+    }),
+    up_to("stringListIMember", 2, 3, |e, c| {
+        on_list(e, c, 2, |_, s, list| {
+            Value::Bool(list.iter().any(|entry| entry.eq_ignore_ascii_case(&s[0])))
+        })
+    }),
+    up_to("stringListSubsetMatch", 2, 3, |e, c| subset(e, c, |a, b| a == b)),
+    up_to("stringListISubsetMatch", 2, 3, |e, c| {
+        subset(e, c, |a, b| a.eq_ignore_ascii_case(b))
+    }),
+    up_to("stringListsIntersect", 2, 3, |e, c| {
+        on_list(e, c, 2, |_, s, list| {
+            let separators = s.get(2).map_or(" ,", |separators| separators);
+            Value::Bool(entries(&s[0], separators).any(|entry| list.contains(&entry)))
+        })
+    }),
+    // Versions.
+    exactly("versioncmp", 2, |e, c| {
+        strings(e, c, |e, s| order(e, versions(&s[0], &s[1])))
+    }),
+    exactly("versionLT", 2, |e, c| version(e, c, Ordering::is_lt)),
+    exactly("versionLE", 2, |e, c| version(e, c, Ordering::is_le)),
+    exactly("versionGT", 2, |e, c| version(e, c, Ordering::is_gt)),
+    exactly("versionGE", 2, |e, c| version(e, c, Ordering::is_ge)),
+    exactly("versionEQ", 2, |e, c| version(e, c, Ordering::is_eq)),
+    exactly("version_in_range", 3, |e, c| {
+        strings(e, c, |_, s| {
+            Value::Bool(versions(&s[1], &s[0]).is_le() && versions(&s[0], &s[2]).is_le())
+        })
+    }),
+    // Time, in s since 1970.
+    of_the_time("time", 0, 0, |e, _| Value::Int(e.now_s())),
+    of_the_time("formatTime", 0, 2, format_time),
+    exactly("interval", 1, interval),
+    exactly("isAbsTime", 1, |_, _| Value::Bool(false)),
+    exactly("isRelTime", 1, |_, _| Value::Bool(false)),
+];
+
+/// All arguments, unless one of them is ERROR or UNDEFINED.
+fn strict(
+    evaluator: &mut Evaluator,
+    call: Call<'_>,
+    with: impl Fn(&mut Evaluator, &[Value]) -> Value,
+) -> Value {
+    let values = call.all(evaluator);
+    if values.iter().any(|value| matches!(value, Value::Error)) {
+        return Value::Error;
+    }
+    if values.iter().any(|value| matches!(value, Value::Undefined)) {
+        return Value::Undefined;
+    }
+    with(evaluator, &values)
+}
+
+/// All arguments, which have to be strings.
+fn strings(
+    evaluator: &mut Evaluator,
+    call: Call<'_>,
+    with: impl Fn(&mut Evaluator, &[Arc<str>]) -> Value,
+) -> Value {
+    strict(evaluator, call, |evaluator, values| {
+        let mut texts = Vec::with_capacity(values.len());
+        for value in values {
+            match value {
+                Value::Str(text) => texts.push(text.clone()),
+                other => return evaluator.fail(Fault::Operand(call.name, other.type_name())),
+            }
+        }
+        if !evaluator.spend(texts.iter().map(|text| text.len() / 64).sum()) {
+            return evaluator.fail(Fault::Steps);
+        }
+        with(evaluator, &texts)
+    })
+}
+
+/// A value as `string()` shows it.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Str(text) => text.to_string(),
+        other => other.to_string(),
+    }
+}
+
+fn order(_: &mut Evaluator, order: Ordering) -> Value {
+    Value::Int(order as i64)
+}
+
+fn entries<'a>(text: &'a str, separators: &'a str) -> impl Iterator<Item = &'a str> {
+    text.split(move |next| separators.contains(next))
+        .map(str::trim)
+        .filter(|entry| !entry.is_empty())
+}
+
+fn to_bool(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    strict(evaluator, call, |evaluator, values| match &values[0] {
+        Value::Str(text) if text.eq_ignore_ascii_case("true") => Value::Bool(true),
+        Value::Str(text) if text.eq_ignore_ascii_case("false") => Value::Bool(false),
+        value => match value.truth() {
+            Some(truth) => Value::Bool(truth),
+            None => evaluator.fail(Fault::Operand("bool", value.type_name())),
+        },
+    })
+}
+
+/// The number in a value or a string.
+fn numeric(value: &Value) -> Option<Value> {
+    match value {
+        Value::Int(_) | Value::Real(_) => Some(value.clone()),
+        Value::Bool(truth) => Some(Value::Int(i64::from(*truth))),
+        Value::Str(text) => {
+            let text = text.trim();
+            let whole = text.parse::<i64>().ok().map(Value::Int);
+            whole.or_else(|| text.parse::<f64>().ok().map(Value::Real))
+        }
+        _ => None,
+    }
+}
+
+fn to_real(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    strict(evaluator, call, |evaluator, values| {
+        match numeric(&values[0]).and_then(|value| value.as_number()) {
+            Some(value) => Value::Real(value),
+            None => evaluator.fail(Fault::Operand("real", values[0].type_name())),
+        }
+    })
+}
+
+fn rounded(evaluator: &mut Evaluator, call: Call<'_>, round: fn(f64) -> f64) -> Value {
+    strict(evaluator, call, |evaluator, values| match numeric(&values[0]) {
+        Some(Value::Int(value)) => Value::Int(value),
+        Some(Value::Real(value)) => {
+            let value = round(value);
+            // What lies beyond has no integer.
+            if value.is_finite() && value.abs() < 9.2e18 {
+                Value::Int(value as i64)
+            } else {
+                evaluator.fail(Fault::Overflow(call.name))
+            }
+        }
+        _ => evaluator.fail(Fault::Operand(call.name, values[0].type_name())),
+    })
+}
+
+fn if_then_else(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    let condition = call.value(0, evaluator);
+    match (condition.truth(), condition) {
+        (Some(true), _) => call.value(1, evaluator),
+        (Some(false), _) => call.value(2, evaluator),
+        (None, Value::Undefined) => Value::Undefined,
+        (None, other) => evaluator.fail(Fault::Operand("ifThenElse", other.type_name())),
+    }
+}
+
+/// A string is read as an expression; anything else is what it is.
+fn evaluate(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    match call.value(0, evaluator) {
+        Value::Str(text) => call.text_value(&text, evaluator),
+        value => value,
+    }
+}
+
+fn absolute(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    strict(evaluator, call, |evaluator, values| match &values[0] {
+        Value::Int(value) => value
+            .checked_abs()
+            .map_or_else(|| evaluator.fail(Fault::Overflow("abs")), Value::Int),
+        Value::Real(value) => Value::Real(value.abs()),
+        other => evaluator.fail(Fault::Operand("abs", other.type_name())),
+    })
+}
+
+fn power(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    strict(evaluator, call, |evaluator, values| match values {
+        [Value::Int(base), Value::Int(exponent)] if *exponent >= 0 => {
+            let exponent = u32::try_from(*exponent).unwrap_or(u32::MAX);
+            match base.checked_pow(exponent) {
+                Some(value) => Value::Int(value),
+                None => evaluator.fail(Fault::Overflow("pow")),
+            }
+        }
+        [base, exponent] => match (base.as_number(), exponent.as_number()) {
+            (Some(base), Some(exponent)) => Value::Real(base.powf(exponent)),
+            _ => evaluator.fail(Fault::Operands("pow", base.type_name(), exponent.type_name())),
+        },
+        _ => Value::Error,
+    })
+}
+
+/// The least multiple of the second that is no less than the first; of a list, its first
+/// entry that is no less, or the least multiple of its last.
+fn quantize(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    strict(evaluator, call, |evaluator, values| {
+        let Some(wanted) = values[0].as_number() else {
+            return evaluator.fail(Fault::Operand("quantize", values[0].type_name()));
+        };
+        let step = match &values[1] {
+            Value::List(steps) => {
+                let enough = steps
+                    .iter()
+                    .find(|step| step.as_number().is_some_and(|step| step >= wanted));
+                match (enough, steps.last()) {
+                    (Some(step), _) => return step.clone(),
+                    (None, Some(last)) => last.clone(),
+                    (None, None) => return values[0].clone(),
+                }
+            }
+            step => step.clone(),
+        };
+        match (&values[0], &step) {
+            (_, step) if step.as_number().is_none_or(|step| step <= 0.0) => {
+                evaluator.fail(Fault::Operand("quantize", step.type_name()))
+            }
+            (Value::Int(wanted), Value::Int(step)) => {
+                let over = wanted.rem_euclid(*step);
+                let more = if over == 0 { 0 } else { step - over };
+                wanted
+                    .checked_add(more)
+                    .map_or_else(|| evaluator.fail(Fault::Overflow("quantize")), Value::Int)
+            }
+            (_, step) => {
+                let size = step.as_number().unwrap_or(1.0);
+                let value = (wanted / size).ceil() * size;
+                if matches!(step, Value::Int(_)) {
+                    Value::number(value)
+                } else {
+                    Value::Real(value)
+                }
+            }
+        }
+    })
+}
+
+/// A list of numbers; entries that are UNDEFINED are passed over.
+fn over_list(
+    evaluator: &mut Evaluator,
+    call: Call<'_>,
+    with: impl Fn(&mut Evaluator, Vec<Value>) -> Value,
+) -> Value {
+    strict(evaluator, call, |evaluator, values| {
+        let Value::List(entries) = &values[0] else {
+            return evaluator.fail(Fault::Operand(call.name, values[0].type_name()));
+        };
+        let numbers: Vec<Value> = entries
+            .iter()
+            .filter(|entry| **entry != Value::Undefined)
+            .cloned()
+            .collect();
+        if let Some(other) = numbers.iter().find(|number| number.as_number().is_none()) {
+            return evaluator.fail(Fault::Operand(call.name, other.type_name()));
+        }
+        with(evaluator, numbers)
+    })
+}
+
+fn fold(evaluator: &mut Evaluator, numbers: Vec<Value>, operator: Binary) -> Value {
+    let sum = numbers
+        .into_iter()
+        .reduce(|sum, number| evaluator.binary(operator, &sum, &number));
+    sum.unwrap_or(Value::Int(0))
+}
+
+fn average(evaluator: &mut Evaluator, numbers: Vec<Value>) -> Value {
+    let count = numbers.len();
+    match fold(evaluator, numbers, Binary::Plus).as_number() {
+        Some(sum) if count > 0 => Value::Real(sum / count as f64),
+        Some(_) => Value::Real(0.0),
+        None => Value::Error,
+    }
+}
+
+fn extreme(numbers: Vec<Value>, wanted: Ordering) -> Value {
+    let found = numbers.into_iter().reduce(|best, next| {
+        let order = next.as_number().partial_cmp(&best.as_number());
+        if order == Some(wanted) { next } else { best }
+    });
+    found.unwrap_or(Value::Undefined)
+}
+
+fn join(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    strict(evaluator, call, |evaluator, values| {
+        let (separator, rest) = match values {
+            [Value::List(entries)] => (String::new(), entries.to_vec()),
+            [separator, Value::List(entries)] => (plain(separator), entries.to_vec()),
+            [separator, rest @ ..] => (plain(separator), rest.to_vec()),
+            [] => (String::new(), Vec::new()),
+        };
+        let texts: Vec<String> = rest.iter().map(plain).collect();
+        evaluator.text(texts.join(&separator))
+    })
+}
+
+/// Positions count characters; what is negative counts from the end.
+fn substr(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    strict(evaluator, call, |evaluator, values| {
+        let (Value::Str(text), Value::Int(start)) = (&values[0], &values[1]) else {
+            return evaluator.fail(Fault::Operands(
+                "substr",
+                values[0].type_name(),
+                values[1].type_name(),
+            ));
+        };
+        let length = match values.get(2) {
+            None => None,
+            Some(Value::Int(length)) => Some(*length),
+            Some(other) => return evaluator.fail(Fault::Operand("substr", other.type_name())),
+        };
+        Value::from(part(text, *start, length))
+    })
+}
+
+/// The part of a text that `substr` means.
+pub fn part(text: &str, start: i64, length: Option<i64>) -> String {
+    let count = text.chars().count() as i64;
+    let start = if start < 0 {
+        count.saturating_add(start)
+    } else {
+        start
+    }
+    .clamp(0, count);
+    let end = match length {
+        None => count,
+        Some(length) if length < 0 => count.saturating_add(length),
+        Some(length) => start.saturating_add(length),
+    }
+    .clamp(start, count);
+    text.chars()
+        .skip(start as usize)
+        .take((end - start) as usize)
+        .collect()
+}
+
+fn size(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    strict(evaluator, call, |evaluator, values| match &values[0] {
+        Value::Str(text) => Value::Int(text.chars().count() as i64),
+        Value::List(entries) => Value::Int(entries.len() as i64),
+        Value::Record(attributes) => Value::Int(attributes.len() as i64),
+        other => evaluator.fail(Fault::Operand("size", other.type_name())),
+    })
+}
+
+/// What stands before and after the `@`; without one, all of it is the first for a user,
+/// the second for a slot.
+fn at_sign(text: &str, user: bool) -> Value {
+    let (first, second) = match text.split_once('@') {
+        Some(two) => two,
+        None if user => (text, ""),
+        None => ("", text),
+    };
+    Value::List(Arc::from([Value::from(first), Value::from(second)]))
+}
+
+impl Evaluator {
+    fn text_matches(&mut self, pattern: &regex::Regex, text: &str) -> Value {
+        Value::Bool(pattern.is_match(text))
+    }
+}
+
+/// A pattern, its options as the argument at `options`, and all arguments.
+fn matching(
+    evaluator: &mut Evaluator,
+    call: Call<'_>,
+    options: usize,
+    with: impl Fn(&mut Evaluator, &regex::Regex, &[Arc<str>]) -> Value,
+) -> Value {
+    strings(evaluator, call, |evaluator, texts| {
+        let given = texts.get(options).map_or("", |options| options);
+        match evaluator.pattern(&texts[0], given) {
+            Some(pattern) => with(evaluator, &pattern, texts),
+            None => evaluator.fail(Fault::Call(
+                call.name,
+                format!("{:?} is no pattern, or one too large", texts[0]),
+            )),
+        }
+    })
+}
+
+/// What of the text comes back.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Part {
+    /// What stands for the first match, alone.
+    Match,
+    First,
+    All,
+}
+
+fn replaced(evaluator: &mut Evaluator, pattern: &regex::Regex, texts: &[Arc<str>], part: Part) -> Value {
+    let (text, template) = (&texts[1], &texts[2]);
+    let mut out = String::new();
+    let mut copied = 0;
+    for found in pattern.captures_iter(text) {
+        let Some(whole) = found.get(0) else { break };
+        if part != Part::Match {
+            out.push_str(&text[copied..whole.start()]);
+        }
+        substitute(template, &found, &mut out);
+        copied = whole.end();
+        if part != Part::All || out.len() > MAX_MADE {
+            break;
+        }
+    }
+    if part != Part::Match {
+        out.push_str(&text[copied..]);
+    }
+    evaluator.text(out)
+}
+
+/// `\0` to `\9` stand for what the groups of the pattern matched.
+fn substitute(template: &str, found: &regex::Captures<'_>, out: &mut String) {
+    let mut rest = template.chars();
+    while let Some(next) = rest.next() {
+        let group = (next == '\\')
+            .then(|| rest.as_str().chars().next()?.to_digit(10))
+            .flatten();
+        match group {
+            Some(group) => {
+                rest.next();
+                out.push_str(found.get(group as usize).map_or("", |group| group.as_str()));
+            }
+            None => out.push(next),
+        }
+    }
+}
+
+fn regexp_member(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    strict(evaluator, call, |evaluator, values| {
+        let options = match values.get(2) {
+            None => "",
+            Some(Value::Str(options)) => options,
+            Some(other) => return evaluator.fail(Fault::Operand("regexpMember", other.type_name())),
+        };
+        let (Value::Str(pattern), Value::List(list)) = (&values[0], &values[1]) else {
+            return evaluator.fail(Fault::Operands(
+                "regexpMember",
+                values[0].type_name(),
+                values[1].type_name(),
+            ));
+        };
+        let Some(pattern) = evaluator.pattern(pattern, options) else {
+            return evaluator.fail(Fault::Call("regexpMember", "no pattern".to_owned()));
+        };
+        let mut unknown = false;
+        for entry in list.iter() {
+            match entry {
+                Value::Str(text) if pattern.is_match(text) => return Value::Bool(true),
+                Value::Str(_) => (),
+                Value::Undefined => unknown = true,
+                other => return evaluator.fail(Fault::Operand("regexpMember", other.type_name())),
+            }
+        }
+        if unknown {
+            Value::Undefined
+        } else {
+            Value::Bool(false)
+        }
+    })
+}
+
+fn member(evaluator: &mut Evaluator, call: Call<'_>, operator: Binary) -> Value {
+    let wanted = call.value(0, evaluator);
+    let list = call.value(1, evaluator);
+    let list = match (&wanted, list) {
+        (Value::Error, _) | (_, Value::Error) => return Value::Error,
+        (Value::Undefined, _) if operator == Binary::Equal => return Value::Undefined,
+        (_, Value::Undefined) => return Value::Undefined,
+        (_, Value::List(list)) => list,
+        (_, other) => return evaluator.fail(Fault::Operand(call.name, other.type_name())),
+    };
+    if !evaluator.spend(list.len()) {
+        return evaluator.fail(Fault::Steps);
+    }
+    // Entries of another type are no error here: they are not it.
+    let known = evaluator.fault().cloned();
+    let found = list
+        .iter()
+        .any(|entry| evaluator.binary(operator, &wanted, entry) == Value::Bool(true));
+    evaluator.restore(known);
+    Value::Bool(found)
+}
+
+fn compare_all(evaluator: &mut Evaluator, call: Call<'_>, any: bool) -> Value {
+    strict(evaluator, call, |evaluator, values| {
+        let (Value::Str(operator), Value::List(list)) = (&values[0], &values[1]) else {
+            return evaluator.fail(Fault::Operands(
+                call.name,
+                values[0].type_name(),
+                values[1].type_name(),
+            ));
+        };
+        let operator = match &**operator {
+            "<" => Binary::Less,
+            "<=" => Binary::AtMost,
+            ">" => Binary::More,
+            ">=" => Binary::AtLeast,
+            "==" => Binary::Equal,
+            "!=" => Binary::NotEqual,
+            "is" | "=?=" => Binary::Is,
+            "isnt" | "=!=" => Binary::Isnt,
+            other => {
+                let why = format!("{other:?} does not compare");
+                return evaluator.fail(Fault::Call(call.name, why));
+            }
+        };
+        if !evaluator.spend(list.len()) {
+            return evaluator.fail(Fault::Steps);
+        }
+        let mut holds = |entry: &Value| evaluator.binary(operator, entry, &values[2]) == Value::Bool(true);
+        Value::Bool(if any {
+            list.iter().any(&mut holds)
+        } else {
+            list.iter().all(&mut holds)
+        })
+    })
+}
+
+/// The entries of the list in the string before the separators, which stand at `separators`.
+fn on_list(
+    evaluator: &mut Evaluator,
+    call: Call<'_>,
+    separators: usize,
+    with: impl Fn(&mut Evaluator, &[Arc<str>], Vec<&str>) -> Value,
+) -> Value {
+    strings(evaluator, call, |evaluator, texts| {
+        let given = texts.get(separators).map_or(" ,", |separators| separators);
+        let list: Vec<&str> = entries(&texts[separators - 1], given).collect();
+        if !evaluator.spend(list.len()) {
+            return evaluator.fail(Fault::Steps);
+        }
+        with(evaluator, texts, list)
+    })
+}
+
+fn on_numbers(
+    evaluator: &mut Evaluator,
+    call: Call<'_>,
+    with: impl Fn(&mut Evaluator, Vec<Value>) -> Value,
+) -> Value {
+    on_list(evaluator, call, 1, |evaluator, _, list| {
+        let numbers: Option<Vec<Value>> = list.iter().map(|entry| numeric(&Value::from(*entry))).collect();
+        match numbers {
+            Some(numbers) => with(evaluator, numbers),
+            None => evaluator.fail(Fault::Operand(call.name, "a list of what is not all numbers")),
+        }
+    })
+}
+
+fn subset(evaluator: &mut Evaluator, call: Call<'_>, same: fn(&str, &str) -> bool) -> Value {
+    on_list(evaluator, call, 2, |_, texts, list| {
+        let separators = texts.get(2).map_or(" ,", |separators| separators);
+        let all = entries(&texts[0], separators).all(|entry| list.iter().any(|other| same(entry, other)));
+        Value::Bool(all)
+    })
+}
+
+fn version(evaluator: &mut Evaluator, call: Call<'_>, holds: fn(Ordering) -> bool) -> Value {
+    strings(evaluator, call, |_, texts| {
+        Value::Bool(holds(versions(&texts[0], &texts[1])))
+    })
+}
+
+/// Runs of digits by their number, all else letter by letter.
+pub fn versions(left: &str, right: &str) -> Ordering {
+    let (mut left, mut right) = (left, right);
+    loop {
+        let digits = |text: &str| text.bytes().take_while(u8::is_ascii_digit).count();
+        let (many, others) = (digits(left), digits(right));
+        if many > 0 && others > 0 {
+            let number = |text: &'_ str| text.trim_start_matches('0').to_owned();
+            let (a, b) = (number(&left[..many]), number(&right[..others]));
+            match a.len().cmp(&b.len()).then_with(|| a.cmp(&b)) {
+                Ordering::Equal => (left, right) = (&left[many..], &right[others..]),
+                order => return order,
+            }
+            continue;
+        }
+        match (left.chars().next(), right.chars().next()) {
+            (Some(a), Some(b)) if a == b => {
+                (left, right) = (&left[a.len_utf8()..], &right[b.len_utf8()..]);
+            }
+            (a, b) => return a.cmp(&b),
+        }
+    }
+}
+
+/// A time of day in UTC, by a format such as `%Y-%m-%d`.
+fn format_time(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    let at = match call.arguments.first() {
+        None => Value::Int(evaluator.now_s()),
+        Some(_) => call.value(0, evaluator),
+    };
+    let format = match call.arguments.get(1) {
+        None => Value::from("%c"),
+        Some(_) => call.value(1, evaluator),
+    };
+    match (at, format) {
+        (Value::Error, _) | (_, Value::Error) => Value::Error,
+        (Value::Undefined, _) | (_, Value::Undefined) => Value::Undefined,
+        (at, Value::Str(format)) if at.as_number().is_some() => {
+            let time = at
+                .as_number()
+                .and_then(|at| DateTime::from_timestamp(at as i64, 0));
+            let mut out = String::new();
+            // Formats that mean nothing fail when they are written.
+            match time.map(|time| write!(out, "{}", time.format(&format))) {
+                Some(Ok(())) => evaluator.text(out),
+                _ => evaluator.fail(Fault::Call("formatTime", format!("{format:?} is no format"))),
+            }
+        }
+        (at, format) => evaluator.fail(Fault::Operands("formatTime", at.type_name(), format.type_name())),
+    }
+}
+
+/// Seconds as days, hours, minutes and seconds.
+fn interval(evaluator: &mut Evaluator, call: Call<'_>) -> Value {
+    strict(evaluator, call, |evaluator, values| {
+        let Some(seconds) = values[0].as_number() else {
+            return evaluator.fail(Fault::Operand("interval", values[0].type_name()));
+        };
+        let total = seconds.abs() as u64;
+        let sign = if seconds < 0.0 { "-" } else { "" };
+        let (days, hours, minutes) = (total / 86_400, total / 3_600 % 24, total / 60 % 60);
+        let clock = match (days, hours, minutes) {
+            (0, 0, 0) => format!("{sign}{}", total % 60),
+            (0, 0, _) => format!("{sign}{minutes}:{:02}", total % 60),
+            (0, _, _) => format!("{sign}{hours}:{minutes:02}:{:02}", total % 60),
+            _ => format!("{sign}{days}+{hours:02}:{minutes:02}:{:02}", total % 60),
+        };
+        Value::from(clock)
+    })
+}
--- /dev/null
+++ b/crates/classad/src/names.rs
@@ -0,0 +1,115 @@
+//! Names of attributes: compared without case, shown as written.
+
+use crate::constants::NEAREST;
+use std::fmt;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+/// A name as written, with the lower-case form by which it is found.
+#[derive(Debug, Clone)]
+pub struct Name {
+    text: Arc<str>,
+    key: Arc<str>,
+}
+
+impl Name {
+    pub fn new(text: &str) -> Name {
+        let text: Arc<str> = Arc::from(text);
+        let key = if text.bytes().any(|byte| byte.is_ascii_uppercase()) {
+            Arc::from(text.to_ascii_lowercase())
+        } else {
+            text.clone()
+        };
+        Name { text, key }
+    }
+
+    /// As written.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// In lower case.
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+
+    pub(crate) fn shared_key(&self) -> Arc<str> {
+        self.key.clone()
+    }
+
+    /// Whether it can stand in an expression without quotes.
+    pub(crate) fn is_plain(&self) -> bool {
+        let mut bytes = self.key.bytes();
+        bytes
+            .next()
+            .is_some_and(|first| first.is_ascii_alphabetic() || first == b'_')
+            && bytes.all(|byte| byte.is_ascii_alphanumeric() || byte == b'_')
+            && !RESERVED.contains(&&*self.key)
+    }
+}
+
+/// Words that are no names.
+pub(crate) const RESERVED: [&str; 8] = [
+    "true",
+    "false",
+    "undefined",
+    "error",
+    "is",
+    "isnt",
+    "my",
+    "target",
+];
+
+impl PartialEq for Name {
+    fn eq(&self, other: &Name) -> bool {
+        self.key == other.key
+    }
+}
+
+impl Eq for Name {}
+
+impl Hash for Name {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.key.hash(state);
+    }
+}
+
+impl PartialOrd for Name {
+    fn partial_cmp(&self, other: &Name) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Name {
+    fn cmp(&self, other: &Name) -> std::cmp::Ordering {
+        self.key.cmp(&other.key)
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.text)
+    }
+}
+
+/// The known names most like `name`, the likest first; none that is not like it at all.
+pub fn nearest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let name = name.to_ascii_lowercase();
+    let mut found: Vec<(usize, &str)> = known
+        .into_iter()
+        .filter_map(|known| {
+            let key = known.to_ascii_lowercase();
+            let contained = name.len() >= 3 && key.len() >= 3 && (key.contains(&name) || name.contains(&key));
+            let distance = if contained { 1 } else { distance(&name, &key) };
+            (distance <= name.len().max(key.len()) / 2).then_some((distance, known))
+        })
+        .collect();
+    found.sort();
+    found.dedup();
+    found.into_iter().map(|(_, known)| known).take(NEAREST).collect()
+}
+
+/// Letters to change, add, leave out or swap with their neighbour.
+fn distance(a: &str, b: &str) -> usize {
+    strsim::osa_distance(a, b)
+}
--- /dev/null
+++ b/crates/classad/src/parser.rs
@@ -0,0 +1,419 @@
+//! From tokens to a tree: by binding powers, so that nesting costs one level of recursion a
+//! level, and every error knows its place.
+
+use crate::constants::{MAX_DEPTH, MAX_TEXT};
+use crate::expr::{Binary, Expr, Kind, Record, Scope, Unary};
+use crate::functions;
+use crate::lexer::{Token, unescape};
+use crate::{Name, Value, nearest};
+use logos::Logos;
+use std::fmt;
+use std::sync::Arc;
+use thiserror::Error;
+
+/// A place in a text, counted from 1; columns are characters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Position {
+    pub line: usize,
+    pub column: usize,
+}
+
+impl Position {
+    /// Where a byte of a text stands.
+    pub fn of(text: &str, byte: usize) -> Position {
+        let mut byte = byte.min(text.len());
+        while !text.is_char_boundary(byte) {
+            byte -= 1;
+        }
+        let before = &text[..byte];
+        let line_start = before.rfind('\n').map_or(0, |at| at + 1);
+        Position {
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+        }
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.line, self.column)
+    }
+}
+
+/// A text that is no expression.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{position}: {problem}")]
+pub struct ParseError {
+    pub position: Position,
+    /// Byte of the text at which it stands.
+    pub at: usize,
+    pub problem: String,
+}
+
+impl Expr {
+    /// Reads an expression.
+    ///
+    /// # Errors
+    /// The first place where the text is none, or is longer or deeper than it may be.
+    pub fn parse(text: &str) -> Result<Expr, ParseError> {
+        Parser::over(text)
+            .and_then(Parser::whole)
+            .map_err(|(at, problem)| ParseError {
+                position: Position::of(text, at),
+                at,
+                problem,
+            })
+    }
+}
+
+type Problem = (usize, String);
+
+struct Lexeme<'t> {
+    token: Token,
+    text: &'t str,
+    at: usize,
+}
+
+struct Parser<'t> {
+    lexemes: Vec<Lexeme<'t>>,
+    next: usize,
+    end: usize,
+    depth: u16,
+}
+
+/// What binds less than every operator: `?:`, which leans to the right.
+const CHOICE: u8 = 1;
+/// Prefix operators bind more tightly than all others.
+const PREFIX: u8 = 12;
+
+fn binary(token: Token, text: &str) -> Option<Binary> {
+    Some(match token {
+        Token::Or => Binary::Or,
+        Token::And => Binary::And,
+        Token::BitOr => Binary::BitOr,
+        Token::BitXor => Binary::BitXor,
+        Token::BitAnd => Binary::BitAnd,
+        Token::Equal => Binary::Equal,
+        Token::NotEqual => Binary::NotEqual,
+        Token::Is => Binary::Is,
+        Token::Isnt => Binary::Isnt,
+        Token::Word if text.eq_ignore_ascii_case("is") => Binary::Is,
+        Token::Word if text.eq_ignore_ascii_case("isnt") => Binary::Isnt,
+        Token::Less => Binary::Less,
+        Token::AtMost => Binary::AtMost,
+        Token::More => Binary::More,
+        Token::AtLeast => Binary::AtLeast,
+        Token::Left => Binary::ShiftLeft,
+        Token::Right => Binary::ShiftRight,
+        Token::RightZero => Binary::ShiftRightZero,
+        Token::Plus => Binary::Plus,
+        Token::Minus => Binary::Minus,
+        Token::Times => Binary::Times,
+        Token::Divide => Binary::Divide,
+        Token::Modulo => Binary::Modulo,
+        _ => return None,
+    })
+}
+
+impl<'t> Parser<'t> {
+    fn over(text: &'t str) -> Result<Parser<'t>, Problem> {
+        if text.len() > MAX_TEXT {
+            return Err((
+                MAX_TEXT,
+                format!("the expression is longer than {MAX_TEXT} bytes"),
+            ));
+        }
+        let mut lexemes = Vec::with_capacity(text.len() / 4);
+        for (token, span) in Token::lexer(text).spanned() {
+            let Ok(token) = token else {
+                let what = &text[span.start..];
+                let problem = match what.chars().next() {
+                    Some('"') => "this string does not end".to_owned(),
+                    Some('\'') => "this quoted name does not end, or is empty".to_owned(),
+                    Some(other) => format!("{other:?} means nothing here"),
+                    None => "nothing follows".to_owned(),
+                };
+                return Err((span.start, problem));
+            };
+            lexemes.push(Lexeme {
+                token,
+                text: &text[span.clone()],
+                at: span.start,
+            });
+        }
+        Ok(Parser {
+            lexemes,
+            next: 0,
+            end: text.len(),
+            depth: 0,
+        })
+    }
+
+    fn whole(mut self) -> Result<Expr, Problem> {
+        let expr = self.expression(CHOICE)?;
+        match self.peek() {
+            None => Ok(expr),
+            Some(lexeme) if lexeme.token == Token::Assign => {
+                Err((lexeme.at, "\"=\" sets an attribute; \"==\" compares".to_owned()))
+            }
+            Some(lexeme) => Err((
+                lexeme.at,
+                format!("an operator is missing before {:?}", lexeme.text),
+            )),
+        }
+    }
+
+    fn peek(&self) -> Option<&Lexeme<'t>> {
+        self.lexemes.get(self.next)
+    }
+
+    fn at(&self) -> usize {
+        self.peek().map_or(self.end, |lexeme| lexeme.at)
+    }
+
+    fn take(&mut self, token: Token) -> bool {
+        let found = self.peek().is_some_and(|lexeme| lexeme.token == token);
+        self.next += usize::from(found);
+        found
+    }
+
+    fn expect(&mut self, token: Token, what: &str) -> Result<(), Problem> {
+        if self.take(token) {
+            return Ok(());
+        }
+        Err((self.at(), format!("{what} is missing{}", self.found())))
+    }
+
+    /// What stands where something else should.
+    fn found(&self) -> String {
+        self.peek().map_or_else(
+            || " at the end".to_owned(),
+            |lexeme| format!(" before {:?}", lexeme.text),
+        )
+    }
+
+    fn node(&self, kind: Kind, at: usize) -> Result<Expr, Problem> {
+        Expr::new(kind, at).ok_or_else(|| too_deep(at))
+    }
+
+    fn expression(&mut self, least: u8) -> Result<Expr, Problem> {
+        self.depth += 1;
+        if self.depth > MAX_DEPTH {
+            return Err(too_deep(self.at()));
+        }
+        let mut left = self.prefixed()?;
+        while let Some(lexeme) = self.peek() {
+            let at = left.at;
+            if let Some(operator) = binary(lexeme.token, lexeme.text) {
+                if operator.binding() < least {
+                    break;
+                }
+                self.next += 1;
+                let right = self.expression(operator.binding() + 1)?;
+                left = self.node(Kind::Binary(operator, Box::new((left, right))), at)?;
+            } else if lexeme.token == Token::Question && least <= CHOICE {
+                self.next += 1;
+                if self.take(Token::Colon) {
+                    let otherwise = self.expression(CHOICE)?;
+                    left = self.node(Kind::Otherwise(Box::new((left, otherwise))), at)?;
+                } else {
+                    let then = self.expression(CHOICE)?;
+                    self.expect(Token::Colon, "the \":\" of \"?\"")?;
+                    let otherwise = self.expression(CHOICE)?;
+                    left = self.node(Kind::Choose(Box::new((left, then, otherwise))), at)?;
+                }
+            } else {
+                break;
+            }
+        }
+        self.depth -= 1;
+        Ok(left)
+    }
+
+    fn prefixed(&mut self) -> Result<Expr, Problem> {
+        let at = self.at();
+        let operator = match self.peek().map(|lexeme| lexeme.token) {
+            Some(Token::Minus) => Unary::Minus,
+            Some(Token::Plus) => Unary::Plus,
+            Some(Token::Not) => Unary::Not,
+            Some(Token::BitNot) => Unary::BitNot,
+            _ => return self.postfixed(),
+        };
+        self.next += 1;
+        let operand = self.expression(PREFIX)?;
+        self.node(Kind::Unary(operator, Box::new(operand)), at)
+    }
+
+    fn postfixed(&mut self) -> Result<Expr, Problem> {
+        let mut expr = self.operand()?;
+        loop {
+            let at = expr.at;
+            if self.take(Token::Dot) {
+                let name = self.name()?;
+                expr = self.node(Kind::Select(Box::new(expr), name), at)?;
+            } else if self.take(Token::OpenRecord) {
+                let index = self.expression(CHOICE)?;
+                self.expect(Token::CloseRecord, "\"]\"")?;
+                expr = self.node(Kind::Index(Box::new((expr, index))), at)?;
+            } else {
+                return Ok(expr);
+            }
+        }
+    }
+
+    fn name(&mut self) -> Result<Name, Problem> {
+        let name = match self.peek() {
+            Some(lexeme) if lexeme.token == Token::Word => Name::new(lexeme.text),
+            Some(lexeme) if lexeme.token == Token::Quoted => quoted(lexeme.text),
+            _ => return Err((self.at(), format!("a name is missing{}", self.found()))),
+        };
+        self.next += 1;
+        Ok(name)
+    }
+
+    fn operand(&mut self) -> Result<Expr, Problem> {
+        let Some(lexeme) = self.peek() else {
+            return Err((self.end, "something is missing at the end".to_owned()));
+        };
+        let (token, text, at) = (lexeme.token, lexeme.text, lexeme.at);
+        self.next += 1;
+        let kind = match token {
+            Token::Int | Token::Real => Kind::Literal(
+                number(text).ok_or_else(|| (at, format!("{text} is no number that can be kept")))?,
+            ),
+            Token::Str => Kind::Literal(Value::from(unescape(inner(text)))),
+            Token::Quoted => Kind::Attribute(Scope::Any, quoted(text)),
+            Token::Word => return self.word(text, at),
+            Token::Open => {
+                let inside = self.expression(CHOICE)?;
+                self.expect(Token::Close, "\")\"")?;
+                return Ok(inside);
+            }
+            Token::OpenList => Kind::List(self.sequence(Token::CloseList, "\"}\"")?),
+            Token::OpenRecord => Kind::Record(Arc::new(self.record()?)),
+            _ => {
+                return Err((at, format!("something is missing before {text:?}")));
+            }
+        };
+        self.node(kind, at)
+    }
+
+    fn word(&mut self, text: &str, at: usize) -> Result<Expr, Problem> {
+        if self.take(Token::Open) {
+            return self.call(text, at);
+        }
+        let kind = match text.to_ascii_lowercase().as_str() {
+            "true" => Kind::Literal(Value::Bool(true)),
+            "false" => Kind::Literal(Value::Bool(false)),
+            "undefined" => Kind::Literal(Value::Undefined),
+            "error" => Kind::Literal(Value::Error),
+            "is" | "isnt" => return Err((at, format!("something is missing before {text:?}"))),
+            scope @ ("my" | "target") => {
+                self.expect(Token::Dot, &format!("the \".\" and a name after {text}"))?;
+                let scope = if scope == "my" { Scope::My } else { Scope::Target };
+                Kind::Attribute(scope, self.name()?)
+            }
+            _ => Kind::Attribute(Scope::Any, Name::new(text)),
+        };
+        self.node(kind, at)
+    }
+
+    fn call(&mut self, text: &str, at: usize) -> Result<Expr, Problem> {
+        let Some(function) = functions::find(text) else {
+            let mut problem = format!("there is no function {text:?}");
+            let near = nearest(text, functions::names());
+            if !near.is_empty() {
+                problem = format!("{problem}; the nearest are {}", near.join(", "));
+            }
+            return Err((at, problem));
+        };
+        let arguments = self.sequence(Token::Close, "\")\"")?;
+        let (least, most) = (function.least, function.most.unwrap_or(usize::MAX));
+        if !(least..=most).contains(&arguments.len()) {
+            let wanted = match function.most {
+                Some(most) if most == least => format!("{least}"),
+                Some(most) => format!("{least} to {most}"),
+                None => format!("at least {least}"),
+            };
+            return Err((
+                at,
+                format!(
+                    "{} takes {wanted} arguments, not {}",
+                    function.name,
+                    arguments.len()
+                ),
+            ));
+        }
+        self.node(Kind::Call(function, arguments), at)
+    }
+
+    /// Expressions with commas between, up to the end.
+    fn sequence(&mut self, close: Token, end: &str) -> Result<Vec<Expr>, Problem> {
+        let mut entries = Vec::new();
+        if self.take(close) {
+            return Ok(entries);
+        }
+        loop {
+            entries.push(self.expression(CHOICE)?);
+            if !self.take(Token::Comma) {
+                self.expect(close, end)?;
+                return Ok(entries);
+            }
+        }
+    }
+
+    /// `name = expression` with semicolons between, up to the end.
+    fn record(&mut self) -> Result<Record, Problem> {
+        let mut record = Record::default();
+        while !self.take(Token::CloseRecord) {
+            let name = self.name()?;
+            self.expect(Token::Assign, "\"=\"")?;
+            record.0.push((name, self.expression(CHOICE)?));
+            if !self.take(Token::Semicolon) {
+                self.expect(Token::CloseRecord, "\";\" or \"]\"")?;
+                break;
+            }
+        }
+        Ok(record)
+    }
+}
+
+fn too_deep(at: usize) -> Problem {
+    (at, format!("the expression is nested more than {MAX_DEPTH} deep"))
+}
+
+/// A text without its quotes.
+fn inner(text: &str) -> &str {
+    text.get(1..text.len().saturating_sub(1)).unwrap_or_default()
+}
+
+fn quoted(text: &str) -> Name {
+    Name::new(&unescape(inner(text)))
+}
+
+/// A number with its unit: K, M, G and T count in steps of 1024.
+fn number(text: &str) -> Option<Value> {
+    if let Some(digits) = text.strip_prefix("0x").or_else(|| text.strip_prefix("0X")) {
+        return i64::from_str_radix(digits, 16).ok().map(Value::Int);
+    }
+    let (digits, unit) = match text.bytes().last()?.to_ascii_uppercase() {
+        b'B' => (&text[..text.len() - 1], Some(0)),
+        b'K' => (&text[..text.len() - 1], Some(1)),
+        b'M' => (&text[..text.len() - 1], Some(2)),
+        b'G' => (&text[..text.len() - 1], Some(3)),
+        b'T' => (&text[..text.len() - 1], Some(4)),
+        _ => (text, None),
+    };
+    if let Some(power) = unit {
+        let value = digits.parse::<f64>().ok()? * 1024f64.powi(power);
+        return Some(Value::Real(value)).filter(|_| value.is_finite());
+    }
+    if digits.bytes().all(|byte| byte.is_ascii_digit()) {
+        let octal = digits.len() > 1 && digits.starts_with('0');
+        return i64::from_str_radix(digits, if octal { 8 } else { 10 })
+            .ok()
+            .map(Value::Int);
+    }
+    let value = digits.parse::<f64>().ok()?;
+    value.is_finite().then_some(Value::Real(value))
+}
