--- a/crates/classad/src/expr.rs
+++ b/crates/classad/src/expr.rs
@@ -155,21 +155,26 @@
 
     /// The expressions of which it is made.
     pub fn children(&self) -> impl Iterator<Item = &Expr> {
-        let (few, many, record): ([Option<&Expr>; 3], &[Expr], &[(Name, Expr)]) = match &self.kind {
-            Kind::Literal(_) | Kind::Attribute(..) => ([None; 3], &[], &[]),
-            Kind::Select(one, _) | Kind::Unary(_, one) => ([Some(one), None, None], &[], &[]),
+        let few: [Option<&Expr>; 3] = match &self.kind {
+            Kind::Select(one, _) | Kind::Unary(_, one) => [Some(one), None, None],
             Kind::Index(two) | Kind::Binary(_, two) | Kind::Otherwise(two) => {
-                ([Some(&two.0), Some(&two.1), None], &[], &[])
+                [Some(&two.0), Some(&two.1), None]
             }
-            Kind::Choose(three) => ([Some(&three.0), Some(&three.1), Some(&three.2)], &[], &[]),
-            Kind::Call(_, arguments) => ([None; 3], arguments, &[]),
-            Kind::List(entries) => ([None; 3], entries, &[]),
-            Kind::Record(record) => ([None; 3], &[], &record.0),
+            Kind::Choose(three) => [Some(&three.0), Some(&three.1), Some(&three.2)],
+            _ => [None; 3],
+        };
+        let many: &[Expr] = match &self.kind {
+            Kind::Call(_, entries) | Kind::List(entries) => entries,
+            _ => &[],
+        };
+        let named: &[(Name, Expr)] = match &self.kind {
+            Kind::Record(record) => &record.0,
+            _ => &[],
         };
         few.into_iter()
             .flatten()
             .chain(many)
-            .chain(record.iter().map(|(_, expr)| expr))
+            .chain(named.iter().map(|(_, expr)| expr))
     }
 
     /// Every attribute that it names, whether or not an evaluation would come to it: those
--- a/crates/classad/src/lib.rs
+++ b/crates/classad/src/lib.rs
@@ -39,8 +39,8 @@
 
 pub use ad::Ad;
 pub use eval::{Evaluator, Fault};
-pub use expr::{Binary, Expr, Kind, Record, Scope, Unary};
-pub use functions::Function;
+pub use expr::{Binary, Expr, Kind, Record, Reference, Scope, Unary};
+pub use functions::{Function, part, versions};
 pub use names::{Name, nearest};
 pub use parser::{ParseError, Position};
 pub use value::Value;
--- /dev/null
+++ b/crates/condor/src/constants.rs
@@ -0,0 +1,42 @@
+//! Every constant of submit files, with unit and reason.
+
+/// Longest submit file with all that it includes, in bytes: 100,000 items of 80 letters.
+pub const MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// Longest value of a command once its macros are expanded, in bytes.
+pub const MAX_VALUE: usize = 32 * 1024;
+
+/// Deepest nesting of macros that stand for others, of files that include others, and of
+/// `if`. Every level is a level of recursion.
+pub const MAX_DEPTH: usize = 32;
+
+/// Procs of one file. What is more should be split: a cluster is shown and removed as one.
+pub const MAX_PROCS: usize = 100_000;
+
+/// Bytes of all procs' own values together: what bounds a node's memory for one file.
+pub const MAX_EXPANDED: usize = 64 * 1024 * 1024;
+
+/// Commands and macros that a file may define.
+pub const MAX_DEFINITIONS: usize = 2_000;
+
+/// Variables of one `queue` statement.
+pub const MAX_VARIABLES: usize = 64;
+
+/// Memory of a task whose file asks for none, in MiB: what HTCondor's own default is.
+pub const DEFAULT_MEMORY_MIB: f64 = 128.0;
+
+/// Estimate, in s, of a task whose file gives none: placement then expects it to hold its
+/// machine for long, which errs on the side of those who wait.
+pub const DEFAULT_ESTIMATE_S: f64 = 3_600.0;
+
+/// MiB in a GB as machines are sold here.
+pub const MIB_PER_GB: f64 = 1_024.0;
+
+/// Problems that one proc's reason lists.
+pub const PROBLEMS_SHOWN: usize = 8;
+
+/// Kinds of machines that a reason lists for a term before it only counts them.
+pub const KINDS_SHOWN: usize = 6;
+
+/// Most attributes that operators may declare of a machine type.
+pub const MAX_DECLARED: usize = 100;
--- /dev/null
+++ b/crates/condor/src/judge.rs
@@ -0,0 +1,520 @@
+//! Which machines do for a proc, and if none do, why not.
+
+use crate::constants::{KINDS_SHOWN, MIB_PER_GB, PROBLEMS_SHOWN};
+use crate::request::{self, Asked, Problem, Request};
+use crate::site::{Kind, Kinds, Site};
+use crate::submit::{Batch, Key, Submission, What};
+use crate::{commands::Effect, source::Place};
+use fixedbitset::FixedBitSet;
+use indigopath_classad::{Evaluator, Expr, Name, Reference, Scope, Value, nearest};
+use rustc_hash::{FxHashMap, FxHashSet};
+use serde::Serialize;
+use std::sync::Arc;
+
+/// What becomes of a proc.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Verdict {
+    /// There are machines that do.
+    Match,
+    /// No kind of machine does.
+    Never,
+    /// It asks for what is not there, or is not done here.
+    Refused,
+    /// It may run once its reason is gone.
+    Held,
+}
+
+/// The same for all procs that ask for the same.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    pub verdict: Verdict,
+    /// Kinds of machines that do.
+    pub kinds: FixedBitSet,
+    /// How much each kind is liked, in the order of kinds; empty if none is preferred.
+    pub ranks: Vec<f64>,
+    pub reason: Option<String>,
+    pub request: Option<Arc<Request>>,
+}
+
+/// Outcomes, and which of them is each proc's.
+#[derive(Debug, Default)]
+pub struct Judged {
+    pub outcomes: Vec<Outcome>,
+    /// By proc, a position in `outcomes`.
+    pub of: Vec<u32>,
+}
+
+impl Judged {
+    /// Outcomes proc by proc.
+    pub fn procs(&self) -> impl Iterator<Item = &Outcome> {
+        self.of.iter().filter_map(|at| self.outcomes.get(*at as usize))
+    }
+}
+
+/// Judges every proc of a file. Those that ask for the same are judged once.
+pub fn judge(submission: &Submission, cluster: u64, now_s: i64, site: &Site) -> Judged {
+    let mut judge = Judge {
+        site,
+        evaluator: Evaluator::new(now_s),
+        cluster,
+        now_s,
+        matched: FxHashMap::default(),
+    };
+    let mut judged = Judged::default();
+    for batch in &submission.batches {
+        judge.batch(batch, &mut judged);
+    }
+    judged
+}
+
+struct Judge<'s> {
+    site: &'s Site,
+    evaluator: Evaluator,
+    cluster: u64,
+    now_s: i64,
+    /// What requests without an expression come to, by what they need.
+    matched: FxHashMap<[u64; 4], FixedBitSet>,
+}
+
+/// Attributes that tell procs apart which otherwise ask for the same.
+const OWN: [&str; 8] = ["procid", "args", "environment", "in", "out", "err", "iwd", "cmd"];
+
+impl Judge<'_> {
+    fn batch(&mut self, batch: &Batch, judged: &mut Judged) {
+        // What merely says what runs does not change where it may.
+        let telling: Vec<usize> = batch
+            .varying
+            .iter()
+            .enumerate()
+            .filter(|(_, key)| tells(key))
+            .map(|(at, _)| at)
+            .collect();
+        let mut known: FxHashMap<Vec<&str>, u32> = FxHashMap::default();
+        for proc in &batch.procs {
+            let values: Vec<&str> = telling.iter().map(|at| &*proc.values[*at]).collect();
+            if let Some(at) = known.get(&values) {
+                judged.of.push(*at);
+                continue;
+            }
+            let given = batch.given(proc);
+            let (outcome, shared) =
+                match request::read(given, self.cluster, proc.process, self.now_s, self.site) {
+                    Err(problems) => (refused(&problems, self.site), true),
+                    Ok(request) => self.request(request),
+                };
+            judged.outcomes.push(outcome);
+            let at = judged.outcomes.len() as u32 - 1;
+            judged.of.push(at);
+            if shared {
+                known.insert(values, at);
+            }
+        }
+    }
+
+    /// What becomes of a request, and whether others with the same telling values share it.
+    fn request(&mut self, request: Request) -> (Outcome, bool) {
+        let mut names = FxHashSet::default();
+        let mut problems = Vec::new();
+        for asked in [&request.requirements, &request.rank].into_iter().flatten() {
+            self.check(asked, &request, &mut names, &mut problems);
+        }
+        let shared = !OWN.iter().any(|own| names.contains(*own));
+        if !problems.is_empty() {
+            return (refused(&problems, self.site), shared);
+        }
+        if let Err(error) = request
+            .counts
+            .check(&self.site.counts, u64::from(request.together()))
+        {
+            let place = request.keys.values().next().map(|key| key.definition.place());
+            let text = format!("concurrency_limits: {error}");
+            let reason = place.map_or(text.clone(), |place| format!("{}: {text}", place.file));
+            return (
+                self.without_kinds(Verdict::Refused, reason, Some(request)),
+                shared,
+            );
+        }
+        let kinds = self.kinds(&request, &names);
+        if kinds.is_clear() {
+            let reason = self.why_none(&request);
+            return (self.without_kinds(Verdict::Never, reason, Some(request)), shared);
+        }
+        let ranks = self.ranks(&request);
+        let mut holds = request.holds.clone();
+        holds.extend(over_limit(&request, self.site));
+        let outcome = Outcome {
+            verdict: if holds.is_empty() {
+                Verdict::Match
+            } else {
+                Verdict::Held
+            },
+            kinds,
+            ranks,
+            reason: (!holds.is_empty()).then(|| holds.join("; ")),
+            request: Some(Arc::new(request)),
+        };
+        (outcome, shared)
+    }
+
+    fn without_kinds(&self, verdict: Verdict, reason: String, request: Option<Request>) -> Outcome {
+        Outcome {
+            verdict,
+            kinds: FixedBitSet::with_capacity(self.site.kinds.all().len()),
+            ranks: Vec::new(),
+            reason: Some(reason),
+            request: request.map(Arc::new),
+        }
+    }
+
+    /// Whether every name in an expression, and in what it refers to, is somebody's.
+    fn check(
+        &self,
+        asked: &Asked,
+        request: &Request,
+        names: &mut FxHashSet<String>,
+        problems: &mut Vec<Problem>,
+    ) {
+        let place = |at| asked.key.definition.place_in_value(at);
+        let what = &asked.key.definition.name;
+        for (function, at) in asked.expr.calls() {
+            if !function.steady {
+                let text = format!(
+                    "{what}: {}() changes with time, and a match is made once",
+                    function.name
+                );
+                problems.push(Problem {
+                    place: place(at),
+                    text,
+                });
+            }
+        }
+        let mut walk = Walk {
+            request,
+            kinds: &self.site.kinds,
+            names,
+            open: Vec::new(),
+        };
+        for reference in asked.expr.references() {
+            if let Err(text) = walk.follow(&reference) {
+                let place = place(reference.at);
+                let text = format!("{what}: {text}");
+                if problems.len() < PROBLEMS_SHOWN {
+                    problems.push(Problem { place, text });
+                }
+            }
+        }
+    }
+
+    fn fits(request: &Request, kind: &Kind) -> bool {
+        const EPSILON: f64 = 1e-6;
+        request.cpus <= kind.cpus + EPSILON
+            && request.gpus <= kind.gpus + EPSILON
+            && request.memory_gb <= kind.memory_gb + EPSILON
+    }
+
+    /// Whether spot machines are out because nobody asked for them: an expression says for
+    /// itself which kinds do.
+    fn spot_allowed(request: &Request) -> bool {
+        request.spot.unwrap_or(request.requirements.is_some())
+    }
+
+    fn kinds(&mut self, request: &Request, names: &FxHashSet<String>) -> FixedBitSet {
+        let all = self.site.kinds.all();
+        let spot = Self::spot_allowed(request);
+        let needs = [request.cpus, request.gpus, request.memory_gb].map(f64::to_bits);
+        let key = [needs[0], needs[1], needs[2], u64::from(spot)];
+        let base = self.matched.entry(key).or_insert_with(|| {
+            let fitting = all
+                .iter()
+                .map(|kind| (spot || !kind.spot) && Self::fits(request, kind));
+            fitting
+                .enumerate()
+                .filter(|(_, fits)| *fits)
+                .map(|(at, _)| at)
+                .collect::<FixedBitSet>()
+        });
+        let mut kinds = base.clone();
+        kinds.grow(all.len());
+        let Some(asked) = &request.requirements else {
+            return kinds;
+        };
+        let values = Values::of(&asked.expr, request, names, &self.site.kinds, &mut self.evaluator);
+        for (at, kind) in all.iter().enumerate() {
+            if kinds.contains(at) && values.get(kind).truth() != Some(true) {
+                kinds.remove(at);
+            }
+        }
+        kinds
+    }
+
+    fn ranks(&mut self, request: &Request) -> Vec<f64> {
+        let Some(asked) = &request.rank else {
+            return Vec::new();
+        };
+        let kinds = &self.site.kinds;
+        let mut rank = |kind: &Kind| {
+            let value = self.evaluator.evaluate(&asked.expr, &request.ad, Some(&kind.ad));
+            // What is no number is no preference.
+            value.as_number().filter(|rank| rank.is_finite()).unwrap_or(0.0)
+        };
+        let ranks: Vec<f64> = kinds.all().iter().map(&mut rank).collect();
+        if ranks.windows(2).all(|two| two[0] == two[1]) {
+            return Vec::new();
+        }
+        ranks
+    }
+
+    /// Term by term, which kinds each excludes.
+    fn why_none(&mut self, request: &Request) -> String {
+        let kinds = &self.site.kinds;
+        if kinds.all().is_empty() {
+            return "no kind of machine is known".to_owned();
+        }
+        let mut parts = Vec::new();
+        let mut tell = |what: String, excluded: Vec<String>| {
+            let shown = match excluded.len() {
+                0 => return,
+                all if all == kinds.all().len() => format!("all {all} kinds"),
+                some if some <= KINDS_SHOWN => excluded.join(", "),
+                some => format!(
+                    "{}, … ({some} of {} kinds)",
+                    excluded[..KINDS_SHOWN].join(", "),
+                    kinds.all().len()
+                ),
+            };
+            parts.push(format!("{what} excludes {shown}"));
+        };
+        let without = |does: &dyn Fn(&Kind) -> bool| -> Vec<String> {
+            kinds
+                .all()
+                .iter()
+                .filter(|kind| !does(kind))
+                .map(ToString::to_string)
+                .collect()
+        };
+        if let Some(asked) = &request.requirements {
+            for term in asked.expr.terms() {
+                let mut excluded = Vec::new();
+                let mut because = Vec::new();
+                for kind in kinds.all() {
+                    let value = self.evaluator.evaluate(term, &request.ad, Some(&kind.ad));
+                    if value.truth() == Some(true) {
+                        continue;
+                    }
+                    excluded.push(kind.to_string());
+                    let why = match value {
+                        Value::Undefined => "UNDEFINED".to_owned(),
+                        Value::Error => {
+                            let fault = self.evaluator.fault().map(ToString::to_string);
+                            format!("ERROR: {}", fault.unwrap_or_default())
+                        }
+                        _ => continue,
+                    };
+                    if !because.contains(&why) {
+                        because.push(why);
+                    }
+                }
+                let place = asked.key.definition.place_in_value(term.at);
+                let mut what = format!("{term} ({}:{})", place.line, place.column);
+                if !because.is_empty() {
+                    what = format!("{what}, being {},", because.join(" or "));
+                }
+                tell(what, excluded);
+            }
+        }
+        if !Self::spot_allowed(request) {
+            tell("no +AllowSpot".to_owned(), without(&|kind| !kind.spot));
+        }
+        tell(
+            format!("request_cpus {}", request.cpus),
+            without(&|kind| request.cpus <= kind.cpus + 1e-6),
+        );
+        tell(
+            format!("request_gpus {}", request.gpus),
+            without(&|kind| request.gpus <= kind.gpus + 1e-6),
+        );
+        tell(
+            format!("request_memory {:.0} MiB", request.memory_gb * MIB_PER_GB),
+            without(&|kind| request.memory_gb <= kind.memory_gb + 1e-6),
+        );
+        format!("no kind of machine does: {}", parts.join("; "))
+    }
+}
+
+fn tells(key: &Key) -> bool {
+    match key.what {
+        What::Attribute => true,
+        What::Command(command) => match command.effect {
+            Effect::Means(_) | Effect::Refused { .. } => true,
+            Effect::Carried(_) | Effect::Noted(_) => false,
+        },
+    }
+}
+
+fn refused(problems: &[Problem], site: &Site) -> Outcome {
+    let shown: Vec<String> = problems
+        .iter()
+        .take(PROBLEMS_SHOWN)
+        .map(ToString::to_string)
+        .collect();
+    let mut reason = shown.join("; ");
+    if problems.len() > PROBLEMS_SHOWN {
+        reason = format!("{reason}; and {} more", problems.len() - PROBLEMS_SHOWN);
+    }
+    Outcome {
+        verdict: Verdict::Refused,
+        kinds: FixedBitSet::with_capacity(site.kinds.all().len()),
+        ranks: Vec::new(),
+        reason: Some(reason),
+        request: None,
+    }
+}
+
+/// What a request asks for beyond its team's limit, if anything.
+fn over_limit(request: &Request, site: &Site) -> Option<String> {
+    let team = site.teams.iter().find(|team| team.name == request.team)?;
+    let together = f64::from(request.together());
+    let over = |what: &str, each: f64, most: f64| {
+        let all = each * together;
+        (most > 0.0 && all > most + 1e-6).then(|| {
+            format!(
+                "it needs {all} {what} at once, more than team {}'s limit of {most}",
+                team.name
+            )
+        })
+    };
+    over("CPUs", request.cpus, team.cpus_max).or_else(|| over("GPUs", request.gpus, team.gpus_max))
+}
+
+/// Follows names from an expression through the job's own attributes.
+struct Walk<'a> {
+    request: &'a Request,
+    kinds: &'a Kinds,
+    /// Lower-case names that were met.
+    names: &'a mut FxHashSet<String>,
+    open: Vec<Name>,
+}
+
+impl Walk<'_> {
+    fn follow(&mut self, reference: &Reference<'_>) -> Result<(), String> {
+        let name = reference.name;
+        let of_job = reference.scope != Scope::Target && self.request.ad.contains(name);
+        let of_machine = reference.scope != Scope::My && self.kinds.attributes().contains(name);
+        if !of_job && !of_machine {
+            return Err(self.unknown(reference));
+        }
+        self.names.insert(name.key().to_owned());
+        if !of_job {
+            return Ok(());
+        }
+        if self.open.contains(name) {
+            return Err(format!("{name} refers to itself"));
+        }
+        let Some(expr) = self.request.ad.get(name.text()) else {
+            return Ok(());
+        };
+        if matches!(expr.kind, indigopath_classad::Kind::Literal(_)) {
+            return Ok(());
+        }
+        self.open.push(name.clone());
+        for inner in expr.references() {
+            self.follow(&inner)
+                .map_err(|text| format!("{text} (in {name})"))?;
+        }
+        self.open.pop();
+        Ok(())
+    }
+
+    fn unknown(&self, reference: &Reference<'_>) -> String {
+        let job: Vec<&Name> = self.request.ad.names().collect();
+        let (whose, scope) = match reference.scope {
+            Scope::Any => ("neither the job nor any machine has", ""),
+            Scope::My => ("the job does not have", "MY."),
+            Scope::Target => ("no machine has", "TARGET."),
+        };
+        let known = job
+            .into_iter()
+            .filter(|_| reference.scope != Scope::Target)
+            .chain(
+                self.kinds
+                    .attributes()
+                    .iter()
+                    .filter(|_| reference.scope != Scope::My),
+            );
+        let near = nearest(reference.name.text(), known.map(Name::text));
+        let mut text = format!("{whose} an attribute {scope}{}", reference.name);
+        if !near.is_empty() {
+            text = format!("{text}; the nearest are {}", near.join(", "));
+        }
+        text
+    }
+}
+
+/// An expression's value for every kind, evaluated once for kinds that do not differ in what
+/// it looks at.
+struct Values<'k> {
+    kinds: &'k Kinds,
+    zone: bool,
+    spot: bool,
+    values: Vec<Option<Value>>,
+}
+
+impl<'k> Values<'k> {
+    fn of(
+        expr: &Expr,
+        request: &Request,
+        names: &FxHashSet<String>,
+        kinds: &'k Kinds,
+        evaluator: &mut Evaluator,
+    ) -> Values<'k> {
+        // What eval() looks at is known only once it has.
+        let any = expr.calls().iter().any(|(function, _)| function.name == "eval");
+        let mut values = Values {
+            kinds,
+            zone: any || names.contains("zone"),
+            spot: any || names.contains("spot") || names.contains("rate"),
+            values: vec![None; kinds.classes()],
+        };
+        for kind in kinds.all() {
+            let class = kinds.class(kind, values.zone, values.spot);
+            if let Some(value) = values.values.get_mut(class)
+                && value.is_none()
+            {
+                *value = Some(evaluator.evaluate(expr, &request.ad, Some(&kind.ad)));
+            }
+        }
+        values
+    }
+
+    fn get(&self, kind: &Kind) -> &Value {
+        let class = self.kinds.class(kind, self.zone, self.spot);
+        self.values
+            .get(class)
+            .and_then(Option::as_ref)
+            .unwrap_or(&Value::Undefined)
+    }
+}
+
+/// Everything that the submitter should know of commands that change nothing here.
+pub fn notes(submission: &Submission) -> Vec<(Place, String)> {
+    let mut notes: Vec<(Place, String)> = submission
+        .notes
+        .iter()
+        .map(|note| (note.place.clone(), note.text.clone()))
+        .collect();
+    let mut told = FxHashSet::default();
+    for batch in &submission.batches {
+        for key in batch.fixed.iter().map(|(key, _)| key).chain(&batch.varying) {
+            if let What::Command(command) = key.what
+                && let Effect::Noted(why) = command.effect
+                && told.insert(command.name)
+            {
+                let text = format!("{} changes nothing here: {why}", command.name);
+                notes.push((key.definition.place(), text));
+            }
+        }
+    }
+    notes.sort();
+    notes
+}
--- /dev/null
+++ b/crates/condor/src/request.rs
@@ -0,0 +1,601 @@
+//! What a proc asks for, in the scheduler's own terms.
+
+use crate::commands::{Effect, Field};
+use crate::constants::{DEFAULT_ESTIMATE_S, DEFAULT_MEMORY_MIB, MIB_PER_GB};
+use crate::site::Site;
+use crate::source::Place;
+use crate::submit::{Key, What};
+use indigopath_classad::{Ad, Evaluator, Expr, Name, Value, nearest};
+use indigopath_counts::Demand;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Why a proc is refused, and where its file says so.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    pub place: Place,
+    pub text: String,
+}
+
+impl std::fmt::Display for Problem {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.place, self.text)
+    }
+}
+
+/// HTCondor's numbers order a submitter's own jobs; here they become bands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Level {
+    High,
+    Normal,
+    Low,
+}
+
+/// An expression of a file.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    pub expr: Arc<Expr>,
+    pub key: Key,
+}
+
+/// A proc's request.
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub team: String,
+    pub class: String,
+    /// A gang of so many tasks, if it runs in the parallel universe.
+    pub gang: Option<u32>,
+    pub level: Level,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+    pub image: Arc<str>,
+    pub image_gb: f64,
+    pub estimate_s: f64,
+    /// What the file says of spot machines, if it says anything.
+    pub spot: Option<bool>,
+    pub counts: Demand,
+    pub requirements: Option<Asked>,
+    pub rank: Option<Asked>,
+    /// Why it is not to start yet.
+    pub holds: Vec<String>,
+    /// What the job says of itself.
+    pub ad: Ad,
+    /// Where attributes of the ad were given, for those of the file.
+    pub keys: BTreeMap<Name, Key>,
+}
+
+impl Request {
+    /// Tasks that run together.
+    pub fn together(&self) -> u32 {
+        self.gang.unwrap_or(1)
+    }
+}
+
+/// Most tasks of a gang.
+const MAX_GANG: f64 = 100_000.0;
+
+/// Attributes of a job that are there whatever its file says.
+const UNIVERSES: [(&str, i64); 4] = [("vanilla", 5), ("docker", 5), ("container", 5), ("parallel", 11)];
+
+struct Builder<'a> {
+    site: &'a Site,
+    given: Vec<(Field, &'a Key, &'a str)>,
+    ad: Ad,
+    keys: BTreeMap<Name, Key>,
+    evaluator: Evaluator,
+    problems: Vec<Problem>,
+    holds: Vec<String>,
+}
+
+/// Reads what a proc is given.
+///
+/// # Errors
+/// Everything for which it is refused.
+pub fn read<'a>(
+    given: impl Iterator<Item = (&'a Key, &'a str)>,
+    cluster: u64,
+    process: u32,
+    now_s: i64,
+    site: &'a Site,
+) -> Result<Request, Vec<Problem>> {
+    let mut builder = Builder {
+        site,
+        given: Vec::new(),
+        ad: Ad::default(),
+        keys: BTreeMap::new(),
+        evaluator: Evaluator::new(now_s),
+        problems: Vec::new(),
+        holds: Vec::new(),
+    };
+    builder.ad.set("ClusterId", Value::Int(cluster as i64));
+    builder.ad.set("ProcId", Value::Int(i64::from(process)));
+    builder.ad.set("QDate", Value::Int(now_s));
+    for (key, value) in given {
+        builder.take(key, value);
+    }
+    builder.finish()
+}
+
+impl<'a> Builder<'a> {
+    fn take(&mut self, key: &'a Key, value: &'a str) {
+        match key.what {
+            What::Attribute => self.attribute(key, value),
+            What::Command(command) => match command.effect {
+                Effect::Means(field) => self.given.push((field, key, value)),
+                Effect::Carried(attribute) => {
+                    if !value.is_empty() {
+                        self.ad.set(attribute, Value::from(value.trim_matches('"')));
+                        self.keys.insert(Name::new(attribute), key.clone());
+                    }
+                }
+                Effect::Noted(_) => (),
+                Effect::Refused { why, unless } => {
+                    let value = value.trim().trim_matches('"');
+                    if !unless.iter().any(|same| value.eq_ignore_ascii_case(same)) {
+                        self.refuse(key, 0, format!("{} is not taken: {why}", command.name));
+                    }
+                }
+            },
+        }
+    }
+
+    fn refuse(&mut self, key: &Key, at: usize, text: String) {
+        let place = if at == 0 {
+            key.definition.place()
+        } else {
+            key.definition.place_in_value(at)
+        };
+        self.problems.push(Problem { place, text });
+    }
+
+    fn attribute(&mut self, key: &'a Key, value: &str) {
+        // Defined under "MY.", which is no part of the name.
+        let name = Name::new(key.definition.name.get(3..).unwrap_or_default());
+        match Expr::parse(value) {
+            Ok(expr) => {
+                self.ad.insert(name.clone(), expr);
+                self.keys.insert(name, key.clone());
+            }
+            Err(error) => {
+                let place = key.definition.place_in_value(error.at);
+                let text = format!("+{name} is no expression: {}", error.problem);
+                self.problems.push(Problem { place, text });
+            }
+        }
+    }
+
+    /// A command's value, unless it is empty.
+    fn get(&self, field: Field) -> Option<(&'a Key, &'a str)> {
+        // The last that was given: two commands may mean the same.
+        let found = self.given.iter().rev().find(|(known, ..)| *known == field)?;
+        Some((found.1, found.2.trim())).filter(|(_, value)| !value.is_empty())
+    }
+
+    /// The value of an expression that looks at the job alone.
+    fn evaluate(&mut self, key: &Key, text: &str) -> Option<Value> {
+        let expr = match Expr::parse(text) {
+            Ok(expr) => expr,
+            Err(error) => {
+                let place = key.definition.place_in_value(error.at);
+                let text = format!("{} is no expression: {}", key.definition.name, error.problem);
+                self.problems.push(Problem { place, text });
+                return None;
+            }
+        };
+        match self.evaluator.evaluate(&expr, &self.ad, None) {
+            Value::Undefined => {
+                let why = "its value depends on what the job does not say".to_owned();
+                self.refuse(key, 0, format!("{}: {why}", key.definition.name));
+                None
+            }
+            Value::Error => {
+                let fault = self
+                    .evaluator
+                    .fault()
+                    .map(ToString::to_string)
+                    .unwrap_or_default();
+                self.refuse(key, 0, format!("{}: {fault}", key.definition.name));
+                None
+            }
+            value => Some(value),
+        }
+    }
+
+    fn number(&mut self, field: Field, default: f64, least: f64, most: f64) -> f64 {
+        let Some((key, text)) = self.get(field) else {
+            return default;
+        };
+        match self.evaluate(key, text).map(|value| value.as_number()) {
+            None => default,
+            Some(Some(number)) if (least..=most).contains(&number) => number,
+            Some(_) => {
+                self.refuse(
+                    key,
+                    0,
+                    format!("{} = {text} is no number that it can be", key.definition.name),
+                );
+                default
+            }
+        }
+    }
+
+    /// A number of an attribute of the job's own.
+    fn own(&mut self, name: &str) -> Option<(Key, Value)> {
+        let key = self.keys.get(&Name::new(name))?.clone();
+        let expr = self.ad.get(name)?.clone();
+        Some((key, self.evaluator.evaluate(&expr, &self.ad, None)))
+    }
+
+    fn own_number(&mut self, name: &str, default: f64, most: f64) -> f64 {
+        match self.own(name) {
+            None => default,
+            Some((_, value))
+                if value
+                    .as_number()
+                    .is_some_and(|number| (0.0..=most).contains(&number)) =>
+            {
+                value.as_number().unwrap_or(default)
+            }
+            Some((key, value)) => {
+                self.refuse(&key, 0, format!("+{name} = {value} is no number that it can be"));
+                default
+            }
+        }
+    }
+
+    fn own_text(&mut self, name: &str) -> Option<String> {
+        match self.own(name)? {
+            (_, Value::Str(text)) if !text.is_empty() => Some(text.to_string()),
+            (key, value) => {
+                self.refuse(&key, 0, format!("+{name} = {value} is no text"));
+                None
+            }
+        }
+    }
+
+    fn memory_mib(&mut self) -> f64 {
+        let Some((key, text)) = self.get(Field::Memory) else {
+            return DEFAULT_MEMORY_MIB;
+        };
+        if let Some(mib) = in_mib(text) {
+            return mib;
+        }
+        // In MiB, as an expression.
+        match self.evaluate(key, text).map(|value| value.as_number()) {
+            None => DEFAULT_MEMORY_MIB,
+            Some(Some(mib)) if mib.is_finite() && mib >= 0.0 => mib,
+            Some(_) => {
+                self.refuse(
+                    key,
+                    0,
+                    format!("request_memory = {text} is no amount: one is 4096, 4 GB or 512 MB"),
+                );
+                DEFAULT_MEMORY_MIB
+            }
+        }
+    }
+
+    fn team(&mut self) -> String {
+        let Some((_, text)) = self.get(Field::Team) else {
+            if let Some(team) = &self.site.settings.default_team {
+                return team.clone();
+            }
+            self.holds
+                .push("accounting_group is not given, and the operators name no default team".to_owned());
+            return String::new();
+        };
+        let text = text.trim_matches('"');
+        let plain = text.strip_prefix("group_").unwrap_or(text);
+        let first = plain.split('.').next().unwrap_or(plain);
+        let teams = &self.site.teams;
+        let known = [text, plain, first]
+            .into_iter()
+            .find_map(|name| teams.iter().find(|team| team.name.eq_ignore_ascii_case(name)));
+        match known {
+            Some(team) => team.name.clone(),
+            None => {
+                let near = nearest(first, teams.iter().map(|team| team.name.as_str()));
+                let mut why = format!("accounting_group {text:?} is no team here");
+                if !near.is_empty() {
+                    why = format!("{why}; the nearest are {}", near.join(", "));
+                }
+                self.holds.push(why);
+                String::new()
+            }
+        }
+    }
+
+    fn universe(&mut self) -> Option<&'static str> {
+        let Some((key, text)) = self.get(Field::Universe) else {
+            return Some("vanilla");
+        };
+        let known = UNIVERSES
+            .iter()
+            .find(|(name, number)| name.eq_ignore_ascii_case(text) || *text == number.to_string());
+        match known {
+            Some((name, number)) => {
+                self.ad.set("JobUniverse", Value::Int(*number));
+                Some(name)
+            }
+            None => {
+                let text = format!(
+                    "universe = {text} is not taken: jobs run in the vanilla, docker, container or parallel universe"
+                );
+                self.refuse(key, 0, text);
+                None
+            }
+        }
+    }
+
+    fn image(&mut self, universe: &str) -> (Arc<str>, f64) {
+        let container = self.get(Field::ContainerImage);
+        let docker = self.get(Field::DockerImage);
+        let given = container.or(docker).map(|(_, text)| text);
+        let asked_for = match universe {
+            "docker" => docker.is_none().then_some("docker_image"),
+            "container" => given.is_none().then_some("container_image"),
+            _ => None,
+        };
+        if let (Some(command), Some((key, _))) = (asked_for, self.get(Field::Universe)) {
+            self.refuse(key, 0, format!("the {universe} universe needs {command}"));
+        }
+        let size = self.own_number("ImageGb", self.site.settings.default_image_gb, 1e6);
+        let image = match given {
+            Some(text) => {
+                let text = text.trim_matches('"');
+                text.strip_prefix("docker://").unwrap_or(text)
+            }
+            None => match &self.site.settings.default_image {
+                Some(image) => image.as_str(),
+                None => {
+                    if asked_for.is_none() {
+                        self.without_image();
+                    }
+                    ""
+                }
+            },
+        };
+        if let Some((_, text)) = container {
+            self.ad.set("ContainerImage", Value::from(text));
+        }
+        if let Some((_, text)) = docker {
+            self.ad.set("DockerImage", Value::from(text));
+        }
+        (Arc::from(image), size)
+    }
+
+    /// There is no command to point at: the file's first will do.
+    fn without_image(&mut self) {
+        let first = self.given.first().map(|(_, key, _)| (*key).clone());
+        let first = first.or_else(|| {
+            self.keys
+                .values()
+                .min_by_key(|key| key.definition.place())
+                .cloned()
+        });
+        let text = "container_image is not given, and the operators name no default image".to_owned();
+        match first {
+            Some(key) => self.refuse(&key, 0, text),
+            None => self.problems.push(Problem {
+                place: Place {
+                    file: Arc::from("submit file"),
+                    line: 1,
+                    column: 1,
+                },
+                text,
+            }),
+        }
+    }
+
+    fn counts(&mut self) -> Demand {
+        let Some((key, text)) = self.get(Field::Counts) else {
+            return Demand::default();
+        };
+        let mut asked: BTreeMap<String, u64> = BTreeMap::new();
+        for entry in text
+            .trim_matches('"')
+            .split([',', ' ', '\t'])
+            .filter(|entry| !entry.is_empty())
+        {
+            let (name, units) = match entry.split_once(':') {
+                Some((name, units)) => (name.trim(), units.trim().parse::<u64>().ok()),
+                None => (entry, Some(1)),
+            };
+            let Some(units) = units else {
+                self.refuse(
+                    key,
+                    0,
+                    format!("concurrency_limits: {entry} names no whole number of units"),
+                );
+                continue;
+            };
+            let known = self
+                .site
+                .counts
+                .keys()
+                .find(|known| known.eq_ignore_ascii_case(name));
+            match known {
+                Some(known) => *asked.entry(known.to_string()).or_default() += units,
+                None => {
+                    let near = nearest(name, self.site.counts.keys().map(|known| &**known));
+                    let mut text = format!("concurrency_limits: there is no count {name:?} here");
+                    if !near.is_empty() {
+                        text = format!("{text}; the nearest are {}", near.join(", "));
+                    }
+                    self.refuse(key, 0, text);
+                }
+            }
+        }
+        Demand::new(&asked).unwrap_or_else(|error| {
+            self.refuse(key, 0, format!("concurrency_limits: {error}"));
+            Demand::default()
+        })
+    }
+
+    fn level(&mut self) -> Level {
+        let number = self.number(Field::Priority, 0.0, -1e9, 1e9);
+        self.ad.set("JobPrio", Value::number(number));
+        let nice = self.get(Field::Nice).is_some_and(|(key, text)| {
+            self.evaluate(key, text)
+                .and_then(|value| value.truth())
+                .unwrap_or(false)
+        });
+        if nice || number < 0.0 {
+            Level::Low
+        } else if number > 0.0 {
+            Level::High
+        } else {
+            Level::Normal
+        }
+    }
+
+    fn gang(&mut self, universe: &str) -> Option<u32> {
+        let given = self.get(Field::MachineCount);
+        let number = self.number(Field::MachineCount, 1.0, 1.0, MAX_GANG);
+        if number.fract() != 0.0
+            && let Some((key, text)) = given
+        {
+            self.refuse(key, 0, format!("machine_count = {text} is no whole number"));
+        }
+        if universe == "parallel" {
+            self.ad.set("MinHosts", Value::Int(number as i64));
+            self.ad.set("MaxHosts", Value::Int(number as i64));
+            return Some(number as u32);
+        }
+        if let Some((key, _)) = given.filter(|_| number > 1.0) {
+            let text =
+                "machine_count asks for tasks that run together, which is the parallel universe".to_owned();
+            self.refuse(key, 0, text);
+        }
+        None
+    }
+
+    fn expression(&mut self, field: Field) -> Option<Asked> {
+        let (key, text) = self.get(field)?;
+        match Expr::parse(text) {
+            Ok(expr) => Some(Asked {
+                expr: Arc::new(expr),
+                key: key.clone(),
+            }),
+            Err(error) => {
+                let place = key.definition.place_in_value(error.at);
+                let text = format!("{} is no expression: {}", key.definition.name, error.problem);
+                self.problems.push(Problem { place, text });
+                None
+            }
+        }
+    }
+
+    fn finish(mut self) -> Result<Request, Vec<Problem>> {
+        self.ad.set("JobUniverse", Value::Int(5));
+        let universe = self.universe().unwrap_or("vanilla");
+        let level = self.level();
+        let gang = self.gang(universe);
+        let cpus = self.number(Field::Cpus, 1.0, 0.0, 1e6);
+        self.ad.set("RequestCpus", Value::number(cpus));
+        let gpus = self.number(Field::Gpus, 0.0, 0.0, 1e6);
+        self.ad.set("RequestGpus", Value::number(gpus));
+        let memory_mib = self.memory_mib();
+        self.ad.set("RequestMemory", Value::number(memory_mib.ceil()));
+        let team = self.team();
+        self.ad.set("AccountingGroup", Value::from(team.as_str()));
+        let counts = self.counts();
+        let (image, image_gb) = self.image(universe);
+        let duration = self.number(Field::Duration, DEFAULT_ESTIMATE_S, 0.0, 1e9);
+        let estimate_s = self.own_number("RuntimeS", duration, 1e9);
+        let spot = match self.own("AllowSpot") {
+            None => None,
+            Some((_, value)) if value.truth().is_some() => value.truth(),
+            Some((key, value)) => {
+                self.refuse(&key, 0, format!("+AllowSpot = {value} is neither true nor false"));
+                None
+            }
+        };
+        let default_class = self.site.settings.default_class.clone();
+        let class = self
+            .own_text("JobClass")
+            .or(default_class)
+            .unwrap_or_else(|| "condor".to_owned());
+        if let Some((key, text)) = self.get(Field::Hold)
+            && let Some(value) = self.evaluate(key, text)
+        {
+            match value.truth() {
+                Some(true) => self.holds.push("hold = true in the submit file".to_owned()),
+                Some(false) => (),
+                None => self.refuse(key, 0, format!("hold = {text} is neither true nor false")),
+            }
+        }
+        let requirements = self.expression(Field::Requirements);
+        let rank = self.expression(Field::Rank);
+        if !self.problems.is_empty() {
+            self.problems.sort_by(|a, b| a.place.cmp(&b.place));
+            return Err(self.problems);
+        }
+        Ok(Request {
+            team,
+            class,
+            gang,
+            level,
+            cpus,
+            gpus,
+            memory_gb: memory_mib / MIB_PER_GB,
+            image,
+            image_gb,
+            estimate_s,
+            spot,
+            counts,
+            requirements,
+            rank,
+            holds: self.holds,
+            ad: self.ad,
+            keys: self.keys,
+        })
+    }
+}
+
+/// An amount with a unit, in MiB: K, M, G and T count in steps of 1024, with or without a B.
+fn in_mib(text: &str) -> Option<f64> {
+    let digits = text
+        .find(|next: char| !next.is_ascii_digit() && next != '.')
+        .filter(|at| *at > 0)?;
+    let (number, unit) = text.split_at(digits);
+    let number: f64 = number.parse().ok()?;
+    let unit = unit.trim().to_ascii_uppercase();
+    let factor = match unit
+        .strip_suffix("IB")
+        .or(unit.strip_suffix('B'))
+        .unwrap_or(&unit)
+    {
+        "K" => 1.0 / 1_024.0,
+        "M" => 1.0,
+        "G" => 1_024.0,
+        "T" => 1_024.0 * 1_024.0,
+        "P" => 1_024.0 * 1_024.0 * 1_024.0,
+        _ => return None,
+    };
+    Some(number * factor)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::in_mib;
+
+    #[test]
+    fn amounts_carry_their_units() {
+        for (text, mib) in [
+            ("4 GB", Some(4096.0)),
+            ("4G", Some(4096.0)),
+            ("1.5gb", Some(1536.0)),
+            ("512MB", Some(512.0)),
+            ("2048 KiB", Some(2.0)),
+            ("1T", Some(1_048_576.0)),
+            ("4096", None),
+            ("2 * 1024", None),
+            ("GB", None),
+            ("4 cups", None),
+        ] {
+            assert_eq!(in_mib(text), mib, "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/condor/src/site.rs
@@ -0,0 +1,261 @@
+//! What submit files are held against: kinds of machines with their ads, teams, and what
+//! operators set.
+
+use crate::constants::{MAX_DECLARED, MIB_PER_GB};
+use fixedbitset::FixedBitSet;
+use indigopath_classad::{Ad, Name, Value};
+use indigopath_counts::Definitions;
+use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
+use thiserror::Error;
+
+/// The operators' `condor { … }`.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CondorSettings {
+    /// Team of files that name none.
+    pub default_team: Option<String>,
+    /// Class of all their jobs, unless a file says `+JobClass`.
+    pub default_class: Option<String>,
+    /// Image of files that name none.
+    pub default_image: Option<String>,
+    /// Size of an image whose file does not say `+ImageGb`, in GB.
+    pub default_image_gb: f64,
+    /// What machine types have beyond what the cloud says, by type.
+    #[serde(rename = "machine")]
+    pub machines: BTreeMap<String, BTreeMap<String, Declared>>,
+}
+
+/// A declared attribute's value.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(untagged)]
+pub enum Declared {
+    Bool(bool),
+    Int(i64),
+    Real(f64),
+    Str(String),
+    List(Vec<Declared>),
+}
+
+impl Declared {
+    fn value(&self) -> Value {
+        match self {
+            Declared::Bool(value) => Value::Bool(*value),
+            Declared::Int(value) => Value::Int(*value),
+            Declared::Real(value) => Value::Real(*value),
+            Declared::Str(text) => Value::from(text.as_str()),
+            Declared::List(entries) => Value::List(entries.iter().map(Declared::value).collect()),
+        }
+    }
+}
+
+/// A setting that cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{field}: {problem}")]
+pub struct CondorSettingsError {
+    /// Path to the field, such as `condor.machine.g8.OpSys`.
+    pub field: String,
+    pub problem: String,
+}
+
+/// Attributes that every machine has.
+pub const MACHINE_ATTRIBUTES: [&str; 7] = ["Cpus", "Gpus", "Memory", "MachineType", "Zone", "Spot", "Rate"];
+
+/// Largest image that settings may name, in GB.
+const MAX_IMAGE_GB: f64 = 1e6;
+
+impl CondorSettings {
+    /// Checks what can be checked without the cloud; `is_team` says which teams there are.
+    ///
+    /// # Errors
+    /// The first field that cannot be used, and why.
+    pub fn check(&self, is_team: impl Fn(&str) -> bool) -> Result<(), CondorSettingsError> {
+        let bad = |field: String, problem: &str| {
+            Err(CondorSettingsError {
+                field: format!("condor.{field}"),
+                problem: problem.to_owned(),
+            })
+        };
+        if self.default_team.as_deref().is_some_and(|team| !is_team(team)) {
+            return bad("default_team".to_owned(), "there is no such team");
+        }
+        for (field, value) in [
+            ("default_class", &self.default_class),
+            ("default_image", &self.default_image),
+        ] {
+            if value.as_deref() == Some("") {
+                return bad(field.to_owned(), "must not be empty");
+            }
+        }
+        if !(0.0..=MAX_IMAGE_GB).contains(&self.default_image_gb) {
+            return bad("default_image_gb".to_owned(), "must be a size in GB");
+        }
+        for (machine, declared) in &self.machines {
+            if declared.len() > MAX_DECLARED {
+                return bad(format!("machine.{machine}"), "declares too much");
+            }
+            let mut seen = BTreeSet::new();
+            for name in declared.keys() {
+                let field = format!("machine.{machine}.{name}");
+                let plain = name
+                    .bytes()
+                    .all(|byte| byte.is_ascii_alphanumeric() || byte == b'_');
+                if !plain || name.is_empty() {
+                    return bad(field, "a name has letters, digits and underscores");
+                }
+                if MACHINE_ATTRIBUTES
+                    .iter()
+                    .any(|known| known.eq_ignore_ascii_case(name))
+                {
+                    return bad(field, "every machine has it, as the cloud says");
+                }
+                if !seen.insert(name.to_ascii_lowercase()) {
+                    return bad(field, "is declared more than once");
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A machine type as the cloud offers it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MachineType {
+    pub name: String,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+    /// Price an hour.
+    pub price: f64,
+    /// Price an hour as a spot machine.
+    pub spot_price: f64,
+    pub zones: Vec<String>,
+}
+
+/// A team and the most that it may use at a time; 0 is no limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Team {
+    pub name: String,
+    pub cpus_max: f64,
+    pub gpus_max: f64,
+}
+
+/// What can be rented: a type in a zone, spot or not.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Kind {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+    pub ad: Ad,
+    /// Number of its type, and of its zone.
+    pub(crate) place: (usize, usize),
+}
+
+impl std::fmt::Display for Kind {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let spot = if self.spot { "spot" } else { "ordinary" };
+        write!(f, "{} {} {spot}", self.machine_type, self.zone)
+    }
+}
+
+/// All kinds, in the order of their names.
+#[derive(Debug, Clone, Default)]
+pub struct Kinds {
+    all: Vec<Kind>,
+    types: usize,
+    zones: usize,
+    attributes: BTreeSet<Name>,
+}
+
+impl Kinds {
+    /// Of these types, in those of their zones where the site may rent.
+    pub fn new(types: &[MachineType], zones: &[String], settings: &CondorSettings) -> Kinds {
+        let mut all = Vec::new();
+        let mut attributes = BTreeSet::new();
+        for (number, machine_type) in types.iter().enumerate() {
+            for (zone_number, zone) in zones.iter().enumerate() {
+                if !machine_type.zones.contains(zone) {
+                    continue;
+                }
+                for spot in [false, true] {
+                    let ad = ad_of(machine_type, zone, spot, settings);
+                    attributes.extend(ad.names().cloned());
+                    all.push(Kind {
+                        machine_type: machine_type.name.clone(),
+                        zone: zone.clone(),
+                        spot,
+                        cpus: machine_type.cpus,
+                        gpus: machine_type.gpus,
+                        memory_gb: machine_type.memory_gb,
+                        ad,
+                        place: (number, zone_number),
+                    });
+                }
+            }
+        }
+        all.sort_by_cached_key(ToString::to_string);
+        Kinds {
+            all,
+            types: types.len(),
+            zones: zones.len(),
+            attributes,
+        }
+    }
+
+    pub fn all(&self) -> &[Kind] {
+        &self.all
+    }
+
+    /// Names that some machine has.
+    pub fn attributes(&self) -> &BTreeSet<Name> {
+        &self.attributes
+    }
+
+    /// The kinds of a set.
+    pub fn of<'k>(&'k self, set: &'k FixedBitSet) -> impl Iterator<Item = &'k Kind> {
+        set.ones().filter_map(|at| self.all.get(at))
+    }
+
+    /// Number of a kind among those that differ in what an expression looks at.
+    pub(crate) fn class(&self, kind: &Kind, zone: bool, spot: bool) -> usize {
+        let zone_number = if zone { kind.place.1 } else { 0 };
+        (kind.place.0 * self.zones + zone_number) * 2 + usize::from(spot && kind.spot)
+    }
+
+    pub(crate) fn classes(&self) -> usize {
+        self.types * self.zones * 2
+    }
+}
+
+fn ad_of(machine_type: &MachineType, zone: &str, spot: bool, settings: &CondorSettings) -> Ad {
+    let mut ad = Ad::default();
+    ad.set("Cpus", Value::number(machine_type.cpus));
+    ad.set("Gpus", Value::number(machine_type.gpus));
+    ad.set("Memory", Value::number(machine_type.memory_gb * MIB_PER_GB));
+    ad.set("MachineType", Value::from(machine_type.name.as_str()));
+    ad.set("Zone", Value::from(zone));
+    ad.set("Spot", Value::Bool(spot));
+    let price = if spot {
+        machine_type.spot_price
+    } else {
+        machine_type.price
+    };
+    ad.set("Rate", Value::Real(price));
+    let declared = settings.machines.get(&machine_type.name).into_iter().flatten();
+    for (name, value) in declared {
+        ad.set(name, value.value());
+    }
+    ad
+}
+
+/// Everything that a file is held against.
+#[derive(Debug, Clone, Default)]
+pub struct Site {
+    pub kinds: Kinds,
+    pub teams: Vec<Team>,
+    pub counts: Definitions,
+    pub settings: CondorSettings,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod budget;
+pub mod condor;
 pub mod constants;
 pub mod fleet;
 pub mod forecast;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,6 +1,7 @@
 //! The platform's settings file: parsed here, checked here, read by everyone.
 //! Fields that this version does not know are ignored, as the platform asks.
 
+use indigopath_condor::{CondorSettings, CondorSettingsError};
 use indigopath_counts::{DefinitionError, Definitions};
 use serde::Deserialize;
 use std::net::SocketAddrV4;
@@ -142,6 +143,8 @@
     /// Whether `GET /v1/counts/holders` names the tasks that hold units. It shows ids of
     /// all teams' jobs to whoever reaches the node.
     pub show_holders: bool,
+    /// What HTCondor submit files mean here; they are served where this is given.
+    pub condor: Option<CondorSettings>,
 }
 
 impl Default for Operator {
@@ -151,6 +154,7 @@
             idle_return_s: crate::constants::IDLE_RETURN_MS as f64 / crate::constants::SECOND_MS as f64,
             counts: Definitions::new(),
             show_holders: false,
+            condor: None,
         }
     }
 }
@@ -159,9 +163,22 @@
     /// Reads the operators' settings from whatever notation held them.
     pub fn from_value(value: serde_json::Value) -> Result<Operator, SettingsError> {
         // Two blocks of one name come as a list, which reads as nonsense below.
-        let counts = value.get("count").and_then(serde_json::Value::as_object);
-        if let Some((name, _)) = counts.into_iter().flatten().find(|(_, value)| value.is_array()) {
-            return Err(bad(format!("count.{name}"), "is defined more than once"));
+        let twice = |block: Option<&serde_json::Value>| {
+            let blocks = block?.as_object()?;
+            let (name, _) = blocks.iter().find(|(_, value)| value.is_array())?;
+            Some(name.clone())
+        };
+        let condor = value.get("condor");
+        for (path, block) in [
+            ("count", value.get("count")),
+            ("condor.machine", condor.and_then(|condor| condor.get("machine"))),
+        ] {
+            if let Some(name) = twice(block) {
+                return Err(bad(format!("{path}.{name}"), "is defined more than once"));
+            }
+        }
+        if condor.is_some_and(serde_json::Value::is_array) {
+            return Err(bad("condor", "is defined more than once"));
         }
         Ok(serde_path_to_error::deserialize(value)?)
     }
@@ -177,6 +194,8 @@
     Field { field: String, problem: String },
     #[error(transparent)]
     Count(#[from] DefinitionError),
+    #[error(transparent)]
+    Condor(#[from] CondorSettingsError),
 }
 
 fn bad(field: impl Into<String>, problem: impl Into<String>) -> SettingsError {
@@ -293,9 +312,11 @@
             return Err(bad("fleet_max", "must be at least 1"));
         }
         let teams = &self.deployment.teams;
-        indigopath_counts::check(&operator.counts, |name| {
-            teams.iter().any(|team| team.name == name)
-        })?;
+        let is_team = |name: &str| teams.iter().any(|team| team.name == name);
+        indigopath_counts::check(&operator.counts, is_team)?;
+        if let Some(condor) = &operator.condor {
+            condor.check(is_team)?;
+        }
         self.operator = operator;
         Ok(self)
     }
@@ -327,6 +348,36 @@
         );
     }
 
+    #[test]
+    fn what_submit_files_mean_is_checked_against_the_site() {
+        for (text, field) in [
+            (r#"{ "default_team": "nobody" }"#, "condor.default_team: "),
+            (r#"{ "default_image": "" }"#, "condor.default_image: "),
+            (r#"{ "default_image_gb": -1 }"#, "condor.default_image_gb: "),
+            (
+                r#"{ "machine": { "g8": { "Op Sys": 1 } } }"#,
+                "condor.machine.g8.Op Sys: ",
+            ),
+            (
+                r#"{ "machine": { "g8": { "cpus": 1 } } }"#,
+                "condor.machine.g8.cpus: ",
+            ),
+            (
+                r#"{ "machine": { "g8": { "a": 1, "A": 2 } } }"#,
+                "condor.machine.g8.a: ",
+            ),
+        ] {
+            let value =
+                serde_json::json!({ "condor": serde_json::from_str::<serde_json::Value>(text).unwrap() });
+            let operator = Operator::from_value(value).unwrap();
+            let problem = Settings::parse(GOOD)
+                .unwrap()
+                .with_operator(operator)
+                .unwrap_err();
+            assert!(problem.to_string().starts_with(field), "{problem}");
+        }
+    }
+
     #[test]
     fn operators_settings_allow_nothing_unknown() {
         let read = |text: &str| Operator::from_value(serde_json::from_str(text).unwrap());
@@ -343,6 +394,18 @@
                 r#"{ "count": { "seat": { "units": 1, "server": "x:1" } } }"#,
                 "count.seat.server",
             ),
+            (
+                r#"{ "condor": { "default_teem": "red" } }"#,
+                "condor.default_teem",
+            ),
+            (
+                r#"{ "condor": { "machine": { "g8": { "OpSys": { "a": 1 } } } } }"#,
+                "condor.machine.g8.OpSys",
+            ),
+            (
+                r#"{ "condor": { "machine": { "g8": [{}, {}] } } }"#,
+                "condor.machine.g8",
+            ),
         ] {
             let problem = read(text).unwrap_err().to_string();
             assert!(problem.contains(field), "{problem}");
--- a/crates/indigopath/src/main.rs
+++ b/crates/indigopath/src/main.rs
@@ -1,6 +1,7 @@
 //! indigopath: an elastic cluster scheduler for small sites.
 #![forbid(unsafe_code)]
 
+mod condor;
 mod counts;
 mod event_loop;
 mod http;
@@ -48,6 +49,8 @@
     Check(Files),
     /// Show counted resources: licences and other named counts
     Counts(counts::CountsArgs),
+    /// HTCondor submit files: what becomes of them here
+    Condor(condor::CondorArgs),
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -134,6 +137,7 @@
     let cli = Cli::parse();
     let (files, check) = match (cli.command, cli.files) {
         (Some(Command::Counts(args)), _) => return show(counts::run(&args)),
+        (Some(Command::Condor(args)), _) => return condor::run(&args),
         (Some(Command::Completions { shell }), _) => {
             let mut command = Cli::command();
             clap_complete::generate(shell, &mut command, "indigopath", &mut std::io::stdout());
