--- a/crates/classad/src/eval.rs
+++ b/crates/classad/src/eval.rs
@@ -74,7 +74,11 @@
     /// Attributes that are being evaluated: where their expression lies, and their name.
     open: Vec<usize>,
     fault: Option<Fault>,
-    patterns: FxHashMap<(String, String), Option<Rc<Regex>>>,
+    /// Compiled patterns by options and text, and where their key is put together.
+    patterns: FxHashMap<String, Option<Rc<Regex>>>,
+    pattern_key: String,
+    /// The pattern that was last asked for: most expressions have one.
+    last_pattern: Option<(Arc<str>, Arc<str>, Rc<Regex>)>,
 }
 
 /// The two ads of an evaluation.
@@ -182,9 +186,22 @@
                 self.logical(*operator, two, ads, place)
             }
             Kind::Binary(operator, two) => {
-                let left = self.value(&two.0, ads, place);
-                let right = self.value(&two.1, ads, place);
-                self.binary(*operator, &left, &right)
+                let (made_left, made_right);
+                let left = match plain(&two.0, ads, place) {
+                    Some(value) => value,
+                    None => {
+                        made_left = self.value(&two.0, ads, place);
+                        &made_left
+                    }
+                };
+                let right = match plain(&two.1, ads, place) {
+                    Some(value) => value,
+                    None => {
+                        made_right = self.value(&two.1, ads, place);
+                        &made_right
+                    }
+                };
+                self.binary(*operator, left, right)
             }
             Kind::Choose(three) => {
                 let condition = self.value(&three.0, ads, place);
@@ -454,11 +471,28 @@
         })))
     }
 
+    /// A compiled pattern, as below, of texts that are shared.
+    pub(crate) fn shared_pattern(&mut self, pattern: &Arc<str>, options: &Arc<str>) -> Option<Rc<Regex>> {
+        if let Some((known, with, compiled)) = &self.last_pattern
+            && Arc::ptr_eq(known, pattern)
+            && known == pattern
+            && with == options
+        {
+            return Some(compiled.clone());
+        }
+        let compiled = self.pattern(pattern, options)?;
+        self.last_pattern = Some((pattern.clone(), options.clone(), compiled.clone()));
+        Some(compiled)
+    }
+
     /// A compiled pattern; `None` if it is none, or too large. `options` are those of the
     /// `regexp` functions: `i`, `m`, `s`, `x`, and `f` for a match of the whole text.
     pub(crate) fn pattern(&mut self, pattern: &str, options: &str) -> Option<Rc<Regex>> {
-        let key = (pattern.to_owned(), options.to_owned());
-        if let Some(known) = self.patterns.get(&key) {
+        self.pattern_key.clear();
+        self.pattern_key.push_str(options);
+        self.pattern_key.push('/');
+        self.pattern_key.push_str(pattern);
+        if let Some(known) = self.patterns.get(&self.pattern_key) {
             return known.clone();
         }
         if self.patterns.len() >= REGEXES_KEPT {
@@ -475,11 +509,33 @@
             .build()
             .ok()
             .map(Rc::new);
-        self.patterns.insert(key, built.clone());
+        self.patterns.insert(self.pattern_key.clone(), built.clone());
         built
     }
 }
 
+/// The value of a literal, or of an attribute that is one: what most comparisons compare,
+/// and what takes neither steps nor copies.
+fn plain<'e>(expr: &'e Expr, ads: Ads<'e>, place: Place<'_>) -> Option<&'e Value> {
+    let found = match &expr.kind {
+        Kind::Literal(_) => expr,
+        Kind::Attribute(scope, name) if place.frame.is_none() => {
+            let own = || ads.side(place.side)?.find(name.key());
+            let other = || ads.side(place.side.across())?.find(name.key());
+            match scope {
+                Scope::Any => own().or_else(other)?,
+                Scope::My => own()?,
+                Scope::Target => other()?,
+            }
+        }
+        _ => return None,
+    };
+    match &found.kind {
+        Kind::Literal(value) if *value != Value::Error => Some(value),
+        _ => None,
+    }
+}
+
 /// Strings without case, numbers by value, truth as 1 and 0. `None` if the two cannot be
 /// compared, `Some(None)` if neither is the greater (NaN).
 fn compare(left: &Value, right: &Value) -> Option<Option<Ordering>> {
--- a/crates/classad/src/expr.rs
+++ b/crates/classad/src/expr.rs
@@ -216,17 +216,22 @@
     /// The functions that it calls, and where.
     pub fn calls(&self) -> Vec<(&'static Function, usize)> {
         let mut found = Vec::new();
-        let mut open = vec![self];
-        while let Some(expr) = open.pop() {
-            if let Kind::Call(function, _) = &expr.kind {
-                found.push((*function, expr.at));
-            }
-            open.extend(expr.children());
-        }
+        self.collect_calls(&mut found);
         found.sort_by_key(|(_, at)| *at);
         found
     }
 
+    fn collect_calls(&self, found: &mut Vec<(&'static Function, usize)>) {
+        match &self.kind {
+            Kind::Literal(_) | Kind::Attribute(..) => return,
+            Kind::Call(function, _) => found.push((*function, self.at)),
+            _ => (),
+        }
+        for child in self.children() {
+            child.collect_calls(found);
+        }
+    }
+
     /// The parts that all must hold: those between its outermost `&&`.
     pub fn terms(&self) -> Vec<&Expr> {
         let mut terms = Vec::new();
--- a/crates/classad/src/functions.rs
+++ b/crates/classad/src/functions.rs
@@ -10,7 +10,7 @@
 use chrono::DateTime;
 use std::cmp::Ordering;
 use std::fmt::Write;
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 
 /// A function of the language.
 pub struct Function {
@@ -579,8 +579,9 @@
     with: impl Fn(&mut Evaluator, &regex::Regex, &[Arc<str>]) -> Value,
 ) -> Value {
     strings(evaluator, call, |evaluator, texts| {
-        let given = texts.get(options).map_or("", |options| options);
-        match evaluator.pattern(&texts[0], given) {
+        static NONE: LazyLock<Arc<str>> = LazyLock::new(|| Arc::from(""));
+        let given = texts.get(options).unwrap_or(&NONE);
+        match evaluator.shared_pattern(&texts[0], given) {
             Some(pattern) => with(evaluator, &pattern, texts),
             None => evaluator.fail(Fault::Call(
                 call.name,
--- a/crates/classad/src/names.rs
+++ b/crates/classad/src/names.rs
@@ -33,7 +33,8 @@
         &self.key
     }
 
-    pub(crate) fn shared_key(&self) -> Arc<str> {
+    /// The same, shared.
+    pub fn shared_key(&self) -> Arc<str> {
         self.key.clone()
     }
 
--- a/crates/condor/src/constants.rs
+++ b/crates/condor/src/constants.rs
@@ -38,5 +38,8 @@
 /// Kinds of machines that a reason lists for a term before it only counts them.
 pub const KINDS_SHOWN: usize = 6;
 
+/// Known names that a reason lists where none is like the one asked for.
+pub const NAMES_SHOWN: usize = 12;
+
 /// Most attributes that operators may declare of a machine type.
 pub const MAX_DECLARED: usize = 100;
--- a/crates/condor/src/judge.rs
+++ b/crates/condor/src/judge.rs
@@ -1,12 +1,12 @@
 //! Which machines do for a proc, and if none do, why not.
 
-use crate::constants::{KINDS_SHOWN, MIB_PER_GB, PROBLEMS_SHOWN};
-use crate::request::{self, Asked, Problem, Request};
+use crate::constants::{KINDS_SHOWN, MIB_PER_GB, NAMES_SHOWN, PROBLEMS_SHOWN};
+use crate::request::{self, Asked, Problem, Reading, Request};
 use crate::site::{Kind, Kinds, Site};
 use crate::submit::{Batch, Key, Submission, What};
 use crate::{commands::Effect, source::Place};
 use fixedbitset::FixedBitSet;
-use indigopath_classad::{Evaluator, Expr, Name, Reference, Scope, Value, nearest};
+use indigopath_classad::{Ad, Evaluator, Expr, Name, Reference, Scope, Value, nearest};
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::Serialize;
 use std::sync::Arc;
@@ -101,7 +101,7 @@
             let (outcome, shared) =
                 match request::read(given, self.cluster, proc.process, self.now_s, self.site) {
                     Err(problems) => (refused(&problems, self.site), true),
-                    Ok(request) => self.request(request),
+                    Ok(reading) => self.request(reading),
                 };
             judged.outcomes.push(outcome);
             let at = judged.outcomes.len() as u32 - 1;
@@ -113,11 +113,12 @@
     }
 
     /// What becomes of a request, and whether others with the same telling values share it.
-    fn request(&mut self, request: Request) -> (Outcome, bool) {
+    fn request(&mut self, reading: Reading) -> (Outcome, bool) {
+        let Reading { request, ad } = reading;
         let mut names = FxHashSet::default();
         let mut problems = Vec::new();
         for asked in [&request.requirements, &request.rank].into_iter().flatten() {
-            self.check(asked, &request, &mut names, &mut problems);
+            self.check(asked, &ad, &mut names, &mut problems);
         }
         let shared = !OWN.iter().any(|own| names.contains(*own));
         if !problems.is_empty() {
@@ -127,20 +128,18 @@
             .counts
             .check(&self.site.counts, u64::from(request.together()))
         {
-            let place = request.keys.values().next().map(|key| key.definition.place());
-            let text = format!("concurrency_limits: {error}");
-            let reason = place.map_or(text.clone(), |place| format!("{}: {text}", place.file));
+            let reason = format!("concurrency_limits: {error}");
             return (
                 self.without_kinds(Verdict::Refused, reason, Some(request)),
                 shared,
             );
         }
-        let kinds = self.kinds(&request, &names);
+        let kinds = self.kinds(&request, &ad, &names);
         if kinds.is_clear() {
-            let reason = self.why_none(&request);
+            let reason = self.why_none(&request, &ad);
             return (self.without_kinds(Verdict::Never, reason, Some(request)), shared);
         }
-        let ranks = self.ranks(&request);
+        let ranks = self.ranks(&request, &ad);
         let mut holds = request.holds.clone();
         holds.extend(over_limit(&request, self.site));
         let outcome = Outcome {
@@ -168,13 +167,7 @@
     }
 
     /// Whether every name in an expression, and in what it refers to, is somebody's.
-    fn check(
-        &self,
-        asked: &Asked,
-        request: &Request,
-        names: &mut FxHashSet<String>,
-        problems: &mut Vec<Problem>,
-    ) {
+    fn check(&self, asked: &Asked, ad: &Ad, names: &mut FxHashSet<Arc<str>>, problems: &mut Vec<Problem>) {
         let place = |at| asked.key.definition.place_in_value(at);
         let what = &asked.key.definition.name;
         for (function, at) in asked.expr.calls() {
@@ -190,7 +183,7 @@
             }
         }
         let mut walk = Walk {
-            request,
+            ad,
             kinds: &self.site.kinds,
             names,
             open: Vec::new(),
@@ -219,7 +212,7 @@
         request.spot.unwrap_or(request.requirements.is_some())
     }
 
-    fn kinds(&mut self, request: &Request, names: &FxHashSet<String>) -> FixedBitSet {
+    fn kinds(&mut self, request: &Request, ad: &Ad, names: &FxHashSet<Arc<str>>) -> FixedBitSet {
         let all = self.site.kinds.all();
         let spot = Self::spot_allowed(request);
         let needs = [request.cpus, request.gpus, request.memory_gb].map(f64::to_bits);
@@ -239,7 +232,14 @@
         let Some(asked) = &request.requirements else {
             return kinds;
         };
-        let values = Values::of(&asked.expr, request, names, &self.site.kinds, &mut self.evaluator);
+        let values = Values::of(
+            &asked.expr,
+            ad,
+            &kinds,
+            names,
+            &self.site.kinds,
+            &mut self.evaluator,
+        );
         for (at, kind) in all.iter().enumerate() {
             if kinds.contains(at) && values.get(kind).truth() != Some(true) {
                 kinds.remove(at);
@@ -248,13 +248,13 @@
         kinds
     }
 
-    fn ranks(&mut self, request: &Request) -> Vec<f64> {
+    fn ranks(&mut self, request: &Request, ad: &Ad) -> Vec<f64> {
         let Some(asked) = &request.rank else {
             return Vec::new();
         };
         let kinds = &self.site.kinds;
         let mut rank = |kind: &Kind| {
-            let value = self.evaluator.evaluate(&asked.expr, &request.ad, Some(&kind.ad));
+            let value = self.evaluator.evaluate(&asked.expr, ad, Some(&kind.ad));
             // What is no number is no preference.
             value.as_number().filter(|rank| rank.is_finite()).unwrap_or(0.0)
         };
@@ -266,7 +266,7 @@
     }
 
     /// Term by term, which kinds each excludes.
-    fn why_none(&mut self, request: &Request) -> String {
+    fn why_none(&mut self, request: &Request, ad: &Ad) -> String {
         let kinds = &self.site.kinds;
         if kinds.all().is_empty() {
             return "no kind of machine is known".to_owned();
@@ -298,7 +298,7 @@
                 let mut excluded = Vec::new();
                 let mut because = Vec::new();
                 for kind in kinds.all() {
-                    let value = self.evaluator.evaluate(term, &request.ad, Some(&kind.ad));
+                    let value = self.evaluator.evaluate(term, ad, Some(&kind.ad));
                     if value.truth() == Some(true) {
                         continue;
                     }
@@ -389,29 +389,29 @@
 
 /// Follows names from an expression through the job's own attributes.
 struct Walk<'a> {
-    request: &'a Request,
+    ad: &'a Ad,
     kinds: &'a Kinds,
     /// Lower-case names that were met.
-    names: &'a mut FxHashSet<String>,
+    names: &'a mut FxHashSet<Arc<str>>,
     open: Vec<Name>,
 }
 
 impl Walk<'_> {
     fn follow(&mut self, reference: &Reference<'_>) -> Result<(), String> {
         let name = reference.name;
-        let of_job = reference.scope != Scope::Target && self.request.ad.contains(name);
+        let of_job = reference.scope != Scope::Target && self.ad.contains(name);
         let of_machine = reference.scope != Scope::My && self.kinds.attributes().contains(name);
         if !of_job && !of_machine {
             return Err(self.unknown(reference));
         }
-        self.names.insert(name.key().to_owned());
+        self.names.insert(name.shared_key());
         if !of_job {
             return Ok(());
         }
         if self.open.contains(name) {
             return Err(format!("{name} refers to itself"));
         }
-        let Some(expr) = self.request.ad.get(name.text()) else {
+        let Some(expr) = self.ad.get(name.text()) else {
             return Ok(());
         };
         if matches!(expr.kind, indigopath_classad::Kind::Literal(_)) {
@@ -427,7 +427,7 @@
     }
 
     fn unknown(&self, reference: &Reference<'_>) -> String {
-        let job: Vec<&Name> = self.request.ad.names().collect();
+        let job: Vec<&Name> = self.ad.names().collect();
         let (whose, scope) = match reference.scope {
             Scope::Any => ("neither the job nor any machine has", ""),
             Scope::My => ("the job does not have", "MY."),
@@ -442,12 +442,15 @@
                     .iter()
                     .filter(|_| reference.scope != Scope::My),
             );
-        let near = nearest(reference.name.text(), known.map(Name::text));
-        let mut text = format!("{whose} an attribute {scope}{}", reference.name);
-        if !near.is_empty() {
-            text = format!("{text}; the nearest are {}", near.join(", "));
+        let known: Vec<&str> = known.map(Name::text).collect();
+        let near = nearest(reference.name.text(), known.iter().copied());
+        let text = format!("{whose} an attribute {scope}{}", reference.name);
+        if near.is_empty() {
+            let shown = &known[known.len().saturating_sub(NAMES_SHOWN)..];
+            format!("{text}; there are {}", shown.join(", "))
+        } else {
+            format!("{text}; the nearest are {}", near.join(", "))
         }
-        text
     }
 }
 
@@ -463,8 +466,9 @@
 impl<'k> Values<'k> {
     fn of(
         expr: &Expr,
-        request: &Request,
-        names: &FxHashSet<String>,
+        ad: &Ad,
+        among: &FixedBitSet,
+        names: &FxHashSet<Arc<str>>,
         kinds: &'k Kinds,
         evaluator: &mut Evaluator,
     ) -> Values<'k> {
@@ -476,12 +480,12 @@
             spot: any || names.contains("spot") || names.contains("rate"),
             values: vec![None; kinds.classes()],
         };
-        for kind in kinds.all() {
+        for kind in kinds.of(among) {
             let class = kinds.class(kind, values.zone, values.spot);
             if let Some(value) = values.values.get_mut(class)
                 && value.is_none()
             {
-                *value = Some(evaluator.evaluate(expr, &request.ad, Some(&kind.ad)));
+                *value = Some(evaluator.evaluate(expr, ad, Some(&kind.ad)));
             }
         }
         values
--- a/crates/condor/src/request.rs
+++ b/crates/condor/src/request.rs
@@ -8,7 +8,7 @@
 use indigopath_classad::{Ad, Evaluator, Expr, Name, Value, nearest};
 use indigopath_counts::Demand;
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 
 /// Why a proc is refused, and where its file says so.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -59,10 +59,13 @@
     pub rank: Option<Asked>,
     /// Why it is not to start yet.
     pub holds: Vec<String>,
+}
+
+/// A request, and what is needed only to judge it.
+pub struct Reading {
+    pub request: Request,
     /// What the job says of itself.
     pub ad: Ad,
-    /// Where attributes of the ad were given, for those of the file.
-    pub keys: BTreeMap<Name, Key>,
 }
 
 impl Request {
@@ -78,11 +81,40 @@
 /// Attributes of a job that are there whatever its file says.
 const UNIVERSES: [(&str, i64); 4] = [("vanilla", 5), ("docker", 5), ("container", 5), ("parallel", 11)];
 
+/// Attributes that every job has, made once.
+struct Names {
+    cluster_id: Name,
+    proc_id: Name,
+    q_date: Name,
+    job_universe: Name,
+    job_prio: Name,
+    request_cpus: Name,
+    request_gpus: Name,
+    request_memory: Name,
+    accounting_group: Name,
+}
+
+static NAMES: LazyLock<Names> = LazyLock::new(|| Names {
+    cluster_id: Name::new("ClusterId"),
+    proc_id: Name::new("ProcId"),
+    q_date: Name::new("QDate"),
+    job_universe: Name::new("JobUniverse"),
+    job_prio: Name::new("JobPrio"),
+    request_cpus: Name::new("RequestCpus"),
+    request_gpus: Name::new("RequestGpus"),
+    request_memory: Name::new("RequestMemory"),
+    accounting_group: Name::new("AccountingGroup"),
+});
+
+/// Attributes of an ordinary job.
+const USUAL: usize = 24;
+
 struct Builder<'a> {
     site: &'a Site,
     given: Vec<(Field, &'a Key, &'a str)>,
     ad: Ad,
-    keys: BTreeMap<Name, Key>,
+    /// Where the file gives attributes of its own.
+    keys: Vec<(Name, &'a Key)>,
     evaluator: Evaluator,
     problems: Vec<Problem>,
     holds: Vec<String>,
@@ -98,19 +130,19 @@
     process: u32,
     now_s: i64,
     site: &'a Site,
-) -> Result<Request, Vec<Problem>> {
+) -> Result<Reading, Vec<Problem>> {
     let mut builder = Builder {
         site,
         given: Vec::new(),
-        ad: Ad::default(),
-        keys: BTreeMap::new(),
+        ad: Ad::with_capacity(USUAL),
+        keys: Vec::new(),
         evaluator: Evaluator::new(now_s),
         problems: Vec::new(),
         holds: Vec::new(),
     };
-    builder.ad.set("ClusterId", Value::Int(cluster as i64));
-    builder.ad.set("ProcId", Value::Int(i64::from(process)));
-    builder.ad.set("QDate", Value::Int(now_s));
+    builder.put(&NAMES.cluster_id, Value::Int(cluster as i64));
+    builder.put(&NAMES.proc_id, Value::Int(i64::from(process)));
+    builder.put(&NAMES.q_date, Value::Int(now_s));
     for (key, value) in given {
         builder.take(key, value);
     }
@@ -126,7 +158,6 @@
                 Effect::Carried(attribute) => {
                     if !value.is_empty() {
                         self.ad.set(attribute, Value::from(value.trim_matches('"')));
-                        self.keys.insert(Name::new(attribute), key.clone());
                     }
                 }
                 Effect::Noted(_) => (),
@@ -155,7 +186,7 @@
         match Expr::parse(value) {
             Ok(expr) => {
                 self.ad.insert(name.clone(), expr);
-                self.keys.insert(name, key.clone());
+                self.keys.push((name, key));
             }
             Err(error) => {
                 let place = key.definition.place_in_value(error.at);
@@ -165,6 +196,10 @@
         }
     }
 
+    fn put(&mut self, name: &Name, value: Value) {
+        self.ad.insert(name.clone(), Expr::literal(value));
+    }
+
     /// A command's value, unless it is empty.
     fn get(&self, field: Field) -> Option<(&'a Key, &'a str)> {
         // The last that was given: two commands may mean the same.
@@ -221,8 +256,9 @@
     }
 
     /// A number of an attribute of the job's own.
-    fn own(&mut self, name: &str) -> Option<(Key, Value)> {
-        let key = self.keys.get(&Name::new(name))?.clone();
+    fn own(&mut self, name: &str) -> Option<(&'a Key, Value)> {
+        let named = |(known, _): &&(Name, &'a Key)| known.text().eq_ignore_ascii_case(name);
+        let key = self.keys.iter().rev().find(named)?.1;
         let expr = self.ad.get(name)?.clone();
         Some((key, self.evaluator.evaluate(&expr, &self.ad, None)))
     }
@@ -238,7 +274,7 @@
                 value.as_number().unwrap_or(default)
             }
             Some((key, value)) => {
-                self.refuse(&key, 0, format!("+{name} = {value} is no number that it can be"));
+                self.refuse(key, 0, format!("+{name} = {value} is no number that it can be"));
                 default
             }
         }
@@ -248,7 +284,7 @@
         match self.own(name)? {
             (_, Value::Str(text)) if !text.is_empty() => Some(text.to_string()),
             (key, value) => {
-                self.refuse(&key, 0, format!("+{name} = {value} is no text"));
+                self.refuse(key, 0, format!("+{name} = {value} is no text"));
                 None
             }
         }
@@ -315,7 +351,7 @@
             .find(|(name, number)| name.eq_ignore_ascii_case(text) || *text == number.to_string());
         match known {
             Some((name, number)) => {
-                self.ad.set("JobUniverse", Value::Int(*number));
+                self.put(&NAMES.job_universe, Value::Int(*number));
                 Some(name)
             }
             None => {
@@ -367,16 +403,11 @@
 
     /// There is no command to point at: the file's first will do.
     fn without_image(&mut self) {
-        let first = self.given.first().map(|(_, key, _)| (*key).clone());
-        let first = first.or_else(|| {
-            self.keys
-                .values()
-                .min_by_key(|key| key.definition.place())
-                .cloned()
-        });
+        let first = self.given.first().map(|(_, key, _)| *key);
+        let first = first.or_else(|| self.keys.first().map(|(_, key)| *key));
         let text = "container_image is not given, and the operators name no default image".to_owned();
         match first {
-            Some(key) => self.refuse(&key, 0, text),
+            Some(key) => self.refuse(key, 0, text),
             None => self.problems.push(Problem {
                 place: Place {
                     file: Arc::from("submit file"),
@@ -435,7 +466,7 @@
 
     fn level(&mut self) -> Level {
         let number = self.number(Field::Priority, 0.0, -1e9, 1e9);
-        self.ad.set("JobPrio", Value::number(number));
+        self.put(&NAMES.job_prio, Value::number(number));
         let nice = self.get(Field::Nice).is_some_and(|(key, text)| {
             self.evaluate(key, text)
                 .and_then(|value| value.truth())
@@ -487,19 +518,19 @@
         }
     }
 
-    fn finish(mut self) -> Result<Request, Vec<Problem>> {
-        self.ad.set("JobUniverse", Value::Int(5));
+    fn finish(mut self) -> Result<Reading, Vec<Problem>> {
+        self.put(&NAMES.job_universe, Value::Int(5));
         let universe = self.universe().unwrap_or("vanilla");
         let level = self.level();
         let gang = self.gang(universe);
         let cpus = self.number(Field::Cpus, 1.0, 0.0, 1e6);
-        self.ad.set("RequestCpus", Value::number(cpus));
+        self.put(&NAMES.request_cpus, Value::number(cpus));
         let gpus = self.number(Field::Gpus, 0.0, 0.0, 1e6);
-        self.ad.set("RequestGpus", Value::number(gpus));
+        self.put(&NAMES.request_gpus, Value::number(gpus));
         let memory_mib = self.memory_mib();
-        self.ad.set("RequestMemory", Value::number(memory_mib.ceil()));
+        self.put(&NAMES.request_memory, Value::number(memory_mib.ceil()));
         let team = self.team();
-        self.ad.set("AccountingGroup", Value::from(team.as_str()));
+        self.put(&NAMES.accounting_group, Value::from(team.as_str()));
         let counts = self.counts();
         let (image, image_gb) = self.image(universe);
         let duration = self.number(Field::Duration, DEFAULT_ESTIMATE_S, 0.0, 1e9);
@@ -508,7 +539,7 @@
             None => None,
             Some((_, value)) if value.truth().is_some() => value.truth(),
             Some((key, value)) => {
-                self.refuse(&key, 0, format!("+AllowSpot = {value} is neither true nor false"));
+                self.refuse(key, 0, format!("+AllowSpot = {value} is neither true nor false"));
                 None
             }
         };
@@ -532,7 +563,7 @@
             self.problems.sort_by(|a, b| a.place.cmp(&b.place));
             return Err(self.problems);
         }
-        Ok(Request {
+        let request = Request {
             team,
             class,
             gang,
@@ -548,9 +579,8 @@
             requirements,
             rank,
             holds: self.holds,
-            ad: self.ad,
-            keys: self.keys,
-        })
+        };
+        Ok(Reading { request, ad: self.ad })
     }
 }
 
--- /dev/null
+++ b/crates/condor/tests/any_text.rs
@@ -0,0 +1,143 @@
+//! Whatever text there is: no panic, no run without end, no more than the bounds allow.
+
+use indigopath_condor::constants::MAX_PROCS;
+use indigopath_condor::{CondorSettings, Files, Kinds, MachineType, Matching, Site, judge, notes, read};
+use proptest::prelude::*;
+
+/// Every file holds the same, which may be itself.
+struct Same(String);
+
+impl Files for Same {
+    fn read(&self, _: &str) -> Result<String, String> {
+        Ok(self.0.clone())
+    }
+
+    fn matching(&self, pattern: &str, _: Matching) -> Result<Vec<String>, String> {
+        Ok(vec![pattern.to_owned(); 3])
+    }
+
+    fn variable(&self, name: &str) -> Option<String> {
+        (name.len() < 4).then(|| "2".to_owned())
+    }
+}
+
+fn site() -> Site {
+    let machine_type = MachineType {
+        name: "g8".to_owned(),
+        cpus: 96.0,
+        gpus: 8.0,
+        memory_gb: 768.0,
+        price: 12.0,
+        spot_price: 4.5,
+        zones: vec!["a".to_owned()],
+    };
+    let settings = CondorSettings {
+        default_team: Some("vision".to_owned()),
+        default_image: Some("scan:1".to_owned()),
+        ..CondorSettings::default()
+    };
+    Site {
+        kinds: Kinds::new(&[machine_type], &["a".to_owned()], &settings),
+        settings,
+        ..Site::default()
+    }
+}
+
+fn line() -> impl Strategy<Value = String> {
+    let name = prop::sample::select(vec![
+        "a",
+        "b",
+        "request_cpus",
+        "request_memory",
+        "requirements",
+        "rank",
+        "hold",
+        "priority",
+        "+x",
+        "MY.y",
+        "arguments",
+        "universe",
+        "machine_count",
+        "concurrency_limits",
+        "accounting_group",
+        "periodic_hold",
+        "container_image",
+        "+RuntimeS",
+        "+AllowSpot",
+    ]);
+    let value = prop::collection::vec(
+        prop::sample::select(vec![
+            "1",
+            "2 ",
+            "$(a)",
+            "$(b:3)",
+            "$(Process)",
+            "$INT(a)",
+            "$REAL(b, %f)",
+            "$CHOICE(a, b)",
+            "$Fnx(a)",
+            "$SUBSTR(b, -1)",
+            "$EVAL(a)",
+            "$ENV(x)",
+            "$(",
+            "Cpus",
+            " > ",
+            " && ",
+            "Gpus",
+            "x",
+            "\"t\"",
+            "GB",
+            "(",
+            ")",
+            "true",
+            "y",
+            "/",
+            "-",
+            "$$(c)",
+            "\\",
+        ]),
+        0..5,
+    )
+    .prop_map(|parts| parts.concat());
+    prop_oneof![
+        6 => (name, value.clone()).prop_map(|(name, value)| format!("{name} = {value}")),
+        2 => value.clone().prop_map(|value| format!("queue {value}")),
+        1 => Just("queue 2 a, b from f".to_owned()),
+        1 => Just("queue a in (1, 2\n3)".to_owned()),
+        1 => Just("queue matching [::2] *".to_owned()),
+        1 => value.clone().prop_map(|value| format!("if {value}")),
+        1 => Just("if defined a".to_owned()),
+        1 => Just("else".to_owned()),
+        1 => Just("endif".to_owned()),
+        1 => Just("include : f".to_owned()),
+        1 => Just("a @=e\n1\n@e".to_owned()),
+        1 => value,
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_500))]
+
+    #[test]
+    fn no_file_panics_or_runs_away(lines in prop::collection::vec(line(), 0..14), other in line()) {
+        let text = lines.join("\n");
+        if let Ok(submission) = read(&text, "any.sub", 1, 0, &Same(other)) {
+            prop_assert!(submission.procs() <= MAX_PROCS);
+            let _ = notes(&submission);
+            let judged = judge(&submission, 1, 0, &site());
+            prop_assert_eq!(judged.of.len(), submission.procs());
+            // Every verdict but a match has its reason, and only what may run has kinds.
+            for outcome in &judged.outcomes {
+                let matches = outcome.verdict == indigopath_condor::Verdict::Match;
+                prop_assert_eq!(outcome.reason.is_none(), matches);
+                let may_run = matches || outcome.verdict == indigopath_condor::Verdict::Held;
+                prop_assert_eq!(may_run, !outcome.kinds.is_clear());
+            }
+        }
+    }
+
+    #[test]
+    fn no_bytes_panic(text in "[ -~\n$(){}=#\\\\é]{0,200}") {
+        let _ = read(&text, "any.sub", 1, 0, &Same(String::new()));
+    }
+}
