--- a/crates/condor/src/constants.rs
+++ b/crates/condor/src/constants.rs
@@ -43,3 +43,14 @@
 
 /// Most attributes that operators may declare of a machine type.
 pub const MAX_DECLARED: usize = 100;
+
+/// Jobs that one cluster may become: each is a record, and the state service takes some tens
+/// of changes a second.
+pub const MAX_JOBS: usize = 200;
+
+/// Procs of a cluster that a controller takes: what a tenth of a core expands in a fraction
+/// of a second. More are for `explain`, on the submitter's own machine.
+pub const MAX_CLUSTER_PROCS: usize = 20_000;
+
+/// Longest name of a submitter, in bytes.
+pub const MAX_OWNER: usize = 64;
--- a/crates/condor/src/judge.rs
+++ b/crates/condor/src/judge.rs
@@ -1,5 +1,6 @@
 //! Which machines do for a proc, and if none do, why not.
 
+use crate::cluster::{Hold, Why};
 use crate::constants::{KINDS_SHOWN, MIB_PER_GB, NAMES_SHOWN, PROBLEMS_SHOWN};
 use crate::request::{self, Asked, Problem, Reading, Request};
 use crate::site::{Kind, Kinds, Site};
@@ -141,7 +142,11 @@
         }
         let ranks = self.ranks(&request, &ad);
         let mut holds = request.holds.clone();
-        holds.extend(over_limit(&request, self.site));
+        let limit = over_limit(&request, self.site);
+        holds.extend(limit.map(|text| Hold {
+            why: Why::Limit,
+            text,
+        }));
         let outcome = Outcome {
             verdict: if holds.is_empty() {
                 Verdict::Match
@@ -150,8 +155,11 @@
             },
             kinds,
             ranks,
-            reason: (!holds.is_empty()).then(|| holds.join("; ")),
-            request: Some(Arc::new(request)),
+            reason: (!holds.is_empty()).then(|| {
+                let texts: Vec<&str> = holds.iter().map(|hold| hold.text.as_str()).collect();
+                texts.join("; ")
+            }),
+            request: Some(Arc::new(Request { holds, ..request })),
         };
         (outcome, shared)
     }
--- a/crates/condor/src/lib.rs
+++ b/crates/condor/src/lib.rs
@@ -34,6 +34,7 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod cluster;
 mod commands;
 pub mod constants;
 mod judge;
@@ -46,6 +47,7 @@
 mod submit;
 mod template;
 
+pub use cluster::{Bundle, Hold, KindSet, Part, Procs, Recorder, Why};
 pub use judge::{Judged, Outcome, Verdict, judge, notes};
 pub use request::{Asked, Level, Problem, Request};
 pub use site::{
--- a/crates/condor/src/request.rs
+++ b/crates/condor/src/request.rs
@@ -1,5 +1,6 @@
 //! What a proc asks for, in the scheduler's own terms.
 
+use crate::cluster::{Hold, Why};
 use crate::commands::{Effect, Field};
 use crate::constants::{DEFAULT_ESTIMATE_S, DEFAULT_MEMORY_MIB, MIB_PER_GB};
 use crate::site::Site;
@@ -58,7 +59,7 @@
     pub requirements: Option<Asked>,
     pub rank: Option<Asked>,
     /// Why it is not to start yet.
-    pub holds: Vec<String>,
+    pub holds: Vec<Hold>,
 }
 
 /// A request, and what is needed only to judge it.
@@ -117,7 +118,7 @@
     keys: Vec<(Name, &'a Key)>,
     evaluator: Evaluator,
     problems: Vec<Problem>,
-    holds: Vec<String>,
+    holds: Vec<Hold>,
 }
 
 /// Reads what a proc is given.
@@ -196,6 +197,10 @@
         }
     }
 
+    fn hold(&mut self, why: Why, text: String) {
+        self.holds.push(Hold { why, text });
+    }
+
     fn put(&mut self, name: &Name, value: Value) {
         self.ad.insert(name.clone(), Expr::literal(value));
     }
@@ -317,8 +322,8 @@
             if let Some(team) = &self.site.settings.default_team {
                 return team.clone();
             }
-            self.holds
-                .push("accounting_group is not given, and the operators name no default team".to_owned());
+            let text = "accounting_group is not given, and the operators name no default team";
+            self.hold(Why::Team, text.to_owned());
             return String::new();
         };
         let text = text.trim_matches('"');
@@ -336,8 +341,8 @@
                 if !near.is_empty() {
                     why = format!("{why}; the nearest are {}", near.join(", "));
                 }
-                self.holds.push(why);
-                String::new()
+                self.hold(Why::Team, why);
+                first.to_owned()
             }
         }
     }
@@ -552,7 +557,7 @@
             && let Some(value) = self.evaluate(key, text)
         {
             match value.truth() {
-                Some(true) => self.holds.push("hold = true in the submit file".to_owned()),
+                Some(true) => self.hold(Why::User, "hold = true in the submit file".to_owned()),
                 Some(false) => (),
                 None => self.refuse(key, 0, format!("hold = {text} is neither true nor false")),
             }
--- a/crates/condor/src/source.rs
+++ b/crates/condor/src/source.rs
@@ -1,5 +1,6 @@
 //! Text with its places, and where a file's other files come from.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
 use thiserror::Error;
@@ -45,7 +46,8 @@
 }
 
 /// What `queue … matching` looks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Matching {
     Files,
     Folders,
--- /dev/null
+++ b/crates/core/src/condor/desk.rs
@@ -0,0 +1,1045 @@
+//! Where clusters are accepted and changed, at any node: step by step through the state
+//! service, so that a node may end between any two steps.
+//!
+//! A cluster is recorded while it is open (`j/~<cluster>`), and the leader starts nothing of
+//! it. Accepting it is one transaction, which takes the open record away. Whoever sends the
+//! same submission again, to any node, goes on where the records stand.
+
+use super::plan::{Plan, plan};
+use super::{Accepted, Changed, History, Past, Refused, Told, jobs_prefix, open_key, released, site};
+use crate::budget::Bucket;
+use crate::constants::*;
+use crate::io::{CallId, Calls, Destination, Io, Method, Outcome, RequestId, json};
+use crate::model::{JobId, JobSpec, Millis};
+use crate::records::{self, EndedRecord, Ending, Record};
+use crate::settings::Settings;
+use crate::wire::{
+    Change, Condition, MachineType, StoredItem, StoredPage, Transaction, TransactionAnswer, paths,
+};
+use indigopath_condor::cluster::{
+    CLUSTERS, ClusterRecord, KeyRecord, NUMBER, NumberRecord, OpenRecord, cluster_key, key_key,
+};
+use indigopath_condor::{Bundle, Hold, Part, Why};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// What is asked of clusters.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Route {
+    Submit,
+    Queue,
+    Change(Target, Act),
+    History(Option<u64>),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Act {
+    Hold,
+    Release,
+    Remove,
+}
+
+/// A cluster, or one proc of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Target {
+    pub cluster: u64,
+    pub proc: Option<u32>,
+}
+
+/// Reads `7` or `7.3`.
+pub fn parse_target(text: &str) -> Option<Target> {
+    let (cluster, proc) = match text.split_once('.') {
+        Some((cluster, proc)) => (cluster, Some(proc.parse().ok()?)),
+        None => (text, None),
+    };
+    let cluster = cluster
+        .parse()
+        .ok()
+        .filter(|cluster| *cluster <= super::MAX_CLUSTER)?;
+    Some(Target { cluster, proc })
+}
+
+/// What a path under `/v1/condor` asks for, or the status that refuses it.
+///
+/// # Errors
+/// 404 or 405.
+pub fn route(method: &str, path: &str) -> Result<Route, u16> {
+    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    let (wanted, route) = match parts[..] {
+        ["clusters"] => ("POST", Route::Submit),
+        ["queue"] => ("GET", Route::Queue),
+        ["history"] => ("GET", Route::History(None)),
+        ["history", cluster] => {
+            let target = parse_target(cluster)
+                .filter(|target| target.proc.is_none())
+                .ok_or(404u16)?;
+            ("GET", Route::History(Some(target.cluster)))
+        }
+        ["clusters", target, act] => {
+            let act = match act {
+                "hold" => Act::Hold,
+                "release" => Act::Release,
+                "remove" => Act::Remove,
+                _ => return Err(404),
+            };
+            ("POST", Route::Change(parse_target(target).ok_or(404u16)?, act))
+        }
+        _ => return Err(404),
+    };
+    if method == wanted { Ok(route) } else { Err(405) }
+}
+
+/// A step of an operation, for which a call is under way.
+#[derive(Debug, Clone, PartialEq)]
+enum Step {
+    ReadKey,
+    /// The key's cluster is gone: given up, and cleared away.
+    DropKey,
+    ReadNumber,
+    Allocate {
+        cluster: u64,
+        at_ms: u64,
+    },
+    ReadOpen,
+    /// Another node had planned something else.
+    Retake {
+        at_ms: u64,
+    },
+    ReadStaged {
+        ours: bool,
+    },
+    Clear,
+    Stage(Vec<usize>),
+    Commit,
+    ReadCluster,
+    ReadJobs,
+    Apply(Vec<JobId>),
+    Latest,
+    Page,
+    ReadEnded,
+    ReadLive,
+}
+
+#[derive(Debug)]
+struct Submit {
+    bundle: Arc<Bundle>,
+    digest: String,
+    cluster: u64,
+    plan: Option<Plan>,
+    plan_digest: String,
+    open_version: u64,
+    at_ms: u64,
+    /// Jobs that are recorded, by position.
+    staged: BTreeSet<usize>,
+    /// Records of another plan, to be cleared away first, with the versions read.
+    foreign: Vec<(String, u64)>,
+    key_version: u64,
+}
+
+#[derive(Debug)]
+struct Modify {
+    target: Target,
+    act: Act,
+    /// Jobs still to be changed: record, version.
+    left: Vec<(JobSpec, u64)>,
+    done: u32,
+    not: Vec<Told>,
+}
+
+#[derive(Debug)]
+enum Work {
+    Submit(Box<Submit>),
+    Modify(Modify),
+    History { cluster: Option<u64>, found: History },
+}
+
+#[derive(Debug)]
+struct Op {
+    request: Option<RequestId>,
+    /// When whoever waits is told how far it is.
+    answer_at: Millis,
+    rounds: u32,
+    work: Work,
+    /// A step that waits for its share of the state service's changes.
+    waiting: Option<(Step, f64)>,
+}
+
+/// Operations on clusters that are under way at this node.
+#[derive(Debug)]
+pub struct Desk {
+    ops: BTreeMap<u64, Op>,
+    next: u64,
+    calls: Calls<(u64, Step)>,
+    pace: Bucket,
+}
+
+/// What operations look at, beside the records.
+pub struct Context<'a> {
+    pub settings: &'a Settings,
+    pub types: &'a [MachineType],
+}
+
+/// How an operation goes on.
+enum Next {
+    Call(Step),
+    /// A step that changes so many keys.
+    Paced(Step, usize),
+    Reply(u16, Vec<u8>),
+    Error(u16, String),
+    /// The state service does not do its part now.
+    Later(&'static str),
+    /// Others changed the same: from here again.
+    Again(Step),
+}
+
+impl Desk {
+    pub fn new(settings: &Settings, now: Millis) -> Desk {
+        let rate = settings.deployment.state.write_rps * CLUSTER_WRITE_SHARE;
+        let burst = CLUSTER_BATCH as f64;
+        Desk {
+            ops: BTreeMap::new(),
+            next: 0,
+            calls: Calls::default(),
+            pace: Bucket::new(rate, burst, now),
+        }
+    }
+
+    /// A submission. The same one, sent again while it is worked at, waits for the same.
+    pub fn submit(&mut self, request: RequestId, body: &[u8], context: &Context<'_>, io: &mut Io) {
+        let bundle: Bundle = match serde_json::from_slice(body) {
+            Ok(bundle) => bundle,
+            Err(error) => return io.reply_error(request, 400, &error.to_string()),
+        };
+        if let Err(problem) = bundle.check() {
+            return io.reply_error(request, 400, &problem);
+        }
+        if context.types.is_empty() {
+            return io.reply_later(request, RETRY_AFTER_S, "machine types are not known yet");
+        }
+        let digest = bundle.digest();
+        let same = self.ops.values_mut().find_map(|op| match &op.work {
+            Work::Submit(submit) if submit.bundle.key == bundle.key => {
+                let same = submit.digest == digest;
+                Some((op, same))
+            }
+            _ => None,
+        });
+        match same {
+            Some((op, true)) => {
+                if let Some(before) = op.request.replace(request) {
+                    io.reply_later(before, RETRY_AFTER_S, "the same submission came again");
+                }
+                op.answer_at = io.now + CLUSTER_ANSWER_MS;
+                return;
+            }
+            Some((_, false)) => return io.reply_error(request, 409, OTHER_KEY),
+            None => (),
+        }
+        let submit = Submit {
+            bundle: Arc::new(bundle),
+            digest,
+            cluster: 0,
+            plan: None,
+            plan_digest: String::new(),
+            open_version: 0,
+            at_ms: 0,
+            staged: BTreeSet::new(),
+            foreign: Vec::new(),
+            key_version: 0,
+        };
+        self.begin(
+            request,
+            Work::Submit(Box::new(submit)),
+            Step::ReadKey,
+            context,
+            io,
+        );
+    }
+
+    pub fn change(
+        &mut self,
+        request: RequestId,
+        target: Target,
+        act: Act,
+        context: &Context<'_>,
+        io: &mut Io,
+    ) {
+        let work = Work::Modify(Modify {
+            target,
+            act,
+            left: Vec::new(),
+            done: 0,
+            not: Vec::new(),
+        });
+        self.begin(request, work, Step::ReadCluster, context, io);
+    }
+
+    pub fn history(&mut self, request: RequestId, cluster: Option<u64>, context: &Context<'_>, io: &mut Io) {
+        let work = Work::History {
+            cluster,
+            found: History::default(),
+        };
+        let first = if cluster.is_some() {
+            Step::ReadCluster
+        } else {
+            Step::Latest
+        };
+        self.begin(request, work, first, context, io);
+    }
+
+    fn begin(&mut self, request: RequestId, work: Work, first: Step, context: &Context<'_>, io: &mut Io) {
+        if self.ops.len() >= CLUSTER_OPS || !io.state.take(1.0, POLL_RESERVE, io.now) {
+            return io.reply_later(request, RETRY_AFTER_S, "too many requests, come back later");
+        }
+        self.next += 1;
+        let op = Op {
+            request: Some(request),
+            answer_at: io.now + CLUSTER_ANSWER_MS,
+            rounds: 0,
+            work,
+            waiting: None,
+        };
+        self.ops.insert(self.next, op);
+        self.call(self.next, first, context, io);
+    }
+
+    /// Goes on with what waited for its share, and tells who has waited for long.
+    pub fn settle(&mut self, context: &Context<'_>, io: &mut Io) {
+        let due: Vec<u64> = self
+            .ops
+            .iter()
+            .filter(|(_, op)| op.waiting.is_some())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            let Some(op) = self.ops.get_mut(&id) else { continue };
+            if let Some((step, changes)) = op.waiting.take() {
+                if self.pace.take(changes, 0.0, io.now) {
+                    self.call(id, step, context, io);
+                } else {
+                    op.waiting = Some((step, changes));
+                }
+            }
+        }
+        for op in self.ops.values_mut() {
+            if io.now >= op.answer_at
+                && let Some(request) = op.request.take()
+            {
+                let text = match &op.work {
+                    Work::Submit(submit) => format!(
+                        "{} of {} jobs are recorded; send the same again",
+                        submit.staged.len(),
+                        submit.plan.as_ref().map_or(0, |plan| plan.jobs.len())
+                    ),
+                    _ => "it is not done yet; send the same again".to_owned(),
+                };
+                io.reply_later(request, RETRY_AFTER_S, &text);
+            }
+        }
+    }
+
+    /// Whether an operation on clusters waits for this call; it goes on.
+    pub fn answered(&mut self, call: CallId, outcome: &Outcome, context: &Context<'_>, io: &mut Io) -> bool {
+        let Some((id, step)) = self.calls.settle(call) else {
+            return false;
+        };
+        let Some(op) = self.ops.get_mut(&id) else {
+            return true;
+        };
+        let next = match &mut op.work {
+            Work::Submit(submit) => submit.follow(step, outcome, context, io),
+            Work::Modify(change) => change.follow(step, outcome, context),
+            Work::History { cluster, found } => follow_history(*cluster, found, &step, outcome),
+        };
+        match next {
+            Next::Call(step) => self.call(id, step, context, io),
+            Next::Paced(step, changes) => {
+                let changes = changes as f64;
+                if self.pace.take(changes, 0.0, io.now) {
+                    self.call(id, step, context, io);
+                } else {
+                    op.waiting = Some((step, changes));
+                }
+            }
+            Next::Again(step) => {
+                op.rounds += 1;
+                if op.rounds > CLUSTER_ROUNDS {
+                    self.end(
+                        id,
+                        |request, io| {
+                            io.reply_later(request, RETRY_AFTER_S, "others change the same; come back later");
+                        },
+                        io,
+                    );
+                } else {
+                    self.call(id, step, context, io);
+                }
+            }
+            Next::Reply(status, body) => self.end(
+                id,
+                |request, io| {
+                    io.reply_bytes(request, status, crate::io::Content::Json, body);
+                },
+                io,
+            ),
+            Next::Error(status, text) => {
+                self.end(id, |request, io| io.reply_error(request, status, &text), io)
+            }
+            Next::Later(text) => self.end(id, |request, io| io.reply_later(request, RETRY_AFTER_S, text), io),
+        }
+        true
+    }
+
+    fn end(&mut self, id: u64, tell: impl FnOnce(RequestId, &mut Io), io: &mut Io) {
+        if let Some(op) = self.ops.remove(&id)
+            && let Some(request) = op.request
+        {
+            tell(request, io);
+        }
+    }
+
+    fn call(&mut self, id: u64, step: Step, context: &Context<'_>, io: &mut Io) {
+        let Some(op) = self.ops.get(&id) else { return };
+        let message = match &op.work {
+            Work::Submit(submit) => submit.message(&step, context),
+            Work::Modify(change) => change.message(&step, context),
+            Work::History { cluster, found } => Some(history_message(*cluster, found, &step)),
+        };
+        let Some((method, path, body)) = message else {
+            // A step without its part of the work: never planned so.
+            return self.end(
+                id,
+                |request, io| io.reply_error(request, 503, "it cannot go on"),
+                io,
+            );
+        };
+        io.state.force(1.0, io.now);
+        let call = io.call(Destination::State, method, path, body, STATE_TIMEOUT_MS);
+        self.calls.expect(call, (id, step));
+    }
+}
+
+const OTHER_KEY: &str = "another submission came under this key";
+
+type Message = (Method, String, Vec<u8>);
+
+fn get(key: &str) -> Message {
+    (Method::Get, paths::key(key), Vec::new())
+}
+
+fn page(prefix: &str, after: Option<&str>) -> Message {
+    (Method::Get, paths::page(prefix, after, PAGE_ITEMS), Vec::new())
+}
+
+fn transaction(conditions: Vec<(String, u64)>, changes: Vec<Change>) -> Message {
+    let conditions = conditions
+        .into_iter()
+        .map(|(key, version)| Condition { key, version })
+        .collect();
+    let body = Transaction { conditions, changes };
+    (Method::Post, paths::TRANSACTION.to_owned(), json(&body))
+}
+
+fn put(key: String, value: &impl Record) -> Change {
+    Change::Put {
+        key,
+        value: value.to_value(),
+        lease: None,
+    }
+}
+
+/// Jobs that fit one transaction, if each takes so many changes.
+fn batch_size(context: &Context<'_>, changes_each: usize) -> usize {
+    let room = context.settings.deployment.state.txn_ops.min(CLUSTER_BATCH);
+    (room / changes_each).max(1)
+}
+
+fn planned(bundle: &Bundle, cluster: u64, at_ms: u64, context: &Context<'_>) -> Result<Plan, Refused> {
+    let operator = &context.settings.operator;
+    let deployment = &context.settings.deployment;
+    let condor = operator.condor.clone().unwrap_or_default();
+    let site = site(deployment, context.types, &operator.counts, &condor);
+    plan(bundle, cluster, &site, at_ms, deployment.state.value_kb)
+}
+
+impl Submit {
+    fn message(&self, step: &Step, context: &Context<'_>) -> Option<Message> {
+        let open = open_key(self.cluster);
+        let at_open = || (open.clone(), self.open_version);
+        Some(match step {
+            Step::ReadKey => get(&key_key(&self.bundle.key)),
+            Step::ReadNumber => get(NUMBER),
+            Step::ReadOpen => get(&open),
+            Step::ReadCluster => get(&cluster_key(self.cluster)),
+            Step::ReadStaged { .. } => page(&jobs_prefix(records::JOBS, self.cluster), None),
+            Step::DropKey => {
+                let key = key_key(&self.bundle.key);
+                let conditions = vec![
+                    (key.clone(), self.key_version),
+                    (open, 0),
+                    (cluster_key(self.cluster), 0),
+                ];
+                transaction(conditions, vec![Change::Delete { key }])
+            }
+            Step::Allocate { cluster, at_ms } => {
+                let key = key_key(&self.bundle.key);
+                let conditions = vec![(NUMBER.to_owned(), self.open_version), (key.clone(), 0)];
+                let own = KeyRecord {
+                    cluster: *cluster,
+                    digest: self.digest.clone(),
+                };
+                let record = OpenRecord {
+                    plan: self.plan_digest.clone(),
+                    at_ms: *at_ms,
+                    abandoned: false,
+                };
+                let next = NumberRecord { next: *cluster + 1 };
+                let changes = vec![
+                    put(NUMBER.to_owned(), &next),
+                    put(key, &own),
+                    put(open_key(*cluster), &record),
+                ];
+                transaction(conditions, changes)
+            }
+            Step::Retake { at_ms } => {
+                let record = OpenRecord {
+                    plan: self.plan_digest.clone(),
+                    at_ms: *at_ms,
+                    abandoned: false,
+                };
+                transaction(vec![at_open()], vec![put(open.clone(), &record)])
+            }
+            Step::Clear => {
+                let some = &self.foreign[..self.foreign.len().min(batch_size(context, 1))];
+                let mut conditions = vec![at_open()];
+                conditions.extend(some.iter().cloned());
+                let changes = some.iter().map(|(key, _)| Change::Delete { key: key.clone() });
+                transaction(conditions, changes.collect())
+            }
+            Step::Stage(positions) => {
+                let jobs = &self.plan.as_ref()?.jobs;
+                let mut conditions = vec![at_open()];
+                let mut changes = Vec::new();
+                for spec in positions.iter().filter_map(|at| jobs.get(*at)) {
+                    conditions.push((records::job_key(&spec.id.0), 0));
+                    conditions.push((records::ended_key(&spec.id.0), 0));
+                    changes.push(put(records::job_key(&spec.id.0), spec));
+                }
+                transaction(conditions, changes)
+            }
+            Step::Commit => {
+                let plan = self.plan.as_ref()?;
+                let record = ClusterRecord {
+                    cluster: self.cluster,
+                    owner: self.bundle.owner.clone(),
+                    file: self.bundle.file.clone(),
+                    procs: plan.procs,
+                    jobs: plan.jobs.len() as u32,
+                    at_ms: self.at_ms,
+                };
+                let changes = vec![
+                    Change::Delete { key: open.clone() },
+                    put(cluster_key(self.cluster), &record),
+                ];
+                transaction(vec![at_open(), (cluster_key(self.cluster), 0)], changes)
+            }
+            _ => return None,
+        })
+    }
+
+    /// Plans the file anew for the number and the time that hold; a refusal if it cannot be.
+    fn plan(&mut self, cluster: u64, at_ms: u64, context: &Context<'_>) -> Result<(), Next> {
+        let plan = planned(&self.bundle, cluster, at_ms, context)
+            .map_err(|refused| Next::Reply(422, json(&refused)))?;
+        self.plan_digest = plan.digest();
+        self.plan = Some(plan);
+        self.at_ms = at_ms;
+        Ok(())
+    }
+
+    fn follow(&mut self, step: Step, outcome: &Outcome, context: &Context<'_>, io: &Io) -> Next {
+        const SILENT: Next = Next::Later("the state service does not answer");
+        match (step, outcome.status()) {
+            (Step::ReadKey, Some(404)) => Next::Call(Step::ReadNumber),
+            (Step::ReadKey, Some(200)) => {
+                let item = outcome.read::<StoredItem>(&[200]);
+                let Some((record, version)) =
+                    item.and_then(|item| Some((KeyRecord::from_value(&item.value).ok()?, item.version)))
+                else {
+                    return SILENT;
+                };
+                if record.digest != self.digest {
+                    return Next::Error(409, OTHER_KEY.to_owned());
+                }
+                self.cluster = record.cluster;
+                self.key_version = version;
+                Next::Call(Step::ReadOpen)
+            }
+            (Step::ReadNumber, Some(200 | 404)) => {
+                let item = outcome.read::<StoredItem>(&[200]);
+                let (next, version) = match (&item, outcome.status()) {
+                    (Some(item), _) => match NumberRecord::from_value(&item.value) {
+                        Ok(record) => (record.next, item.version),
+                        Err(_) => return SILENT,
+                    },
+                    (None, Some(404)) => (1, 0),
+                    _ => return SILENT,
+                };
+                if next > super::MAX_CLUSTER {
+                    return Next::Error(503, "no cluster number is left".to_owned());
+                }
+                let at_ms = io.wall_ms;
+                if let Err(refused) = self.plan(next, at_ms, context) {
+                    return refused;
+                }
+                self.open_version = version;
+                Next::Paced(Step::Allocate { cluster: next, at_ms }, 3)
+            }
+            (Step::Allocate { cluster, .. }, Some(200)) => {
+                let Some(answer) = outcome.read::<TransactionAnswer>(&[200]) else {
+                    return SILENT;
+                };
+                self.cluster = cluster;
+                self.open_version = answer.revision;
+                self.stage(context)
+            }
+            // Another took the number, or another node has the same submission.
+            (Step::Allocate { .. } | Step::DropKey, Some(200 | 409)) => Next::Again(Step::ReadKey),
+            (Step::ReadOpen, Some(200)) => {
+                let item = outcome.read::<StoredItem>(&[200]);
+                let Some((record, version)) =
+                    item.and_then(|item| Some((OpenRecord::from_value(&item.value).ok()?, item.version)))
+                else {
+                    return SILENT;
+                };
+                if record.abandoned {
+                    return Next::Later("it was left open for too long and is being cleared away");
+                }
+                self.open_version = version;
+                if let Err(refused) = self.plan(self.cluster, record.at_ms, context) {
+                    return refused;
+                }
+                if record.plan == self.plan_digest {
+                    Next::Call(Step::ReadStaged { ours: true })
+                } else {
+                    Next::Paced(Step::Retake { at_ms: record.at_ms }, 1)
+                }
+            }
+            (Step::ReadOpen, Some(404)) => Next::Call(Step::ReadCluster),
+            (Step::ReadCluster, Some(200)) => {
+                let item = outcome.read::<StoredItem>(&[200]);
+                match item.and_then(|item| ClusterRecord::from_value(&item.value).ok()) {
+                    Some(record) => self.accepted(record.procs, record.jobs),
+                    None => SILENT,
+                }
+            }
+            (Step::ReadCluster, Some(404)) => Next::Paced(Step::DropKey, 1),
+            (Step::Retake { .. }, Some(200)) => {
+                let Some(answer) = outcome.read::<TransactionAnswer>(&[200]) else {
+                    return SILENT;
+                };
+                self.open_version = answer.revision;
+                Next::Call(Step::ReadStaged { ours: false })
+            }
+            (Step::ReadStaged { ours }, Some(200)) => {
+                let Some(page) = outcome.read::<StoredPage>(&[200]) else {
+                    return SILENT;
+                };
+                self.staged.clear();
+                self.foreign.clear();
+                for item in page.items {
+                    let position = self.plan.as_ref().and_then(|plan| {
+                        plan.jobs
+                            .iter()
+                            .position(|spec| item.key == records::job_key(&spec.id.0))
+                    });
+                    match position {
+                        Some(position) if ours => {
+                            self.staged.insert(position);
+                        }
+                        _ => self.foreign.push((item.key, item.version)),
+                    }
+                }
+                self.stage(context)
+            }
+            (Step::Clear, Some(200)) => {
+                let done = self.foreign.len().min(batch_size(context, 1));
+                self.foreign.drain(..done);
+                self.stage(context)
+            }
+            (Step::Stage(positions), Some(200)) => {
+                self.staged.extend(positions);
+                self.stage(context)
+            }
+            (Step::Commit, Some(200)) => {
+                let (procs, jobs) = self
+                    .plan
+                    .as_ref()
+                    .map_or((0, 0), |plan| (plan.procs, plan.jobs.len() as u32));
+                log::info!(
+                    "cluster={} of {} accepted: {procs} procs in {jobs} jobs",
+                    self.cluster,
+                    self.bundle.owner
+                );
+                self.accepted(procs, jobs)
+            }
+            (Step::Retake { .. } | Step::Clear | Step::Stage(_) | Step::Commit, Some(409)) => {
+                Next::Again(Step::ReadOpen)
+            }
+            _ => SILENT,
+        }
+    }
+
+    /// The next thing to record.
+    fn stage(&self, context: &Context<'_>) -> Next {
+        if !self.foreign.is_empty() {
+            return Next::Paced(Step::Clear, self.foreign.len().min(batch_size(context, 1)));
+        }
+        let Some(plan) = &self.plan else {
+            return Next::Later("it is not planned");
+        };
+        let mut bytes = 0;
+        let mut positions = Vec::new();
+        for (at, spec) in plan.jobs.iter().enumerate() {
+            if self.staged.contains(&at) {
+                continue;
+            }
+            bytes += spec.to_text().get().len() + 256;
+            if positions.len() >= batch_size(context, 1) || (bytes > TXN_BYTES && !positions.is_empty()) {
+                break;
+            }
+            positions.push(at);
+        }
+        if positions.is_empty() {
+            return Next::Paced(Step::Commit, 2);
+        }
+        let changes = positions.len();
+        Next::Paced(Step::Stage(positions), changes)
+    }
+
+    fn accepted(&self, procs: u32, jobs: u32) -> Next {
+        let (held, notes) = match &self.plan {
+            Some(plan) => (plan.held.clone(), plan.notes.clone()),
+            None => Default::default(),
+        };
+        Next::Reply(
+            201,
+            json(&Accepted {
+                cluster: self.cluster,
+                procs,
+                jobs,
+                held,
+                notes,
+            }),
+        )
+    }
+}
+
+impl Modify {
+    fn message(&self, step: &Step, context: &Context<'_>) -> Option<Message> {
+        Some(match step {
+            Step::ReadCluster => get(&cluster_key(self.target.cluster)),
+            Step::ReadJobs => page(&jobs_prefix(records::JOBS, self.target.cluster), None),
+            Step::Apply(_) => {
+                let mut conditions = Vec::new();
+                let mut changes = Vec::new();
+                for (spec, version) in self.next(context) {
+                    let key = records::job_key(&spec.id.0);
+                    conditions.push((key.clone(), *version));
+                    if self.act == Act::Remove {
+                        let record = EndedRecord {
+                            end: Ending::Cancelled,
+                            tasks: 0,
+                        };
+                        changes.push(Change::Delete { key });
+                        changes.push(put(records::ended_key(&spec.id.0), &record));
+                    } else {
+                        changes.push(put(key, spec));
+                    }
+                }
+                transaction(conditions, changes)
+            }
+            _ => return None,
+        })
+    }
+
+    /// The jobs that go into the next transaction.
+    fn next(&self, context: &Context<'_>) -> &[(JobSpec, u64)] {
+        let changes_each = if self.act == Act::Remove { 2 } else { 1 };
+        let mut bytes = 0;
+        let most = batch_size(context, changes_each);
+        let fitting = self.left.iter().take(most).take_while(|(spec, _)| {
+            bytes += spec.to_text().get().len() + 256;
+            bytes <= TXN_BYTES
+        });
+        let count = fitting.count().max(1);
+        &self.left[..count.min(self.left.len())]
+    }
+
+    fn follow(&mut self, step: Step, outcome: &Outcome, context: &Context<'_>) -> Next {
+        const SILENT: Next = Next::Later("the state service does not answer");
+        match (step, outcome.status()) {
+            (Step::ReadCluster, Some(200)) => Next::Call(Step::ReadJobs),
+            (Step::ReadCluster, Some(404)) => {
+                Next::Error(404, format!("there is no cluster {}", self.target.cluster))
+            }
+            (Step::ReadJobs, Some(200)) => {
+                let Some(page) = outcome.read::<StoredPage>(&[200]) else {
+                    return SILENT;
+                };
+                self.left.clear();
+                self.not.clear();
+                let mut seen = false;
+                for item in page.items {
+                    let Ok(spec) = JobSpec::from_value(&item.value) else {
+                        continue;
+                    };
+                    seen |= self.sort(spec, item.version, context);
+                }
+                if let Some(proc) = self.target.proc.filter(|_| !seen) {
+                    return Next::Error(404, format!("{}.{proc} is not in the queue", self.target.cluster));
+                }
+                self.go_on(context)
+            }
+            (Step::Apply(changed), Some(200)) => {
+                let is_done = |spec: &JobSpec| changed.contains(&spec.id);
+                let procs = self.left.iter().filter(|(spec, _)| is_done(spec));
+                self.done += procs.map(|(spec, _)| procs_of(spec)).sum::<u32>();
+                self.left.retain(|(spec, _)| !is_done(spec));
+                self.go_on(context)
+            }
+            (Step::Apply(_), Some(409)) => Next::Again(Step::ReadJobs),
+            _ => SILENT,
+        }
+    }
+
+    /// Puts a live job where it belongs; whether it is one that is meant.
+    fn sort(&mut self, spec: JobSpec, version: u64, context: &Context<'_>) -> bool {
+        let Some(part) = spec.condor.clone() else {
+            return false;
+        };
+        if let Some(proc) = self.target.proc {
+            if !part.procs.contains(proc) {
+                return false;
+            }
+            if part.procs.count() > 1 {
+                self.not.push(Told {
+                    procs: part.procs.text(),
+                    verdict: "unchanged".to_owned(),
+                    reason: format!(
+                        "these procs ask for the same and are one array: name the cluster, {}, to change all",
+                        part.cluster
+                    ),
+                });
+                return true;
+            }
+        }
+        match self.act {
+            Act::Remove => self.left.push((spec, version)),
+            Act::Hold => {
+                if part.holds.iter().any(|hold| hold.why == Why::User) {
+                    self.done += procs_of(&spec);
+                    return true;
+                }
+                let mut part = (*part).clone();
+                part.holds.push(Hold {
+                    why: Why::User,
+                    text: "its user holds it".to_owned(),
+                });
+                self.left.push((with_part(spec, part), version));
+            }
+            Act::Release => self.release(spec, &part, version, context),
+        }
+        true
+    }
+
+    fn release(&mut self, spec: JobSpec, part: &Part, version: u64, context: &Context<'_>) {
+        // What the settings in force no longer ask for goes as well.
+        let settings = context.settings;
+        let default_team = settings
+            .operator
+            .condor
+            .as_ref()
+            .and_then(|condor| condor.default_team.as_deref());
+        let spec = released(&spec, &settings.deployment, default_team).unwrap_or(spec);
+        let mut now = spec.condor.as_deref().unwrap_or(part).clone();
+        now.holds.retain(|hold| hold.why != Why::User);
+        if let Some(reason) = now.held() {
+            self.not.push(Told {
+                procs: now.procs.text(),
+                verdict: "held".to_owned(),
+                reason,
+            });
+        }
+        if now.holds.len() < part.holds.len() {
+            self.left.push((with_part(spec, now), version));
+        } else if now.holds.is_empty() {
+            self.done += procs_of(&spec);
+        }
+    }
+
+    fn go_on(&self, context: &Context<'_>) -> Next {
+        if self.left.is_empty() {
+            let body = json(&Changed {
+                cluster: self.target.cluster,
+                procs: self.done,
+                not: self.not.clone(),
+            });
+            return Next::Reply(200, body);
+        }
+        let ids: Vec<JobId> = self
+            .next(context)
+            .iter()
+            .map(|(spec, _)| spec.id.clone())
+            .collect();
+        let changes = ids.len() * if self.act == Act::Remove { 2 } else { 1 };
+        Next::Paced(Step::Apply(ids), changes)
+    }
+}
+
+fn with_part(spec: JobSpec, part: Part) -> JobSpec {
+    JobSpec {
+        condor: Some(Arc::new(part)),
+        ..spec
+    }
+}
+
+fn procs_of(spec: &JobSpec) -> u32 {
+    spec.condor.as_ref().map_or(0, |part| part.procs.count())
+}
+
+fn history_message(cluster: Option<u64>, found: &History, step: &Step) -> Message {
+    let cluster = cluster.unwrap_or(0);
+    match step {
+        Step::Latest => get(NUMBER),
+        Step::ReadEnded => page(&jobs_prefix(records::ENDED, cluster), None),
+        Step::ReadLive => page(&jobs_prefix(records::JOBS, cluster), None),
+        Step::Page => {
+            // The number before the first that is shown; none begins the page.
+            let after = found.clusters.first().map(|record| cluster_key(record.cluster));
+            page(CLUSTERS, after.as_deref())
+        }
+        _ => get(&cluster_key(cluster)),
+    }
+}
+
+fn follow_history(cluster: Option<u64>, found: &mut History, step: &Step, outcome: &Outcome) -> Next {
+    const SILENT: Next = Next::Later("the state service does not answer");
+    let jobs = |page: StoredPage, state: fn(&StoredItem) -> Option<(u32, String)>| {
+        let past = page.items.into_iter().filter_map(move |item| {
+            let (procs, state) = state(&item)?;
+            let (_, job) = item.key.split_once('/')?;
+            Some(Past {
+                job: job.to_owned(),
+                procs,
+                state,
+            })
+        });
+        past.collect::<Vec<Past>>()
+    };
+    match (step, outcome.status()) {
+        (Step::Latest, Some(404)) => Next::Reply(200, json(found)),
+        (Step::Latest, Some(200)) => {
+            let item = outcome.read::<StoredItem>(&[200]);
+            let Some(next) = item.and_then(|item| NumberRecord::from_value(&item.value).ok()) else {
+                return SILENT;
+            };
+            // A stand-in for where the page begins; it is replaced by what is read.
+            let before = next.next.saturating_sub(1 + HISTORY_SHOWN);
+            if before > 0 {
+                found.clusters = vec![ClusterRecord {
+                    cluster: before,
+                    owner: String::new(),
+                    file: String::new(),
+                    procs: 0,
+                    jobs: 0,
+                    at_ms: 0,
+                }];
+            }
+            Next::Call(Step::Page)
+        }
+        (Step::Page, Some(200)) => match outcome.read::<StoredPage>(&[200]) {
+            Some(page) => {
+                let records = page
+                    .items
+                    .iter()
+                    .filter_map(|item| ClusterRecord::from_value(&item.value).ok());
+                found.clusters = records.collect();
+                Next::Reply(200, json(found))
+            }
+            None => SILENT,
+        },
+        (Step::ReadCluster, Some(404)) => {
+            Next::Error(404, format!("there is no cluster {}", cluster.unwrap_or(0)))
+        }
+        (Step::ReadCluster, Some(200)) => {
+            let item = outcome.read::<StoredItem>(&[200]);
+            match item.and_then(|item| ClusterRecord::from_value(&item.value).ok()) {
+                Some(record) => {
+                    found.clusters = vec![record];
+                    Next::Call(Step::ReadLive)
+                }
+                None => SILENT,
+            }
+        }
+        // Live jobs first: what ends meanwhile is seen among the ended ones, perhaps twice.
+        (Step::ReadLive, Some(200)) => match outcome.read::<StoredPage>(&[200]) {
+            Some(page) => {
+                found.jobs = jobs(page, |item| {
+                    let spec = JobSpec::from_value(&item.value).ok()?;
+                    let held = spec.condor.as_ref()?.held().is_some();
+                    let state = if held { "held" } else { "live" };
+                    Some((procs_of(&spec), state.to_owned()))
+                });
+                Next::Call(Step::ReadEnded)
+            }
+            None => SILENT,
+        },
+        (Step::ReadEnded, Some(200)) => match outcome.read::<StoredPage>(&[200]) {
+            Some(page) => {
+                let ended = jobs(page, |item| {
+                    let ended = EndedRecord::from_value(&item.value).ok()?;
+                    let state = match ended.end {
+                        Ending::Done => "completed",
+                        Ending::Cancelled => "removed",
+                    };
+                    Some((ended.tasks, state.to_owned()))
+                });
+                found
+                    .jobs
+                    .retain(|live| ended.iter().all(|past| past.job != live.job));
+                found.jobs.extend(ended);
+                found.jobs.sort_by(|a, b| a.job.cmp(&b.job));
+                Next::Reply(200, json(found))
+            }
+            None => SILENT,
+        },
+        _ => SILENT,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::condor::job_id;
+
+    #[test]
+    fn paths_are_told_apart() {
+        assert_eq!(route("POST", "/clusters"), Ok(Route::Submit));
+        assert_eq!(route("GET", "/clusters"), Err(405));
+        assert_eq!(route("GET", "/history/7"), Ok(Route::History(Some(7))));
+        assert_eq!(route("GET", "/history/x"), Err(404));
+        let target = Target {
+            cluster: 7,
+            proc: Some(3),
+        };
+        assert_eq!(
+            route("POST", "/clusters/7.3/hold"),
+            Ok(Route::Change(target, Act::Hold))
+        );
+        assert_eq!(route("POST", "/clusters/7.3/keep"), Err(404));
+        assert_eq!(parse_target("99999999999"), None);
+        // Its job's name is the one that a proc's cluster gives.
+        assert!(job_id(7, 0).0.starts_with(&jobs_prefix("", 7)));
+    }
+}
--- /dev/null
+++ b/crates/core/src/condor/mod.rs
@@ -0,0 +1,265 @@
+//! HTCondor submit files on this core: what they are held against, the jobs that they
+//! become, and the operations on their clusters.
+
+mod desk;
+mod plan;
+
+pub use desk::{Act, Context, Desk, Route, Target, parse_target, route};
+
+use crate::intake::parse_id;
+use crate::model::{JobId, JobSpec};
+use crate::records::{self, Record};
+use crate::settings::Deployment;
+use crate::wire::MachineType;
+use indigopath_condor::cluster::{ClusterRecord, KeyRecord, NumberRecord, OPEN, OpenRecord};
+use indigopath_condor::{CondorSettings, Kinds, Site, Team, Why};
+use indigopath_counts::Definitions;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+impl Record for NumberRecord {}
+impl Record for KeyRecord {}
+impl Record for OpenRecord {}
+impl Record for ClusterRecord {}
+
+/// What the numbers of jobs of submit files begin with; twenty digits in all, the most that
+/// an id has. Users' own ids of that form are refused where submit files are served.
+const RESERVED: &str = "wk-99";
+
+/// Digits of a cluster's number in an id.
+const CLUSTER_DIGITS: usize = 10;
+
+/// Digits of a job's number within its cluster.
+const INDEX_DIGITS: usize = 8;
+
+/// Largest number of a cluster.
+pub const MAX_CLUSTER: u64 = 9_999_999_999;
+
+/// The id of a cluster's job.
+pub fn job_id(cluster: u64, index: u32) -> JobId {
+    JobId(Arc::from(format!(
+        "{RESERVED}{cluster:0CLUSTER_DIGITS$}{index:0INDEX_DIGITS$}"
+    )))
+}
+
+/// Whether an id is of the form that submit files' jobs have.
+pub fn is_reserved(id: &JobId) -> bool {
+    id.0.starts_with(RESERVED) && id.0.len() == RESERVED.len() + CLUSTER_DIGITS + INDEX_DIGITS
+}
+
+/// Prefix of the keys of a cluster's live, or ended, jobs.
+pub fn jobs_prefix(prefix: &str, cluster: u64) -> String {
+    format!("{prefix}{RESERVED}{cluster:0CLUSTER_DIGITS$}")
+}
+
+/// Key that stands while a cluster is being recorded.
+pub fn open_key(cluster: u64) -> String {
+    format!("{}{OPEN}{cluster:0CLUSTER_DIGITS$}", records::JOBS)
+}
+
+/// The cluster of such a key.
+pub fn parse_open(key: &str) -> Option<u64> {
+    key.strip_prefix(records::JOBS)?.strip_prefix(OPEN)?.parse().ok()
+}
+
+/// The site as submit files see it.
+pub fn site(
+    deployment: &Deployment,
+    types: &[MachineType],
+    counts: &Definitions,
+    settings: &CondorSettings,
+) -> Site {
+    let types: Vec<indigopath_condor::MachineType> = types
+        .iter()
+        .map(|machine_type| indigopath_condor::MachineType {
+            name: machine_type.name.clone(),
+            cpus: machine_type.cpus,
+            gpus: machine_type.gpus,
+            memory_gb: machine_type.memory_gb,
+            price: machine_type.price,
+            spot_price: machine_type.spot_price,
+            zones: machine_type.zones.clone(),
+        })
+        .collect();
+    let teams = deployment.teams.iter().map(|team| Team {
+        name: team.name.clone(),
+        cpus_max: team.cpus_max,
+        gpus_max: team.gpus_max,
+    });
+    Site {
+        kinds: Kinds::new(&types, &deployment.zones, settings),
+        teams: teams.collect(),
+        counts: counts.clone(),
+        settings: settings.clone(),
+    }
+}
+
+/// Whether a team's limit would ever let tasks of the job that run together start.
+fn within_limit(spec: &JobSpec, team: &crate::settings::Team) -> bool {
+    let together = match spec.shape {
+        crate::wire::Shape::Array => 1,
+        crate::wire::Shape::Gang | crate::wire::Shape::Service => spec.tasks,
+    };
+    team.allows(&spec.needs.times(f64::from(together)))
+}
+
+/// The job without those of its holds that the settings in force no longer call for; `None`
+/// if they call for all of them.
+pub fn released(spec: &JobSpec, deployment: &Deployment, default_team: Option<&str>) -> Option<JobSpec> {
+    let part = spec.condor.as_ref()?;
+    part.holds.iter().find(|hold| hold.why != Why::User)?;
+    let named = if spec.team.is_empty() {
+        default_team?
+    } else {
+        &spec.team
+    };
+    let team = deployment
+        .teams
+        .iter()
+        .find(|team| team.name.eq_ignore_ascii_case(named))?;
+    let mut part = (**part).clone();
+    let before = part.holds.len();
+    part.holds.retain(|hold| match hold.why {
+        Why::User => true,
+        Why::Team => false,
+        Why::Limit => !within_limit(spec, team),
+    });
+    if part.holds.len() == before {
+        return None;
+    }
+    // A team that was not known when the file came had no limit to be held against.
+    if !within_limit(spec, team) && part.holds.iter().all(|hold| hold.why != Why::Limit) {
+        part.holds.push(indigopath_condor::Hold {
+            why: Why::Limit,
+            text: format!("it needs more at once than team {}'s limit", team.name),
+        });
+    }
+    Some(JobSpec {
+        team: team.name.clone(),
+        condor: Some(Arc::new(part)),
+        ..spec.clone()
+    })
+}
+
+/// How a cluster's job stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum RowState {
+    Idle,
+    Running,
+    Held,
+}
+
+/// A live job of a submit file, for display.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QueueRow {
+    pub job: String,
+    pub cluster: u64,
+    pub procs: String,
+    pub owner: String,
+    pub team: String,
+    /// Time of day, in ms since 1970.
+    pub submitted_ms: u64,
+    pub state: RowState,
+    pub tasks: u32,
+    pub done: u32,
+    pub running: u32,
+    pub memory_gb: f64,
+    pub cmd: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hold: Option<String>,
+    /// Its user may release it: nothing else holds it.
+    pub releasable: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QueueList {
+    pub jobs: Vec<QueueRow>,
+}
+
+/// What a submitter is told of an accepted cluster.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Accepted {
+    pub cluster: u64,
+    pub procs: u32,
+    pub jobs: u32,
+    /// Procs that wait for a reason, with it.
+    #[serde(default)]
+    pub held: Vec<Told>,
+    #[serde(default)]
+    pub notes: Vec<String>,
+}
+
+/// What became of some procs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    pub procs: String,
+    pub verdict: String,
+    pub reason: String,
+}
+
+/// A file that is not taken, as a whole.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Refused {
+    pub error: String,
+    #[serde(default)]
+    pub refused: Vec<Told>,
+}
+
+/// What came of holding, releasing or removing.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Changed {
+    pub cluster: u64,
+    /// Procs that are as they were asked to be.
+    pub procs: u32,
+    /// Those that are not, and why.
+    #[serde(default)]
+    pub not: Vec<Told>,
+}
+
+/// One job of a cluster, live or over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Past {
+    pub job: String,
+    pub procs: u32,
+    pub state: String,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct History {
+    /// The latest last.
+    pub clusters: Vec<ClusterRecord>,
+    /// Of a single cluster.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub jobs: Vec<Past>,
+}
+
+/// Refuses a user's own id that could be a submit file's job.
+pub fn refuses_id(body: &[u8]) -> bool {
+    #[derive(Deserialize)]
+    struct OnlyId {
+        #[serde(rename = "Id")]
+        id: String,
+    }
+    let only: Result<OnlyId, _> = serde_json::from_slice(body);
+    only.ok()
+        .and_then(|only| parse_id(&only.id))
+        .is_some_and(|id| is_reserved(&id))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ids_of_jobs_and_keys_of_open_clusters_read_back() {
+        let id = job_id(7, 12);
+        assert_eq!(&*id.0, "wk-99000000000700000012");
+        assert!(parse_id(&id.0).is_some() && is_reserved(&id));
+        assert!(id.0.starts_with(&jobs_prefix("", 7)));
+        assert_eq!(parse_open(&open_key(7)), Some(7));
+        // Read after every job, so that what is not open by then was open before.
+        assert!(open_key(0) > records::job_key(&job_id(MAX_CLUSTER, u32::MAX).0));
+        assert_eq!(parse_open("j/wk-7"), None);
+    }
+}
--- /dev/null
+++ b/crates/core/src/condor/plan.rs
@@ -0,0 +1,200 @@
+//! From a submission to the jobs that it becomes.
+
+use super::{Refused, Told, job_id};
+use crate::constants::{MAX_DURATION_S, MAX_NAME, VALUE_SHARE};
+use crate::model::{JobSpec, Resources};
+use crate::records::Record;
+use crate::wire::{Priority, Shape};
+use indigopath_condor::cluster::{Array, arrays};
+use indigopath_condor::constants::MAX_CLUSTER_PROCS;
+use indigopath_condor::{
+    Bundle, Judged, KindSet, Level, Outcome, Part, Procs, Request, Site, Submission, Verdict, What, judge,
+    notes, read,
+};
+use std::sync::Arc;
+
+/// The jobs of a cluster, and what its submitter is told.
+#[derive(Debug)]
+pub struct Plan {
+    pub jobs: Vec<JobSpec>,
+    pub procs: u32,
+    pub held: Vec<Told>,
+    pub notes: Vec<String>,
+}
+
+/// Most reasons that an answer lists; more are of a kind.
+const REASONS_SHOWN: usize = 20;
+
+/// Longest program with arguments that is kept for display, in letters.
+const CMD_SHOWN: usize = 120;
+
+impl Plan {
+    /// What of it two nodes have to agree on.
+    pub fn digest(&self) -> String {
+        let jobs = serde_json::to_vec(&self.jobs).unwrap_or_default();
+        blake3::hash(&jobs).to_hex()[..32].to_owned()
+    }
+}
+
+/// Plans a submission as a cluster of this number. `submitted_ms` counts as its time, and
+/// `value_kb` is what a record may take.
+///
+/// # Errors
+/// Why it is not taken: the file cannot be read, or some proc is refused or could never run.
+pub fn plan(
+    bundle: &Bundle,
+    cluster: u64,
+    site: &Site,
+    submitted_ms: u64,
+    value_kb: f64,
+) -> Result<Plan, Refused> {
+    let refused = |error: String| Refused {
+        error,
+        refused: Vec::new(),
+    };
+    let submission = read(&bundle.text, &bundle.file, cluster, bundle.at_s, bundle)
+        .map_err(|error| refused(error.to_string()))?;
+    if submission.procs() > MAX_CLUSTER_PROCS {
+        return Err(refused(format!(
+            "the file has {} procs; at most {MAX_CLUSTER_PROCS} are taken at once: split it",
+            submission.procs()
+        )));
+    }
+    if submission.procs() == 0 {
+        return Err(refused("the file has no procs".to_owned()));
+    }
+    let judged = judge(&submission, cluster, bundle.at_s, site);
+    let bad = told(&judged, |verdict| {
+        matches!(verdict, Verdict::Refused | Verdict::Never)
+    });
+    if let Some(first) = bad.first() {
+        return Err(Refused {
+            error: format!("procs {}: {}", first.procs, first.reason),
+            refused: bad,
+        });
+    }
+    let arrays = arrays(&judged).map_err(|error| refused(error.to_string()))?;
+    let mut jobs = Vec::with_capacity(arrays.len());
+    for (index, array) in (0u32..).zip(&arrays) {
+        let outcome = &judged.outcomes[array.outcome];
+        let Some(request) = &outcome.request else { continue };
+        let mut spec = job(request, outcome, array, site);
+        spec.id = job_id(cluster, index);
+        spec.submitted_ms = submitted_ms;
+        spec.condor = Some(Arc::new(Part {
+            cluster,
+            procs: Procs::new(&array.procs),
+            owner: bundle.owner.clone(),
+            cmd: cmd(&submission, array.procs.first().copied().unwrap_or(0)),
+            holds: request.holds.clone(),
+        }));
+        for (what, name) in [("class", &spec.class), ("team", &spec.team)] {
+            if name.len() > MAX_NAME {
+                return Err(refused(format!("the name of its {what} is too long")));
+            }
+        }
+        if spec.image.is_empty() || spec.image.len() > MAX_NAME {
+            return Err(refused("the name of its image is too long".to_owned()));
+        }
+        if !(0.0..=MAX_DURATION_S).contains(&spec.estimate_s) {
+            return Err(refused("its estimate is out of range".to_owned()));
+        }
+        if spec.to_text().get().len() as f64 > value_kb * 1024.0 * VALUE_SHARE {
+            return Err(refused("a record of it would be too large".to_owned()));
+        }
+        jobs.push(spec);
+    }
+    Ok(Plan {
+        jobs,
+        procs: submission.procs() as u32,
+        held: told(&judged, |verdict| verdict == Verdict::Held),
+        notes: notes(&submission)
+            .into_iter()
+            .take(REASONS_SHOWN)
+            .map(|(place, text)| format!("{place}: {text}"))
+            .collect(),
+    })
+}
+
+/// Procs with some verdicts and their reasons.
+fn told(judged: &Judged, which: impl Fn(Verdict) -> bool) -> Vec<Told> {
+    let mut found = Vec::new();
+    for (at, outcome) in judged.outcomes.iter().enumerate() {
+        if found.len() >= REASONS_SHOWN {
+            break;
+        }
+        if which(outcome.verdict) {
+            let procs = (0u32..).zip(&judged.of).filter(|(_, of)| **of as usize == at);
+            let procs: Vec<u32> = procs.map(|(proc, _)| proc).collect();
+            found.push(Told {
+                procs: Procs::new(&procs).text(),
+                verdict: format!("{:?}", outcome.verdict).to_lowercase(),
+                reason: outcome.reason.clone().unwrap_or_default(),
+            });
+        }
+    }
+    found
+}
+
+fn job(request: &Request, outcome: &Outcome, array: &Array, site: &Site) -> JobSpec {
+    let kinds = KindSet::of(outcome, &site.kinds);
+    let spot = kinds.any_spot();
+    // Without an expression nothing needs to be kept: new machine types do as well.
+    let any = request.requirements.is_none() && outcome.ranks.is_empty();
+    JobSpec {
+        id: job_id(0, 0),
+        class: request.class.clone(),
+        team: request.team.clone(),
+        shape: match request.gang {
+            Some(_) => Shape::Gang,
+            None => Shape::Array,
+        },
+        priority: match request.level {
+            Level::High => Priority::High,
+            Level::Normal => Priority::Normal,
+            Level::Low => Priority::Low,
+        },
+        tasks: request.gang.unwrap_or(array.procs.len() as u32),
+        needs: Resources {
+            cpus: request.cpus,
+            gpus: request.gpus,
+            memory_gb: request.memory_gb,
+        },
+        image: request.image.clone(),
+        image_gb: request.image_gb,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot,
+        estimate_s: request.estimate_s,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        counts: request.counts.clone(),
+        kinds: (!any).then(|| Arc::new(kinds)),
+        condor: None,
+        submitted_ms: 0,
+    }
+}
+
+/// The program of a proc, with its arguments, as far as they are shown.
+fn cmd(submission: &Submission, proc: u32) -> String {
+    let mut words = [String::new(), String::new()];
+    let found = submission
+        .batches
+        .iter()
+        .find_map(|batch| Some((batch, batch.procs.iter().find(|own| own.process == proc)?)));
+    if let Some((batch, proc)) = found {
+        for (key, value) in batch.given(proc) {
+            if let What::Command(command) = key.what {
+                match command.name {
+                    "executable" => words[0] = value.to_owned(),
+                    "arguments" => words[1] = value.to_owned(),
+                    _ => (),
+                }
+            }
+        }
+    }
+    words.join(" ").trim().chars().take(CMD_SHOWN).collect()
+}
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -424,3 +424,46 @@
 
 /// Most tasks of a job for which one pass tries to free units.
 pub const UNIT_SEARCHES_PER_JOB: u32 = 16;
+
+/// What a step down in a job's own ranking of machine kinds costs a placement, in s: more
+/// than all that placement itself weighs, so that a rank decides among the machines that have
+/// room, and never keeps a task from one.
+pub const RANK_STEP_COST_S: f64 = 100_000.0;
+
+/// Sets of machine kinds that a leader keeps, so that jobs with equal ones share them.
+pub const KIND_SETS_KEPT: usize = 4_096;
+
+/// How long a cluster may stay open, in ms: its submitter tries again within seconds. After
+/// that the leader gives it up and clears its records away.
+pub const CLUSTER_OPEN_MS: u64 = 10 * 60 * 1_000;
+
+/// Interval, in ms, at which the leader looks for clusters that were left open, and for holds
+/// that the limits in force allow to end.
+pub const CLUSTER_LOOK_MS: u64 = 5_000;
+
+/// Clusters that one node accepts or changes at a time; more are told at once to come back.
+/// Each holds the text of a file, at most [`MAX_SUBMIT_BODY`], for as long as it is read.
+pub const CLUSTER_OPS: usize = 4;
+
+/// Longest body of a submit file with all that goes along, in bytes: 10,000 items of 80
+/// letters, and some room.
+pub const MAX_SUBMIT_BODY: usize = 1024 * 1024;
+
+/// Share of the state service's change rate that one node uses to record clusters. Users'
+/// native submissions and the leader's own batches share the rest.
+pub const CLUSTER_WRITE_SHARE: f64 = 0.1;
+
+/// Keys that one transaction of a cluster changes at most. Three nodes that record clusters
+/// at once stay, with the leader's batches, within the state service's changes a second.
+pub const CLUSTER_BATCH: usize = 5;
+
+/// How long a submitter waits for its cluster, in ms, before it is told how far it is and to
+/// ask again; recording goes on meanwhile.
+pub const CLUSTER_ANSWER_MS: u64 = 3_000;
+
+/// Rounds in which an operation on a cluster starts again because other nodes changed the
+/// same, before its user is asked to come back.
+pub const CLUSTER_ROUNDS: u32 = 8;
+
+/// Clusters that the history shows.
+pub const HISTORY_SHOWN: u64 = 100;
--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -151,7 +151,7 @@
         let deployment = &settings.deployment;
         let placed = placed_tasks(jobs, machines, io.now);
         let mut standings: BTreeMap<(&str, Limit), Standing<'_>> = BTreeMap::new();
-        for job in jobs.values() {
+        for job in jobs.values().filter(|job| !job.parked) {
             if job.spec.shape == Shape::Service {
                 continue;
             }
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -152,6 +152,8 @@
         save_s,
         deadline_s,
         counts,
+        kinds: None,
+        condor: None,
         submitted_ms: wall_ms,
     };
     let fits = types.iter().any(|machine_type| {
--- /dev/null
+++ b/crates/core/src/leader/clusters.rs
@@ -0,0 +1,228 @@
+//! Clusters of submit files in a leader's term: nothing of one starts before it is accepted
+//! whole, nor while it is held; what nobody finished is cleared away.
+
+use super::*;
+use crate::condor::{self, QueueRow, RowState};
+use indigopath_condor::cluster::OpenRecord;
+use indigopath_condor::{KindSet, Why};
+use std::collections::hash_map::Entry;
+
+#[derive(Debug, Default)]
+pub(super) struct Clusters {
+    /// Clusters that are being recorded, with the versions of their records.
+    open: BTreeMap<u64, (OpenRecord, u64)>,
+    /// Equal sets of kinds as one: a pass works out each once.
+    kind_sets: HashMap<Arc<KindSet>, ()>,
+    looked_at: Millis,
+}
+
+impl Clusters {
+    /// Whether nothing of a job may start.
+    pub(super) fn parks(&self, spec: &JobSpec) -> bool {
+        let part = spec.condor.as_ref();
+        part.is_some_and(|part| !part.holds.is_empty() || self.open.contains_key(&part.cluster))
+    }
+
+    /// What the records say must be read again.
+    pub(super) fn forget(&mut self) {
+        self.open.clear();
+    }
+}
+
+impl Term {
+    /// What many jobs have alike stands in memory once.
+    pub(super) fn share(&mut self, spec: &mut JobSpec) {
+        self.share_demand(&mut spec.counts);
+        let Some(kinds) = &mut spec.kinds else { return };
+        let known = &mut self.clusters.kind_sets;
+        if known.len() >= KIND_SETS_KEPT {
+            // They live on with their jobs.
+            known.clear();
+        }
+        match known.entry(kinds.clone()) {
+            Entry::Occupied(entry) => *kinds = entry.key().clone(),
+            Entry::Vacant(entry) => {
+                entry.insert(());
+            }
+        }
+    }
+
+    /// Whether a live job's record may change: others may not, but for their end.
+    pub(super) fn may_change(&self, job: &str) -> bool {
+        self.jobs.get(job).is_some_and(|job| job.spec.condor.is_some())
+    }
+
+    /// A cluster is being recorded: its jobs wait until it is accepted.
+    pub(super) fn cluster_open(
+        &mut self,
+        cluster: u64,
+        value: &serde_json::Value,
+        version: u64,
+    ) -> Result<(), records::RecordError> {
+        let record = OpenRecord::from_value(value)?;
+        self.clusters.open.insert(cluster, (record, version));
+        self.park(cluster);
+        Ok(())
+    }
+
+    /// A cluster was accepted, or given up and its jobs with it.
+    pub(super) fn cluster_closed(&mut self, cluster: u64) {
+        self.clusters.open.remove(&cluster);
+        self.park(cluster);
+    }
+
+    pub(super) fn park_all(&mut self) {
+        for job in self.jobs.values_mut() {
+            job.parked = self.clusters.parks(&job.spec);
+        }
+    }
+
+    fn park(&mut self, cluster: u64) {
+        let first = condor::job_id(cluster, 0);
+        let last = condor::job_id(cluster, u32::MAX);
+        for (_, job) in self.jobs.range_mut(first..=last) {
+            job.parked = self.clusters.parks(&job.spec);
+        }
+        self.changed = true;
+    }
+
+    /// The record of a live job has another version: it was held, or released.
+    pub(super) fn job_changed(&mut self, spec: JobSpec, version: u64, now: Millis) {
+        let Some(job) = self.jobs.get_mut(&spec.id) else {
+            return;
+        };
+        if version <= job.version || spec.condor.is_none() {
+            return;
+        }
+        job.version = version;
+        job.parked = self.clusters.parks(&spec);
+        job.spec = spec;
+        self.changed = true;
+        if !job.parked {
+            return;
+        }
+        // Whatever of it runs saves what it can and makes room.
+        let grace_s = placement::grace_s(&job.spec);
+        let id = job.spec.id.clone();
+        let mut running = Vec::new();
+        each_attempt(&self.hosts, &mut self.machines, &id, |host, attempt| {
+            running.push((attempt.task.clone(), host.clone()));
+        });
+        for (task, host) in running {
+            self.stop(&task, &host, grace_s, now);
+        }
+    }
+
+    /// Clears away what was left open, and ends holds whose reason is gone.
+    pub(super) fn look_at_clusters(&mut self, settings: &Settings, io: &mut Io) {
+        if io.now < self.clusters.looked_at + CLUSTER_LOOK_MS {
+            return;
+        }
+        self.clusters.looked_at = io.now;
+        self.give_up_clusters(io);
+        if let Some(condor) = &settings.operator.condor {
+            let deployment = &settings.deployment;
+            let default_team = condor.default_team.as_deref();
+            let released = self.jobs.values().find_map(|job| {
+                let spec = condor::released(&job.spec, deployment, default_team)?;
+                Some((spec, job.version))
+            });
+            // One at a time: these are rare, and starts come first.
+            if let Some((spec, version)) = released {
+                log::info!("job={} its limit allows it now: released", spec.id);
+                let key = records::job_key(&spec.id.0);
+                let change = wire::Change::Put {
+                    key: key.clone(),
+                    value: spec.to_value(),
+                    lease: None,
+                };
+                self.change_cluster(key, version, change, io);
+            }
+        }
+    }
+
+    fn give_up_clusters(&mut self, io: &mut Io) {
+        let mut changes = Vec::new();
+        for (cluster, (record, version)) in &self.clusters.open {
+            let key = condor::open_key(*cluster);
+            if record.abandoned {
+                let first = condor::job_id(*cluster, 0);
+                let last = condor::job_id(*cluster, u32::MAX);
+                let mut jobs = self.jobs.range(first..=last).peekable();
+                // Its own record goes last: whoever reads it knows that the jobs are none.
+                if jobs.peek().is_none() {
+                    self.writer.garbage.insert(key);
+                } else {
+                    let keys = jobs.map(|(id, _)| records::job_key(&id.0));
+                    self.writer.garbage.extend(keys);
+                }
+            } else if io.wall_ms > record.at_ms + CLUSTER_OPEN_MS {
+                let record = OpenRecord {
+                    abandoned: true,
+                    ..record.clone()
+                };
+                log::info!("cluster={cluster} was left open by who submitted it: it is given up");
+                changes.push((key, *version, record.to_value()));
+            }
+        }
+        for (key, version, value) in changes {
+            let change = wire::Change::Put {
+                key: key.clone(),
+                value,
+                lease: None,
+            };
+            self.change_cluster(key, version, change, io);
+        }
+    }
+
+    /// Changes one record, if it is as it was and this node leads still.
+    fn change_cluster(&mut self, key: String, version: u64, change: wire::Change, io: &mut Io) {
+        let body = wire::Transaction {
+            conditions: vec![
+                wire::Condition {
+                    key: records::LEADER.to_owned(),
+                    version: self.token(),
+                },
+                wire::Condition { key, version },
+            ],
+            changes: vec![change],
+        };
+        io.writes.force(1.0, io.now);
+        self.transact(json(&body), TermCall::Cluster, io);
+    }
+
+    /// Jobs of clusters that were accepted, in their order.
+    pub fn queue(&self) -> Vec<QueueRow> {
+        let jobs = self.jobs.values().filter_map(|job| {
+            let part = job.spec.condor.as_ref()?;
+            if self.clusters.open.contains_key(&part.cluster) {
+                return None;
+            }
+            let (done, running) = self.counts.get(&job.spec.id).copied().unwrap_or((0, 0));
+            let limit_holds = part.holds.iter().any(|hold| hold.why != Why::User);
+            Some(QueueRow {
+                job: job.spec.id.to_string(),
+                cluster: part.cluster,
+                procs: part.procs.text(),
+                owner: part.owner.clone(),
+                team: job.spec.team.clone(),
+                submitted_ms: job.spec.submitted_ms,
+                state: if !part.holds.is_empty() {
+                    RowState::Held
+                } else if running > 0 {
+                    RowState::Running
+                } else {
+                    RowState::Idle
+                },
+                tasks: job.spec.tasks,
+                done,
+                running,
+                memory_gb: job.spec.needs.memory_gb,
+                cmd: part.cmd.clone(),
+                hold: part.held(),
+                releasable: !part.holds.is_empty() && !limit_holds,
+            })
+        });
+        jobs.collect()
+    }
+}
--- a/crates/core/src/leader/counts.rs
+++ b/crates/core/src/leader/counts.rs
@@ -420,6 +420,10 @@
                 first.lack.count,
                 first.lack.why.text()
             )
+        } else if let Some(why) = job.spec.condor.as_ref().and_then(|part| part.held()) {
+            format!("it is held: {why}")
+        } else if job.parked {
+            "its cluster is not accepted yet".to_owned()
         } else if now < job.held_until {
             "it failed on several machines and is tried again in a while".to_owned()
         } else if rents {
@@ -449,7 +453,7 @@
 /// than there is: it was accepted when there were more.
 fn too_large<'a>(jobs: &'a BTreeMap<JobId, Job>, definitions: &Definitions) -> Vec<(Name, u64, &'a JobId)> {
     let mut largest: BTreeMap<&Name, (u64, &JobId)> = BTreeMap::new();
-    for job in jobs.values().filter(|job| !job.waiting.is_empty()) {
+    for job in jobs.values().filter(|job| !job.parked && !job.waiting.is_empty()) {
         for (count, units) in job.spec.counts.iter() {
             let wanted = u64::from(units) * u64::from(job.together());
             let there = definitions.get(count).map_or(0, |definition| definition.units);
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -1,6 +1,7 @@
 //! What the leading controller does in its term: it reads the records, fences
 //! former leaders, places tasks, sizes the fleet and writes everything down.
 
+mod clusters;
 mod counts;
 mod machines;
 mod renting;
@@ -8,6 +9,7 @@
 mod writing;
 
 use crate::budget::Bucket;
+use crate::condor;
 use crate::constants::*;
 use crate::fleet::{self, Coming, Queue};
 use crate::forecast::Forecast;
@@ -38,14 +40,27 @@
     Load,
     Watch,
     Write,
-    Reread { key: String },
+    Reread {
+        key: String,
+    },
     Direct(Direct),
-    Inspect { machine: MachineId },
+    Inspect {
+        machine: MachineId,
+    },
     List,
-    Rent { request: String },
-    Return { machines: Vec<MachineId>, sent: Millis },
+    Rent {
+        request: String,
+    },
+    Return {
+        machines: Vec<MachineId>,
+        sent: Millis,
+    },
     StoreTypes,
-    Licences { server: std::net::SocketAddrV4 },
+    Licences {
+        server: std::net::SocketAddrV4,
+    },
+    /// A change of a cluster's records; the watch tells what came of it.
+    Cluster,
 }
 
 /// Another leader has been at a worker.
@@ -201,6 +216,7 @@
     stored_types: bool,
     calls: Calls<TermCall>,
     counted: counts::Counted,
+    clusters: clusters::Clusters,
 }
 
 impl Term {
@@ -255,6 +271,7 @@
             stored_types: false,
             calls: Calls::default(),
             counted: counts::Counted::new(&settings.operator.counts),
+            clusters: clusters::Clusters::default(),
         }
     }
 
@@ -388,6 +405,7 @@
                 Err(problem) => log::error!("record {} is ignored: {problem}", item.key),
             }
         }
+        self.park_all();
         self.index_hosts(io.now);
         for machine in self.machines.values_mut() {
             for attempt in &mut machine.attempts {
@@ -419,11 +437,13 @@
         settings: &Settings,
         io: &mut Io,
     ) -> Result<(), records::RecordError> {
-        if item.key.starts_with(records::JOBS) {
+        if let Some(cluster) = condor::parse_open(&item.key) {
+            self.cluster_open(cluster, &item.value, item.version)?;
+        } else if item.key.starts_with(records::JOBS) {
             let mut spec = JobSpec::from_value(&item.value)?;
-            self.share_demand(&mut spec.counts);
-            self.jobs
-                .insert(spec.id.clone(), Job::new(spec, item.version, io.now, io.wall_ms));
+            self.share(&mut spec);
+            let job = Job::new(spec, item.version, io.now, io.wall_ms);
+            self.jobs.insert(job.spec.id.clone(), job);
         } else if let Some(number) = records::parse_number(records::DONE, &item.key) {
             self.writer.done_read(number, item.version);
             for (name, bitmap) in DoneRecord::from_value(&item.value)?.0 {
@@ -483,15 +503,17 @@
 
     /// A job was accepted, by this node or another.
     pub fn job_accepted(&mut self, mut spec: JobSpec, version: u64, io: &Io) {
-        if self.load.is_some()
-            || self.jobs.contains_key(&spec.id)
-            || version <= self.writer.ended_at(&spec.id)
-        {
+        if self.load.is_some() || version <= self.writer.ended_at(&spec.id) {
+            return;
+        }
+        self.share(&mut spec);
+        if self.jobs.contains_key(&spec.id) {
+            self.job_changed(spec, version, io.now);
             return;
         }
-        self.share_demand(&mut spec.counts);
-        self.jobs
-            .insert(spec.id.clone(), Job::new(spec, version, io.now, io.wall_ms));
+        let mut job = Job::new(spec, version, io.now, io.wall_ms);
+        job.parked = self.clusters.parks(&job.spec);
+        self.jobs.insert(job.spec.id.clone(), job);
         self.changed = true;
     }
 
@@ -539,6 +561,7 @@
                 self.hosts.clear();
                 self.attention.machines.clear();
                 self.rentals.clear();
+                self.clusters.forget();
                 self.writer = Writer::new(self.writer.token, settings);
             }
             self.watch_at = io.now + WRITE_RETRY_MS;
@@ -548,12 +571,19 @@
         self.revision = self.revision.max(changes.revision);
         for event in changes.events {
             match event {
-                wire::Event::Put { key, value, version } => match JobSpec::from_value(&value) {
-                    Ok(spec) => self.job_accepted(spec, version, io),
-                    Err(problem) => log::error!("record {key} is ignored: {problem}"),
-                },
+                wire::Event::Put { key, value, version } => {
+                    let read = match condor::parse_open(&key) {
+                        Some(cluster) => self.cluster_open(cluster, &value, version),
+                        None => JobSpec::from_value(&value).map(|spec| self.job_accepted(spec, version, io)),
+                    };
+                    if let Err(problem) = read {
+                        log::error!("record {key} is ignored: {problem}");
+                    }
+                }
                 wire::Event::Delete { key } => {
-                    if let Some(job) = key.strip_prefix(records::JOBS) {
+                    if let Some(cluster) = condor::parse_open(&key) {
+                        self.cluster_closed(cluster);
+                    } else if let Some(job) = key.strip_prefix(records::JOBS) {
                         self.job_over(&JobId(Arc::from(job)), io.now);
                     }
                 }
@@ -627,6 +657,7 @@
                 );
             }
             self.look_at_counts(&settings.operator.counts, io);
+            self.look_at_clusters(settings, io);
             self.send_rentals(io);
         }
         if certain && !types.is_empty() && !self.stored_types {
@@ -847,6 +878,8 @@
             TermCall::Licences { server } => {
                 self.licences_told(server, outcome, &settings.operator.counts, io.now);
             }
+            // The watch tells.
+            TermCall::Cluster => (),
             TermCall::StoreTypes => self.stored_types = outcome.status() == Some(200),
         }
         None
--- a/crates/core/src/leader/writing.rs
+++ b/crates/core/src/leader/writing.rs
@@ -84,9 +84,12 @@
                 }
                 for key in failed {
                     match key.strip_prefix(records::JOBS) {
-                        // Cancelled by a node that served its user.
-                        Some(job) => self.job_over(&JobId(Arc::from(job)), io.now),
-                        None => self.writer.reread(key),
+                        // Cancelled by a node that served its user. Only a cluster's jobs
+                        // change while they live: held, or released.
+                        Some(job) if !self.may_change(job) => {
+                            self.job_over(&JobId(Arc::from(job)), io.now);
+                        }
+                        _ => self.writer.reread(key),
                     }
                 }
             }
@@ -188,8 +191,12 @@
                 return leadership.deposed("its key belongs to another");
             }
         } else if let Some(job) = key.strip_prefix(records::JOBS) {
-            if version == 0 {
-                self.job_over(&JobId(Arc::from(job)), io.now);
+            let spec = item.as_ref().map(|item| JobSpec::from_value(&item.value));
+            match spec {
+                _ if version == 0 => self.job_over(&JobId(Arc::from(job)), io.now),
+                Some(Ok(spec)) => self.job_accepted(spec, version, io),
+                Some(Err(problem)) => log::error!("record {key} is ignored: {problem}"),
+                None => (),
             }
         } else if let Some(number) = records::parse_number(records::SHARDS, &key) {
             self.writer.shard_read(number, version);
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -2,6 +2,7 @@
 
 use crate::settings::Team;
 use crate::wire::{MachineType, Priority, Shape};
+use indigopath_condor::{KindSet, Part};
 use indigopath_counts::Demand;
 use serde::{Deserialize, Serialize};
 use std::borrow::Borrow;
@@ -205,6 +206,12 @@
     /// Units of counts that each task takes. Not in records of earlier builds.
     #[serde(default, skip_serializing_if = "Demand::is_empty")]
     pub counts: Demand,
+    /// Kinds of machines that an expression allows, where there was one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kinds: Option<Arc<KindSet>>,
+    /// What a job of a submit file keeps of it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub condor: Option<Arc<Part>>,
     /// Time of day of the submission at the accepting node, in ms since 1970.
     pub submitted_ms: u64,
 }
@@ -224,6 +231,15 @@
                 .types
                 .as_ref()
                 .is_none_or(|types| types.iter().any(|name| name == machine_type))
+            && self
+                .kinds
+                .as_ref()
+                .is_none_or(|kinds| kinds.step(machine_type, zone, spot).is_some())
+    }
+
+    /// The cluster of whose jobs it is one.
+    pub fn cluster(&self) -> Option<u64> {
+        self.condor.as_ref().map(|part| part.cluster)
     }
 
     /// Most tasks that may be in one zone.
@@ -257,6 +273,9 @@
     pub failures: u32,
     /// Not placed before then.
     pub held_until: Millis,
+    /// Not placed, nor counted as waiting, whatever the time: it is held, or its cluster is
+    /// not accepted yet.
+    pub parked: bool,
     /// Attempt of the gang that is being placed or runs.
     pub gang: Option<crate::gangs::GangAttempt>,
     /// When this leader learnt of the job, for its order among equals.
@@ -277,6 +296,7 @@
             failed_on_good: false,
             failures: 0,
             held_until: 0,
+            parked: false,
             gang: None,
             age_ms_at_load,
             loaded_at: now,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,6 +1,7 @@
 //! One controller: the single owner of all state. Commands go in, effects come
 //! out; sockets and timers are somebody else's.
 
+use crate::condor::{self, Context, Desk};
 use crate::constants::*;
 use crate::intake;
 use crate::io::{CallId, Calls, Content, Destination, Effect, Io, Method, Outcome, RequestId};
@@ -61,6 +62,7 @@
     leadership: Leadership,
     term: Option<Term>,
     users: Users,
+    desk: Desk,
     types: Types,
     type_list: Vec<MachineType>,
     types_at: Millis,
@@ -86,6 +88,7 @@
     pub fn new(settings: Settings, seed: u64, now: Millis, wall_ms: u64) -> Node {
         let mut io = Io::new(&settings, seed, now, wall_ms);
         let incarnation = io.rng.random();
+        let desk = Desk::new(&settings, now);
         let mut members: Vec<String> = settings.peers.iter().map(|peer| peer.node.clone()).collect();
         members.push(settings.node.clone());
         members.sort();
@@ -97,6 +100,7 @@
             io,
             term: None,
             users: Users::default(),
+            desk,
             types: Types::new(),
             type_list: Vec::new(),
             types_at: 0,
@@ -154,6 +158,11 @@
         self.probe_state();
         self.users
             .settle(4 * self.settings.deployment.state.txn_ops, &mut self.io);
+        let context = Context {
+            settings: &self.settings,
+            types: &self.type_list,
+        };
+        self.desk.settle(&context, &mut self.io);
         let siblings = self.hearing();
         if let Some(term) = &mut self.term {
             let news = term.settle(
@@ -219,11 +228,51 @@
             Route::Poll(job) => self.users.begin(request, job, Wish::Poll, &mut self.io),
             Route::Counts | Route::Holders | Route::Explain(_) => self.tell_counts(request, route),
             Route::Metrics => self.tell_metrics(request),
+            Route::Condor(_) if self.settings.operator.condor.is_none() => {
+                let problem = "submit files are served where the operators set condor";
+                self.io.reply_error(request, 404, problem);
+            }
+            Route::Condor(route) => self.condor(request, route, body),
             Route::Cancel(job) => self.users.begin(request, job, Wish::Cancel, &mut self.io),
         }
     }
 
+    fn condor(&mut self, request: RequestId, route: condor::Route, body: &[u8]) {
+        let context = Context {
+            settings: &self.settings,
+            types: &self.type_list,
+        };
+        let io = &mut self.io;
+        match route {
+            condor::Route::Submit => self.desk.submit(request, body, &context, io),
+            condor::Route::Change(target, act) => self.desk.change(request, target, act, &context, io),
+            condor::Route::History(cluster) => self.desk.history(request, cluster, &context, io),
+            condor::Route::Queue => self.tell_queue(request),
+        }
+    }
+
+    /// Only who leads, and surely still does, knows what runs.
+    fn tell_queue(&mut self, request: RequestId) {
+        let certain = self.leadership.certain(self.io.now);
+        match self.term.as_ref().filter(|_| certain) {
+            None => self.send_to_leader(request),
+            Some(term) if !term.has_read() => {
+                self.io
+                    .reply_later(request, RETRY_AFTER_S, "the records are being read");
+            }
+            Some(term) => {
+                let jobs = term.queue();
+                self.io.reply(request, 200, &condor::QueueList { jobs });
+            }
+        }
+    }
+
     fn submit(&mut self, request: RequestId, body: &[u8]) {
+        if self.settings.operator.condor.is_some() && condor::refuses_id(body) {
+            let problem = "ids of this form are given to submit files";
+            self.io.reply_error(request, 422, problem);
+            return;
+        }
         let types = (!self.type_list.is_empty()).then_some(self.type_list.as_slice());
         let deployment = &self.settings.deployment;
         let definitions = &self.settings.operator.counts;
@@ -380,6 +429,14 @@
             self.user_done(done);
             return;
         }
+        let context = Context {
+            settings: &self.settings,
+            types: &self.type_list,
+        };
+        if self.desk.answered(call, outcome, &context, &mut self.io) {
+            self.note_state(outcome);
+            return;
+        }
         match self.calls.settle(call) {
             None => (),
             Some(Question::Probe) => self.note_state(outcome),
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -6,16 +6,20 @@
 use crate::constants::{
     EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_LEAST_S, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS,
     GATHER_TRIES, HELD_LASTING_S, HELD_LEAST_S, MOVES_PER_PASS, MOVES_SHARE, OUTLAST_COST_S,
-    PREEMPT_FOR_IMAGE_S, ROOM_SEARCHES_PER_PASS, RUNS_TO_SPARE, RUNS_TO_WAIT, SECOND_MS, SETTLED_MS,
-    SPOT_COST_S, SPOT_RISK, SPOT_RISK_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    PREEMPT_FOR_IMAGE_S, RANK_STEP_COST_S, ROOM_SEARCHES_PER_PASS, RUNS_TO_SPARE, RUNS_TO_WAIT, SECOND_MS,
+    SETTLED_MS, SPOT_COST_S, SPOT_RISK, SPOT_RISK_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
 };
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
 use crate::settings::{Deployment, Team};
 use crate::wire::{MachineType, Priority, Shape};
+use indigopath_condor::KindSet;
 use indigopath_counts::{Book, Demand, Name, Only};
+use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
 
 pub type Types = BTreeMap<String, MachineType>;
 
@@ -103,11 +107,17 @@
 /// Which zones may take a task, by position.
 type Open = Vec<bool>;
 
+/// Steps down from the kind liked best, by type, zone and kind: see `Pass::slot`. `None`
+/// for kinds that may not be used.
+type Steps = Rc<Vec<Option<u16>>>;
+
 /// What a job asks of a machine, worked out once a pass.
 struct Ask<'a> {
     job: &'a Job,
     /// By type, zone and kind: see `Pass::slot`.
     eligible: Vec<bool>,
+    /// Where an expression of the job prefers some kinds to others.
+    steps: Option<Steps>,
     image: Option<u32>,
     /// How long the job's class may wait to start, if its users say so.
     start_within_s: f64,
@@ -139,6 +149,9 @@
     site: &'a Site<'a>,
     rooms: Vec<Room<'a>>,
     types: Vec<&'a MachineType>,
+    /// Sets of kinds that were met, by where they lie: thousands of jobs share a few, and
+    /// each is looked through once a pass.
+    kind_sets: RefCell<HashMap<usize, Steps>>,
     images: Images<'a>,
     usage: Usage<'a>,
     /// Jobs within their team's guarantee.
@@ -219,7 +232,7 @@
     now: Millis,
 ) -> BTreeSet<JobId> {
     let mut by_team: BTreeMap<&str, Vec<&Job>> = BTreeMap::new();
-    for job in jobs.values() {
+    for job in jobs.values().filter(|job| !job.parked) {
         by_team.entry(&job.spec.team).or_default().push(job);
     }
     let mut within = BTreeSet::new();
@@ -244,7 +257,7 @@
     let jobs = site
         .jobs
         .values()
-        .filter(|job| !job.waiting.is_empty() && job.held_until <= site.now);
+        .filter(|job| !job.waiting.is_empty() && !job.parked && job.held_until <= site.now);
     let mut order: Vec<Visit<'_>> = Vec::new();
     for job in jobs {
         pass.visits(job, &mut order);
@@ -355,10 +368,12 @@
             .filter(|job| job.waiting.len() + job.done.len() < job.spec.tasks as usize)
             .map(|job| job.spec.priority)
             .max();
+
         Pass {
             site,
             rooms,
             types,
+            kind_sets: RefCell::default(),
             images,
             usage,
             within: within_guarantee(site.deployment, site.jobs, site.now),
@@ -412,17 +427,29 @@
     }
 
     fn ask(&self, job: &'a Job) -> Ask<'a> {
-        let mut eligible = Vec::with_capacity(self.types.len() * self.site.deployment.zones.len() * 2);
+        let steps = job.spec.kinds.as_ref().map(|kinds| self.steps(kinds));
+        let zones = &self.site.deployment.zones;
+        let mut eligible = Vec::with_capacity(self.types.len() * zones.len() * 2);
         for machine_type in &self.types {
-            for zone in &self.site.deployment.zones {
+            if let Some(steps) = &steps {
+                // The set says all but whether a task fits.
+                let fits = job.spec.needs.fits_in(&machine_type.resources());
+                let from = eligible.len();
+                let own = &steps[from..from + zones.len() * 2];
+                eligible.extend(own.iter().map(|step| fits && step.is_some()));
+                continue;
+            }
+            for zone in zones {
                 for spot in [false, true] {
                     eligible.push(job.spec.eligible(machine_type, zone, spot));
                 }
             }
         }
+        let preferred = |steps: &Steps| steps.iter().flatten().any(|step| *step > 0);
         Ask {
             job,
             eligible,
+            steps: steps.filter(preferred),
             image: self.images.get(&*job.spec.image).copied(),
             start_within_s: self.site.deployment.tightest_s("wait", &job.spec.class),
             distrusts: !job.avoids().is_empty(),
@@ -431,6 +458,24 @@
         }
     }
 
+    fn steps(&self, kinds: &'a Arc<KindSet>) -> Steps {
+        let whose = Arc::as_ptr(kinds).addr();
+        if let Some(known) = self.kind_sets.borrow().get(&whose) {
+            return known.clone();
+        }
+        let mut steps = Vec::with_capacity(self.types.len() * self.site.deployment.zones.len() * 2);
+        for machine_type in &self.types {
+            for zone in &self.site.deployment.zones {
+                for spot in [false, true] {
+                    steps.push(kinds.step(&machine_type.name, zone, spot));
+                }
+            }
+        }
+        let steps = Rc::new(steps);
+        self.kind_sets.borrow_mut().insert(whose, steps.clone());
+        steps
+    }
+
     fn alike(&self, ask: &Ask<'_>) -> Alike {
         let needs = ask.job.spec.needs;
         Alike {
@@ -521,6 +566,11 @@
     fn cost(&self, ask: &Ask<'_>, at: usize) -> f64 {
         let room = &self.rooms[at];
         let mut cost = self.fetch_s(ask, at);
+        // What a user prefers comes before what we would.
+        if let (Some(steps), Some(place)) = (&ask.steps, room.place) {
+            let step = steps[self.slot(place, room.machine.spot)].unwrap_or(0);
+            cost += RANK_STEP_COST_S * f64::from(step);
+        }
         if ask.fears_spot {
             if room.machine.spot {
                 cost += SPOT_RISK_COST_S;
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -1,6 +1,7 @@
 //! Users' requests: submit, poll, withdraw. Any node serves them, from the state
 //! service alone, so that no node ever gives an older answer than another has.
 
+use crate::condor;
 use crate::constants::*;
 use crate::intake::{self, Refusal};
 use crate::io::{CallId, Calls, Destination, Io, Method, Outcome, RequestId, json};
@@ -490,6 +491,8 @@
     Holders,
     Explain(JobId),
     Metrics,
+    /// Submit files and their clusters.
+    Condor(condor::Route),
     Refuse(u16),
 }
 
@@ -521,6 +524,12 @@
             None => Route::Refuse(404),
         };
     }
+    if let Some(rest) = path.strip_prefix(paths::CONDOR) {
+        return match condor::route(method, rest) {
+            Ok(route) => Route::Condor(route),
+            Err(status) => Route::Refuse(status),
+        };
+    }
     let Some(rest) = path
         .strip_prefix(paths::JOBS)
         .and_then(|rest| rest.strip_prefix('/'))
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -433,6 +433,8 @@
     pub const HOLDERS: &str = "holders";
     pub const EXPLAIN: &str = "explain/";
     pub const METRICS: &str = "/metrics";
+    /// Submit files and their clusters.
+    pub const CONDOR: &str = "/v1/condor/";
     /// Where a licence server shows what `lmstat -a` prints.
     pub const LICENCES: &str = "/lmstat";
     pub const DIRECT: &str = "/do";
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -2,8 +2,13 @@
 //! at the end), `teams GPUS` (what each may use, for a large fleet) or `until
 //! SECONDS`; `#` starts a comment. `count NAME units=4 linger=20 red=2 server` defines a
 //! count, with a team's share, and perhaps a licence server that the leader asks.
+//!
+//! `condor team=red run=10` serves submit files, whose tasks run so long; `file NAME` and the
+//! lines after it that begin with `|` are one, and `at SECONDS condor NAME` sends it, to one
+//! node after the other, until it is answered.
 
-use crate::world::{Cut, Event, JobFacts, Mishap, NODES, RESTART_MS, UserKind, World};
+use crate::world::{Cut, Event, JobFacts, Mishap, NODES, RESTART_MS, Sent, UserKind, World};
+use indigopath_condor::{Bundle, CondorSettings, Declared};
 use indigopath_core::settings::Operator;
 use indigopath_core::wire::TaskState;
 use indigopath_counts::Definition;
@@ -17,7 +22,15 @@
     let mut until = 0;
     let mut gpus_max = None;
     let mut operator = Operator::default();
+    let mut files: BTreeMap<String, String> = BTreeMap::new();
+    let mut file = String::new();
+    let mut condor_run_s = 10.0;
     for (number, line) in text.lines().enumerate() {
+        if let Some(text) = line.strip_prefix('|') {
+            let text = format!("{}\n", text.strip_prefix(' ').unwrap_or(text));
+            files.entry(file.clone()).or_default().push_str(&text);
+            continue;
+        }
         let line = line.split('#').next().unwrap_or("").trim();
         let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
         match word {
@@ -32,6 +45,8 @@
             "expect" => expects.push(rest.to_owned()),
             "teams" => gpus_max = Some(rest.parse::<f64>().map_err(|error| error.to_string())?),
             "count" => define(&mut operator, rest)?,
+            "file" => file = rest.to_owned(),
+            "condor" => condor_run_s = serve_files(&mut operator, rest)?,
             "until" => until = rest.parse::<u64>().map_err(|error| error.to_string())? * 1000,
             other => return Err(format!("line {}: unknown word {other}", number + 1)),
         }
@@ -40,14 +55,20 @@
         return Err("a scenario needs `expect` and `until`".to_owned());
     }
     let mut world = World::new(gpus_max, operator);
+    world.condor_run_s = condor_run_s;
     while world.now < until {
         while let Some(entry) = actions.first_entry().filter(|entry| entry.key().0 <= world.now) {
             let action = entry.remove();
-            act(&mut world, &mut actions, &action).map_err(|problem| format!("`{action}`: {problem}"))?;
+            act(&mut world, &mut actions, &files, &action)
+                .map_err(|problem| format!("`{action}`: {problem}"))?;
         }
         world.step();
     }
     let mut problems = std::mem::take(&mut world.broken);
+    if world.end_at.is_some() && problems.is_empty() {
+        // The call that was to be the last was never made.
+        return Err("no end".to_owned());
+    }
     if !world.jobs.is_empty()
         && world.jobs.values().all(|job| job.starts == 0)
         && !expects.iter().any(|line| line.contains("starts = 0"))
@@ -193,7 +214,12 @@
         .ok_or(format!("no machine {name}"))
 }
 
-fn act(world: &mut World, actions: &mut BTreeMap<(u64, usize), String>, action: &str) -> Result<(), String> {
+fn act(
+    world: &mut World,
+    actions: &mut BTreeMap<(u64, usize), String>,
+    files: &BTreeMap<String, String>,
+    action: &str,
+) -> Result<(), String> {
     let (plain, keyed) = words(action);
     let arg = |at: usize| plain.get(at).copied().ok_or("too few words".to_owned());
     let for_ms = keyed
@@ -222,6 +248,38 @@
                 world.user_at.insert(id, world.now + more * 100);
             }
         }
+        // A submit file, under a key of its own or another's.
+        "condor" => {
+            let name = arg(1)?;
+            let text = files.get(name).ok_or("no such file")?;
+            let sent = keyed.get("as").copied().unwrap_or(name);
+            let key = keyed.get("key").copied().unwrap_or(sent);
+            let first = keyed.get("node").map_or(Ok(0.0), |node| number(node))? as usize;
+            let bundle = Bundle {
+                key: format!("scenario-{key}"),
+                owner: "awa".to_owned(),
+                file: format!("{name}.sub"),
+                text: text.clone(),
+                at_s: 1_700_000_000,
+                ..Bundle::default()
+            };
+            let mut nodes: Vec<usize> = (0..NODES).collect();
+            // The first turn moves on by one.
+            nodes.rotate_left((first + NODES - 1) % NODES);
+            let body = serde_json::to_vec(&bundle).map_err(|error| error.to_string())?;
+            let sending = Sent {
+                body,
+                next_at: world.now,
+                nodes,
+                answer: None,
+            };
+            world.sent.insert(sent.to_owned(), sending);
+        }
+        // Its submitter never comes back.
+        "abandon" => world.sent.get_mut(arg(1)?).ok_or("no such file")?.next_at = u64::MAX,
+        // Whoever sends the so manieth call about clusters ends with it, before or after it
+        // is carried out.
+        "end-at" => world.end_at = Some((number(arg(1)?)? as u32, arg(2)? == "after")),
         "withdraw" => world.jobs.get_mut(arg(1)?).ok_or("no such job")?.wants_cancel = true,
         // A submission again, with another body: its job's state, never a refusal.
         "resubmit" => {
@@ -372,6 +430,21 @@
     Ok(())
 }
 
+/// Serves submit files; how long their tasks run, in s.
+fn serve_files(operator: &mut Operator, text: &str) -> Result<f64, String> {
+    let (_, keyed) = words(text);
+    let get = |key: &str, or: &str| Some(keyed.get(key).copied().unwrap_or(or).to_owned());
+    let declared = BTreeMap::from([("OpSys".to_owned(), Declared::Str("LINUX".to_owned()))]);
+    operator.condor = Some(CondorSettings {
+        default_team: get("team", "red"),
+        default_class: get("class", "batch"),
+        default_image: get("image", "img-1"),
+        default_image_gb: 1.0,
+        machines: BTreeMap::from([("small".to_owned(), declared)]),
+    });
+    keyed.get("run").map_or(Ok(10.0), |run| number(run))
+}
+
 fn check(world: &World, expect: &str) -> Result<(), String> {
     let words: Vec<&str> = expect.split_whitespace().collect();
     let job = |id: &str| world.jobs.get(id).ok_or(format!("no job {id}"));
@@ -415,6 +488,47 @@
             };
             compare(f64::from(seats), sign, want)
         }
+        // The status of a submit file's answer.
+        ["sent", name, sign, want] => {
+            let sent = world.sent.get(*name).ok_or("no such file")?;
+            let status = sent.answer.as_ref().map_or(0, |(status, _)| *status);
+            compare(f64::from(status), sign, want)
+        }
+        ["answer", name, "says", words @ ..] => {
+            let sent = world.sent.get(*name).ok_or("no such file")?;
+            let answer = sent
+                .answer
+                .as_ref()
+                .map_or(Value::Null, |(_, answer)| answer.clone());
+            let text = answer.to_string();
+            if text.contains(&words.join(" ")) {
+                Ok(())
+            } else {
+                Err(text)
+            }
+        }
+        ["clusters", sign, want] => compare(world.state.count("c/") as f64, sign, want),
+        ["open", "clusters", sign, want] => compare(world.state.count("j/~") as f64, sign, want),
+        // Of a cluster: its live jobs, its tasks that are done, run now, or were started.
+        ["cluster", cluster, what, sign, want] => {
+            let cluster = number(cluster)? as u64;
+            let jobs = world.jobs.iter().filter(|(_, job)| job.cluster == Some(cluster));
+            let have: usize = match *what {
+                "live" => world.state.count(&format!("j/wk-99{cluster:010}")),
+                "done" => jobs.map(|(_, job)| job.done.len()).sum(),
+                "starts" => jobs.map(|(_, job)| job.starts as usize).sum(),
+                "tasks" => jobs.map(|(_, job)| job.tasks as usize).sum(),
+                "running" => {
+                    let names: Vec<&String> = jobs.map(|(id, _)| id).collect();
+                    let running = world
+                        .on_machines()
+                        .filter(|(_, task)| names.contains(&&task.job) && task.state == TaskState::Running);
+                    running.count()
+                }
+                other => return Err(format!("unknown word {other}")),
+            };
+            compare(have as f64, sign, want)
+        }
         ["machines", sign, want] => compare(world.workers.len() as f64, sign, want),
         ["rented", sign, want] => compare(f64::from(world.cloud.rentals), sign, want),
         ["fenced", sign, want] => compare(f64::from(world.state.fenced), sign, want),
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -10,7 +10,7 @@
 use indigopath_core::node::{Command, Node};
 use indigopath_core::peers::Frame;
 use indigopath_core::settings::{Operator, Peer, Settings};
-use indigopath_core::wire::{Flavors, TaskState};
+use indigopath_core::wire::{Change, Flavors, TaskState, Transaction};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -47,6 +47,19 @@
     pub cancelled_at: Option<u64>,
     pub done_told_at: Option<u64>,
     pub starts: u32,
+    /// Of a submit file: what its record says of machines, and which cluster it is of.
+    pub spec: Option<Value>,
+    pub cluster: Option<u64>,
+}
+
+/// A submit file that a user sends until it is answered.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    pub body: Vec<u8>,
+    pub next_at: u64,
+    pub nodes: Vec<usize>,
+    /// Status and body of the answer that settled it.
+    pub answer: Option<(u16, Value)>,
 }
 
 /// What a controller asks of another system.
@@ -106,6 +119,8 @@
         body: Vec<u8>,
         status: u16,
     },
+    /// A submit file, by the name that the scenario gives it.
+    Cluster,
 }
 
 /// Who waits for a reply of a node.
@@ -178,6 +193,13 @@
     pub(crate) operator: Operator,
     pub(crate) licences: LicenceServer,
     pub(crate) calls: Calls,
+    /// The node that sends so manieth call about clusters ends with it: the calls left
+    /// until then, and whether that one is carried out.
+    pub(crate) end_at: Option<(u32, bool)>,
+    /// Submit files that were sent, by name.
+    pub(crate) sent: BTreeMap<String, Sent>,
+    /// How long tasks of submit files run, in s.
+    pub(crate) condor_run_s: f64,
 }
 
 /// Calls of the controllers, for what is to stay small however large the fleet is.
@@ -230,6 +252,9 @@
             licences: LicenceServer::default(),
             operator,
             calls: Calls::default(),
+            end_at: None,
+            sent: BTreeMap::new(),
+            condor_run_s: 10.0,
         };
         for (name, definition) in &world.operator.counts {
             let feature = Feature::new(definition.units, (definition.linger_s * 1000.0) as u64);
@@ -506,6 +531,10 @@
                         self.jobs[&job].body.to_string().into_bytes(),
                     ),
                     UserKind::Poll => ("GET", format!("/v1/jobs/{job}"), Vec::new()),
+                    UserKind::Cluster => {
+                        let body = self.sent.get(&job).map(|sent| sent.body.clone());
+                        ("POST", "/v1/condor/clusters".to_owned(), body.unwrap_or_default())
+                    }
                     UserKind::Cancel => ("POST", format!("/v1/jobs/{job}/withdraw"), Vec::new()),
                     UserKind::Probe {
                         method, path, body, ..
@@ -563,6 +592,21 @@
                 }
             }
         }
+        if *to == Destination::State && self.of_clusters(path, body) {
+            match &mut self.end_at {
+                Some((0, carried_out)) => {
+                    let carried_out = *carried_out;
+                    self.end_at = None;
+                    self.nodes[node].node = None;
+                    self.nodes[node].restart_at = self.now + RESTART_MS;
+                    if !carried_out {
+                        return;
+                    }
+                }
+                Some((left, _)) => *left -= 1,
+                None => (),
+            }
+        }
         let answer: Option<(u16, Vec<u8>)> = match to {
             Destination::State => {
                 if self.state.outage || self.refused.get(&node).is_some_and(|until| self.now < *until) {
@@ -572,6 +616,9 @@
                     let reply = self.state.handle(method, path, body, now);
                     self.calls
                         .note("changes", (self.state.changes - changes) as usize, now);
+                    if self.state.changes > changes {
+                        self.learn_clusters(body);
+                    }
                     match reply {
                         Reply::Now(status, value) => Some((status, json_bytes(&value))),
                         Reply::Wait { prefix, after, until } => {
@@ -627,6 +674,57 @@
         }
     }
 
+    /// Whether a call to the state service is about clusters, and not the leader's own.
+    fn of_clusters(&self, path: &str, body: &[u8]) -> bool {
+        let keys = ["k/", "n/cluster", "c/0", "j/~", "wk-99"];
+        let body = String::from_utf8_lossy(body);
+        let named = keys.iter().any(|key| path.contains(key) || body.contains(key));
+        named && !body.contains("\"leader\"") && !path.contains("/changes")
+    }
+
+    /// Jobs of submit files are known by their records alone: nobody else names them.
+    fn learn_clusters(&mut self, body: &[u8]) {
+        let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
+            return;
+        };
+        for change in transaction.changes {
+            let Change::Put { key, value, .. } = change else {
+                continue;
+            };
+            let Some(cluster) = value["condor"]["cluster"].as_u64() else {
+                continue;
+            };
+            let id = key.trim_start_matches("j/").to_owned();
+            let text = |field: &str| value[field].as_str().unwrap_or_default().to_owned();
+            let run_s = self.condor_run_s;
+            let facts = self.jobs.entry(id).or_insert_with(|| JobFacts {
+                shape: text("shape"),
+                tasks: value["tasks"].as_u64().unwrap_or(0) as u32,
+                gpus: value["needs"]["gpus"].as_f64().unwrap_or(0.0),
+                run_s,
+                image: text("image"),
+                image_gb: value["image_gb"].as_f64().unwrap_or(0.0),
+                accepted: true,
+                cluster: Some(cluster),
+                ..JobFacts::default()
+            });
+            facts.team = text("team");
+            facts.spec = Some(value);
+        }
+    }
+
+    /// Of a submit file's job: whether nothing holds it back, by the records.
+    fn may_run(&self, job: &str, cluster: u64) -> Result<(), &'static str> {
+        if self.state.value(&format!("c/{cluster:010}")).is_none() {
+            return Err("its cluster is not accepted");
+        }
+        let held = self.state.value(&format!("j/{job}")).is_some_and(|spec| {
+            let holds = spec["condor"]["holds"].as_array();
+            holds.is_some_and(|holds| !holds.is_empty())
+        });
+        if held { Err("it is held") } else { Ok(()) }
+    }
+
     fn step_watches(&mut self) {
         if self.state.outage {
             return;
@@ -786,6 +884,7 @@
             .filter(|(_, at)| self.now >= **at)
             .map(|(job, _)| job.clone())
             .collect();
+        self.step_clusters();
         for job in due {
             let facts = &self.jobs[&job];
             let over = matches!(facts.told.as_deref(), Some("done" | "cancelled"));
@@ -803,6 +902,62 @@
         }
     }
 
+    /// Sends submit files that nobody has answered yet, node by node.
+    fn step_clusters(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        for (name, sent) in &mut self.sent {
+            if sent.answer.is_none() && now >= sent.next_at {
+                sent.next_at = now + 1_000;
+                sent.nodes.rotate_left(1);
+                due.push((name.clone(), sent.nodes[0]));
+            }
+        }
+        for (job, node) in due {
+            let kind = UserKind::Cluster;
+            self.send("users", &format!("n{node}"), Event::User { node, job, kind });
+        }
+    }
+
+    fn cluster_told(&mut self, name: &str, status: u16, body: &[u8]) {
+        let answer: Value = serde_json::from_slice(body).unwrap_or_default();
+        let before = self.sent.get(name).and_then(|sent| sent.answer.clone());
+        match (&before, status) {
+            // Come again.
+            (_, 503) | (Some((201, _)), 201) => (),
+            (None, _) => (),
+            (Some(before), _) => {
+                self.breach("went_back", format!("{name} was {}, is {status}", before.0));
+            }
+        }
+        if let Some((201, told)) = &before
+            && status == 201
+            && told["cluster"] != answer["cluster"]
+        {
+            self.breach(
+                "two_clusters",
+                format!("{name} is {} and {}", told["cluster"], answer["cluster"]),
+            );
+        }
+        let others: Vec<Value> = self
+            .sent
+            .iter()
+            .filter(|(_, sent)| self.sent.get(name).is_none_or(|own| own.body != sent.body))
+            .filter_map(|(_, sent)| Some(sent.answer.as_ref()?.1["cluster"].clone()))
+            .collect();
+        if status == 201 && others.contains(&answer["cluster"]) {
+            self.breach(
+                "same_number",
+                format!("{name} is {}, which another is", answer["cluster"]),
+            );
+        }
+        if let Some(sent) = self.sent.get_mut(name)
+            && status != 503
+        {
+            sent.answer = Some((status, answer));
+        }
+    }
+
     fn replied(&mut self, node: usize, asker: Option<Asker>, status: u16, body: Vec<u8>) {
         let name = format!("n{node}");
         match asker {
@@ -837,6 +992,9 @@
             }
             return;
         }
+        if kind == UserKind::Cluster {
+            return self.cluster_told(job, status, body);
+        }
         let now = self.now;
         let facts = self.jobs.get_mut(job).unwrap();
         match (kind, status) {
@@ -905,6 +1063,24 @@
         {
             self.breach("ran_twice", &name);
         }
+        if let Some(cluster) = facts.cluster {
+            // What was under way to the machine when somebody held it stops there.
+            if let Err(why) = self.may_run(job, cluster)
+                && why != "it is held"
+            {
+                self.breach("too_soon", format!("{name}: {why}"));
+            }
+            let spec = facts.spec.clone().unwrap_or_default();
+            let kind = &spec["kinds"][&machine_type][&zone][usize::from(spot)];
+            let bound = spec.get("kinds").is_some();
+            if (bound && !kind.is_u64()) || (spot && spec["spot"] != true) {
+                self.breach(
+                    "wrong_place",
+                    format!("{name} on {machine_type}, {zone}, spot {spot}"),
+                );
+            }
+            return;
+        }
         let body = &facts.body;
         let type_ok = body["Rigs"]
             .as_array()
