indigopath condor submit, q, hold, release, rm, history; files of up to 1 MiB

Clusters could only be asked for by HTTP. A submit file and what goes along may be 1 MiB, four at a time; more are told at once to come back. What counts and clusters share of asking nodes is one module now.

--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -435,6 +435,7 @@
     pub const METRICS: &str = "/metrics";
     /// Submit files and their clusters.
     pub const CONDOR: &str = "/v1/condor/";
+    pub const CLUSTERS: &str = "/v1/condor/clusters";
     /// Where a licence server shows what `lmstat -a` prints.
     pub const LICENCES: &str = "/lmstat";
     pub const DIRECT: &str = "/do";
--- /dev/null
+++ b/crates/indigopath/src/client.rs
@@ -0,0 +1,150 @@
+//! Asking controllers: the first that can answer does.
+
+use clap::{Args, ValueEnum};
+use comfy_table::{CellAlignment, Table, presets};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Longest wait for a node's answer, in ms: a node answers from memory, or tells within a
+/// few seconds how far it is.
+const TIMEOUT_MS: u64 = 6_000;
+
+#[derive(Args, Clone)]
+pub struct Nodes {
+    /// Controller to ask; several may be given, and the first that can answer does
+    #[arg(
+        long = "node",
+        value_name = "ADDRESS:PORT",
+        env = "INDIGOPATH_NODES",
+        value_delimiter = ',',
+        global = true
+    )]
+    nodes: Vec<SocketAddrV4>,
+    /// How to show it
+    #[arg(long, value_enum, default_value_t = Format::Table, global = true)]
+    pub format: Format,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    Table,
+    Json,
+}
+
+#[derive(Debug, Error)]
+pub enum ClientError {
+    #[error("no controller is named: give --node ADDRESS:PORT, or set INDIGOPATH_NODES")]
+    NoNode,
+    #[error("no controller that can tell answered: {0}")]
+    NoAnswer(String),
+    /// A controller's refusal: its status, and the body with the reason.
+    #[error("{}", error_of(.1))]
+    Refused(u16, String),
+    #[error("a controller's answer cannot be read: {0}")]
+    Unreadable(#[from] serde_json::Error),
+}
+
+impl Nodes {
+    /// What a path shows.
+    ///
+    /// # Errors
+    /// Nobody who can tell answers, the answer is a refusal, or it cannot be read.
+    pub fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
+        self.ask(path, None)
+    }
+
+    /// What comes of a request.
+    ///
+    /// # Errors
+    /// As above.
+    pub fn post<T: DeserializeOwned>(&self, path: &str, body: &str) -> Result<T, ClientError> {
+        self.ask(path, Some(body))
+    }
+
+    fn ask<T: DeserializeOwned>(&self, path: &str, body: Option<&str>) -> Result<T, ClientError> {
+        if self.nodes.is_empty() {
+            return Err(ClientError::NoNode);
+        }
+        let agent: ureq::Agent = ureq::Agent::config_builder()
+            .timeout_global(Some(Duration::from_millis(TIMEOUT_MS)))
+            .http_status_as_error(false)
+            .build()
+            .into();
+        let mut problems = Vec::new();
+        for node in &self.nodes {
+            let url = format!("http://{node}{path}");
+            let answer = match body {
+                Some(body) => agent.post(url).send(body),
+                None => agent.get(url).call(),
+            };
+            let answer = answer
+                .and_then(|mut answer| Ok((answer.status().as_u16(), answer.body_mut().read_to_string()?)));
+            match answer {
+                Ok((200 | 201, body)) => return Ok(serde_json::from_str(&body)?),
+                Ok((421, _)) => problems.push(format!("{node} does not lead")),
+                Ok((503, body)) => problems.push(format!("{node}: {}", error_of(&body))),
+                Ok((status, body)) => return Err(ClientError::Refused(status, body)),
+                Err(error) => problems.push(format!("{node}: {error}")),
+            }
+        }
+        Err(ClientError::NoAnswer(problems.join("; ")))
+    }
+
+    /// A value as a table, or as JSON.
+    ///
+    /// # Errors
+    /// It cannot be written as JSON.
+    pub fn show<T: Serialize>(
+        &self,
+        value: &T,
+        table: impl FnOnce(&T) -> String,
+    ) -> Result<String, ClientError> {
+        Ok(match self.format {
+            Format::Table => table(value),
+            Format::Json => serde_json::to_string_pretty(value)?,
+        })
+    }
+}
+
+/// The reason in an answer that is none.
+fn error_of(body: &str) -> String {
+    serde_json::from_str::<serde_json::Value>(body)
+        .ok()
+        .and_then(|value| value["error"].as_str().map(str::to_owned))
+        .unwrap_or_else(|| body.to_owned())
+}
+
+/// Rows under a head; the columns at `right` hold numbers.
+pub fn table(head: &[&str], right: &[usize], rows: impl Iterator<Item = Vec<String>>) -> String {
+    let mut table = Table::new();
+    table.load_style(presets::NOTHING).set_header(head.to_vec());
+    for row in rows {
+        table.add_row(row);
+    }
+    for at in right {
+        if let Some(column) = table.column_mut(*at) {
+            column.set_cell_alignment(CellAlignment::Right);
+        }
+    }
+    table.trim_fmt()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn nobody_to_ask_is_said_plainly() {
+        let nodes = Nodes {
+            nodes: Vec::new(),
+            format: Format::Table,
+        };
+        let error = nodes.get::<serde_json::Value>("/v1/counts").unwrap_err();
+        assert!(error.to_string().contains("--node"));
+        let refused = ClientError::Refused(422, r#"{"error":"no such team"}"#.to_owned());
+        assert_eq!(refused.to_string(), "no such team");
+    }
+}
--- a/crates/indigopath/src/condor.rs
+++ b/crates/indigopath/src/condor.rs
@@ -1,28 +1,85 @@
 //! `indigopath condor`: HTCondor submit files, by the commands that their users know.
 
+use crate::client::{ClientError, Format, Nodes, table};
 use crate::{BAD_SETTINGS, Files, load};
-use clap::{Args, Subcommand, ValueEnum};
-use comfy_table::{Table, presets};
-use indigopath_condor::{Judged, Matching, Site, Submission, SubmitError, Verdict};
-use indigopath_core::wire::Flavors;
+use clap::{Args, Subcommand};
+use indigopath_condor::{Bundle, Judged, Matching, Recorder, Site, Submission, SubmitError, Verdict};
+use indigopath_core::condor::{
+    Accepted, Changed, History, QueueList, QueueRow, Refused, RowState, parse_target,
+};
+use indigopath_core::constants::MAX_SUBMIT_BODY;
+use indigopath_core::wire::{Flavors, paths};
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 
 #[derive(Args)]
 pub struct CondorArgs {
     #[command(subcommand)]
     what: What,
+    #[command(flatten)]
+    nodes: Nodes,
 }
 
 #[derive(Subcommand)]
 enum What {
+    /// Submit a file as a cluster, as a whole or not at all
+    Submit(Submit),
+    /// Show what is queued, runs or is held
+    Q(Queue),
+    /// Keep clusters from running; what runs is stopped
+    Hold(Ids),
+    /// Let held clusters run
+    Release(Ids),
+    /// Remove clusters
+    Rm(Ids),
+    /// Show accepted clusters, or what became of one
+    History {
+        /// Only this one, job by job
+        cluster: Option<u64>,
+    },
     /// Say, without submitting, what would become of each proc of a file
     Explain(Explain),
 }
 
+#[derive(Args)]
+struct Submit {
+    /// The submit file
+    file: PathBuf,
+    /// Who submits
+    #[arg(long, env = "USER", default_value = "nobody")]
+    owner: String,
+    /// Tells the submission from others: the same file with the same key is the same cluster
+    #[arg(long)]
+    key: Option<String>,
+    /// Longest time to try for, in s
+    #[arg(long, value_name = "SECONDS", default_value_t = 120)]
+    wait: u64,
+}
+
+#[derive(Args)]
+struct Queue {
+    /// Only these clusters
+    clusters: Vec<u64>,
+    /// A line for each array of procs that ask for the same
+    #[arg(long)]
+    nobatch: bool,
+    /// Only what is held, and why
+    #[arg(long)]
+    hold: bool,
+}
+
+#[derive(Args)]
+struct Ids {
+    /// Clusters, as in 7, or procs, as in 7.3
+    #[arg(required = true)]
+    ids: Vec<String>,
+}
+
 #[derive(Args)]
 struct Explain {
     /// The submit file
@@ -32,15 +89,6 @@
     machines: PathBuf,
     #[command(flatten)]
     settings: Files,
-    /// How to show it
-    #[arg(long, value_enum, default_value_t = Format::Table)]
-    format: Format,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
-enum Format {
-    Table,
-    Json,
 }
 
 #[derive(Debug, Error)]
@@ -54,6 +102,12 @@
     Submit(#[from] SubmitError),
     #[error("what was found cannot be written: {0}")]
     Write(#[from] std::io::Error),
+    #[error("{0:?} is neither a cluster nor a proc: one is 7 or 7.3")]
+    NoId(String),
+    #[error("{0}")]
+    Bundle(String),
+    #[error(transparent)]
+    Client(#[from] ClientError),
 }
 
 /// What a proc's line says.
@@ -67,8 +121,15 @@
 
 /// Carries a command out, and says how it went.
 pub fn run(args: &CondorArgs) -> ExitCode {
+    let nodes = &args.nodes;
     let done = match &args.what {
-        What::Explain(explain) => explain.run(),
+        What::Submit(submit) => submit.run(nodes),
+        What::Q(queue) => queue.run(nodes),
+        What::Hold(ids) => change(nodes, ids, "hold", "held"),
+        What::Release(ids) => change(nodes, ids, "release", "released"),
+        What::Rm(ids) => change(nodes, ids, "remove", "marked for removal"),
+        What::History { cluster } => history(nodes, *cluster),
+        What::Explain(explain) => explain.run(nodes.format),
     };
     match done {
         Ok(code) => code,
@@ -80,13 +141,335 @@
         Err(CondorError::Write(error)) if error.kind() == std::io::ErrorKind::BrokenPipe => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("indigopath: {error}");
-            ExitCode::from(BAD_SETTINGS)
+            match error {
+                CondorError::Client(ClientError::NoNode) => ExitCode::from(BAD_SETTINGS),
+                CondorError::Client(_) => ExitCode::FAILURE,
+                _ => ExitCode::from(BAD_SETTINGS),
+            }
+        }
+    }
+}
+
+fn print(text: &str) -> Result<(), CondorError> {
+    Ok(writeln!(std::io::stdout().lock(), "{text}")?)
+}
+
+impl Submit {
+    fn run(&self, nodes: &Nodes) -> Result<ExitCode, CondorError> {
+        let text = read(&self.file)?;
+        let file = self.file.display().to_string();
+        let at_s = now_s();
+        // Read here first: what cannot be read need not be sent, and this tells what else
+        // has to go along.
+        let recorder = Recorder::new(&Here);
+        indigopath_condor::read(&text, &file, 0, at_s, &recorder)?;
+        let key = self
+            .key
+            .clone()
+            .unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+        let bundle = Bundle {
+            key,
+            owner: self.owner.clone(),
+            file,
+            text,
+            at_s,
+            ..recorder.finish()
+        };
+        bundle.check().map_err(CondorError::Bundle)?;
+        let body = serde_json::to_string(&bundle).map_err(ClientError::from)?;
+        if body.len() > MAX_SUBMIT_BODY {
+            let size = body.len();
+            return Err(CondorError::Bundle(format!(
+                "the file and what goes along are {size} bytes; at most {MAX_SUBMIT_BODY} are taken: split it"
+            )));
+        }
+        let until = Instant::now() + Duration::from_secs(self.wait);
+        let mut told = String::new();
+        loop {
+            match nodes.post::<Accepted>(paths::CLUSTERS, &body) {
+                Ok(accepted) => return self.accepted(&accepted, nodes),
+                // The same again, under the same key, is never a second cluster.
+                Err(ClientError::NoAnswer(problem)) if Instant::now() < until => {
+                    if problem != told {
+                        eprintln!("indigopath: {problem}; trying again");
+                        told = problem;
+                    }
+                    std::thread::sleep(Duration::from_millis(RETRY_MS));
+                }
+                Err(ClientError::Refused(status, body)) => {
+                    let refused: Result<Refused, _> = serde_json::from_str(&body);
+                    match refused {
+                        Ok(refused) if !refused.refused.is_empty() => {
+                            for told in &refused.refused {
+                                eprintln!("procs {}: {}: {}", told.procs, told.verdict, told.reason);
+                            }
+                            eprintln!("indigopath: nothing was submitted");
+                        }
+                        _ => return Err(ClientError::Refused(status, body).into()),
+                    }
+                    return Ok(ExitCode::FAILURE);
+                }
+                Err(error) => {
+                    if matches!(error, ClientError::NoAnswer(_)) {
+                        eprintln!("indigopath: to go on with it later: --key {}", bundle.key);
+                    }
+                    return Err(error.into());
+                }
+            }
         }
     }
+
+    fn accepted(&self, accepted: &Accepted, nodes: &Nodes) -> Result<ExitCode, CondorError> {
+        for note in &accepted.notes {
+            eprintln!("{note}");
+        }
+        for told in &accepted.held {
+            eprintln!("procs {} are held: {}", told.procs, told.reason);
+        }
+        let text = nodes.show(accepted, |accepted| {
+            format!(
+                "{} job(s) submitted to cluster {}.",
+                accepted.procs, accepted.cluster
+            )
+        })?;
+        print(&text)?;
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+/// Wait, in ms, before a submission is sent again.
+const RETRY_MS: u64 = 1_000;
+
+/// A cluster at a glance.
+struct Batch<'a> {
+    first: &'a QueueRow,
+    procs: Vec<&'a str>,
+    done: u32,
+    running: u32,
+    idle: u32,
+    held: u32,
+}
+
+impl Queue {
+    fn run(&self, nodes: &Nodes) -> Result<ExitCode, CondorError> {
+        let mut list: QueueList = nodes.get(&format!("{}queue", paths::CONDOR))?;
+        list.jobs.retain(|row| {
+            let named = self.clusters.is_empty() || self.clusters.contains(&row.cluster);
+            named && (!self.hold || row.state == RowState::Held)
+        });
+        let text = nodes.show(&list, |list| {
+            let rows = if self.hold {
+                hold_table(list)
+            } else if self.nobatch {
+                array_table(list)
+            } else {
+                batch_table(list)
+            };
+            format!("{rows}\n{}", totals(list))
+        })?;
+        print(&text)?;
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+fn when(ms: u64) -> String {
+    let at = chrono::DateTime::from_timestamp_millis(ms as i64).unwrap_or_default();
+    at.format("%m/%d %H:%M").to_string()
+}
+
+/// Done, running, idle and held procs of an array. A gang is one proc.
+fn shares(row: &QueueRow) -> [u32; 4] {
+    let waiting = row.tasks.saturating_sub(row.done + row.running);
+    match row.state {
+        RowState::Held => [row.done, row.running, 0, waiting],
+        _ => [row.done, row.running, waiting, 0],
+    }
+}
+
+fn batch_table(list: &QueueList) -> String {
+    let mut batches: BTreeMap<u64, Batch<'_>> = BTreeMap::new();
+    for row in &list.jobs {
+        let [done, running, idle, held] = shares(row);
+        let batch = batches.entry(row.cluster).or_insert_with(|| Batch {
+            first: row,
+            procs: Vec::new(),
+            done: 0,
+            running: 0,
+            idle: 0,
+            held: 0,
+        });
+        batch.procs.push(&row.procs);
+        batch.done += done;
+        batch.running += running;
+        batch.idle += idle;
+        batch.held += held;
+    }
+    let count = |number: u32| {
+        if number == 0 {
+            "_".to_owned()
+        } else {
+            number.to_string()
+        }
+    };
+    let rows = batches.into_iter().map(|(cluster, batch)| {
+        let total = batch.done + batch.running + batch.idle + batch.held;
+        vec![
+            batch.first.owner.clone(),
+            format!("ID: {cluster}"),
+            when(batch.first.submitted_ms),
+            count(batch.done),
+            count(batch.running),
+            count(batch.idle),
+            count(batch.held),
+            total.to_string(),
+            format!("{cluster}.{}", batch.procs.join(",")),
+        ]
+    });
+    let head = [
+        "OWNER",
+        "BATCH_NAME",
+        "SUBMITTED",
+        "DONE",
+        "RUN",
+        "IDLE",
+        "HOLD",
+        "TOTAL",
+        "JOB_IDS",
+    ];
+    table(&head, &[3, 4, 5, 6, 7], rows)
+}
+
+fn array_table(list: &QueueList) -> String {
+    let rows = list.jobs.iter().map(|row| {
+        let state = match row.state {
+            RowState::Idle => "I",
+            RowState::Running => "R",
+            RowState::Held => "H",
+        };
+        vec![
+            format!("{}.{}", row.cluster, row.procs),
+            row.owner.clone(),
+            row.team.clone(),
+            when(row.submitted_ms),
+            state.to_owned(),
+            format!("{}/{}/{}", row.done, row.running, row.tasks),
+            format!("{:.1}", row.memory_gb),
+            row.job.clone(),
+            row.cmd.clone(),
+        ]
+    });
+    let head = [
+        "ID",
+        "OWNER",
+        "TEAM",
+        "SUBMITTED",
+        "ST",
+        "DONE/RUN/ALL",
+        "GB",
+        "JOB",
+        "CMD",
+    ];
+    table(&head, &[6], rows)
+}
+
+fn hold_table(list: &QueueList) -> String {
+    let rows = list.jobs.iter().map(|row| {
+        vec![
+            format!("{}.{}", row.cluster, row.procs),
+            row.owner.clone(),
+            when(row.submitted_ms),
+            if row.releasable { "its user" } else { "the limit" }.to_owned(),
+            row.hold.clone().unwrap_or_default(),
+        ]
+    });
+    table(
+        &["ID", "OWNER", "SUBMITTED", "RELEASED_BY", "HOLD_REASON"],
+        &[],
+        rows,
+    )
+}
+
+fn totals(list: &QueueList) -> String {
+    let mut sums = [0u32; 4];
+    for row in &list.jobs {
+        for (sum, part) in sums.iter_mut().zip(shares(row)) {
+            *sum += part;
+        }
+    }
+    let [done, running, idle, held] = sums;
+    format!(
+        "Total for query: {} jobs; {done} completed, {idle} idle, {running} running, {held} held",
+        done + running + idle + held
+    )
+}
+
+fn change(nodes: &Nodes, ids: &Ids, act: &str, told: &str) -> Result<ExitCode, CondorError> {
+    for id in &ids.ids {
+        if parse_target(id).is_none() {
+            return Err(CondorError::NoId(id.clone()));
+        }
+    }
+    let mut code = ExitCode::SUCCESS;
+    for id in &ids.ids {
+        let changed: Changed = nodes.post(&format!("{}/{id}/{act}", paths::CLUSTERS), "")?;
+        for not in &changed.not {
+            eprintln!(
+                "{}.{} {}: {}",
+                changed.cluster, not.procs, not.verdict, not.reason
+            );
+            code = ExitCode::FAILURE;
+        }
+        let text = nodes.show(&changed, |changed| match (changed.procs, id.contains('.')) {
+            (0, _) => format!("nothing of {id} is {told}"),
+            (_, true) => format!("Job {id} {told}"),
+            (_, false) if changed.not.is_empty() => {
+                format!("All jobs in cluster {id} have been {told}")
+            }
+            (procs, false) => format!("{procs} jobs in cluster {id} have been {told}"),
+        })?;
+        print(&text)?;
+    }
+    Ok(code)
+}
+
+fn history(nodes: &Nodes, cluster: Option<u64>) -> Result<ExitCode, CondorError> {
+    let path = format!("{}history", paths::CONDOR);
+    let found: History = match cluster {
+        Some(cluster) => nodes.get(&format!("{path}/{cluster}"))?,
+        None => nodes.get(&path)?,
+    };
+    let text = nodes.show(&found, |found| {
+        let rows = found.clusters.iter().map(|record| {
+            vec![
+                record.cluster.to_string(),
+                record.owner.clone(),
+                when(record.at_ms),
+                record.procs.to_string(),
+                record.jobs.to_string(),
+                record.file.clone(),
+            ]
+        });
+        let mut text = table(
+            &["ID", "OWNER", "SUBMITTED", "PROCS", "JOBS", "FILE"],
+            &[0, 3, 4],
+            rows,
+        );
+        if cluster.is_some() {
+            let jobs = found
+                .jobs
+                .iter()
+                .map(|job| vec![job.job.clone(), job.procs.to_string(), job.state.clone()]);
+            text.push('\n');
+            text.push_str(&table(&["JOB", "PROCS", "STATE"], &[1], jobs));
+        }
+        text
+    })?;
+    print(&text)?;
+    Ok(ExitCode::SUCCESS)
 }
 
 impl Explain {
-    fn run(&self) -> Result<ExitCode, CondorError> {
+    fn run(&self, format: Format) -> Result<ExitCode, CondorError> {
         let settings = load(&self.settings)?;
         let flavors: Flavors =
             serde_json::from_str(&read(&self.machines)?).map_err(|error| CondorError::File {
@@ -115,7 +498,7 @@
             }
         }
         let judged = indigopath_condor::judge(&submission, 1, now_s(), &site);
-        self.show(&submission, &judged, &site)?;
+        show(format, &submission, &judged, &site)?;
         let bad = |verdict| matches!(verdict, Verdict::Refused | Verdict::Never);
         let any_bad = judged.outcomes.iter().any(|outcome| bad(outcome.verdict));
         Ok(if any_bad {
@@ -124,58 +507,56 @@
             ExitCode::SUCCESS
         })
     }
+}
 
-    fn show(&self, submission: &Submission, judged: &Judged, site: &Site) -> Result<(), CondorError> {
-        let kinds: Vec<Vec<String>> = judged
-            .outcomes
-            .iter()
-            .map(|outcome| site.kinds.of(&outcome.kinds).map(ToString::to_string).collect())
-            .collect();
-        let mut out = std::io::BufWriter::new(std::io::stdout().lock());
-        match self.format {
-            Format::Json => {
-                for (proc, at) in judged.of.iter().enumerate() {
-                    let at = *at as usize;
-                    let line = Line {
-                        proc,
-                        verdict: judged.outcomes[at].verdict,
-                        kinds: &kinds[at],
-                        reason: judged.outcomes[at].reason.as_deref(),
-                    };
-                    serde_json::to_writer(&mut out, &line).map_err(std::io::Error::from)?;
-                    out.write_all(b"\n")?;
-                }
+fn show(format: Format, submission: &Submission, judged: &Judged, site: &Site) -> Result<(), CondorError> {
+    let kinds: Vec<Vec<String>> = judged
+        .outcomes
+        .iter()
+        .map(|outcome| site.kinds.of(&outcome.kinds).map(ToString::to_string).collect())
+        .collect();
+    let mut out = std::io::BufWriter::new(std::io::stdout().lock());
+    match format {
+        Format::Json => {
+            for (proc, at) in judged.of.iter().enumerate() {
+                let at = *at as usize;
+                let line = Line {
+                    proc,
+                    verdict: judged.outcomes[at].verdict,
+                    kinds: &kinds[at],
+                    reason: judged.outcomes[at].reason.as_deref(),
+                };
+                serde_json::to_writer(&mut out, &line).map_err(std::io::Error::from)?;
+                out.write_all(b"\n")?;
             }
-            Format::Table => {
-                let mut table = Table::new();
-                table
-                    .load_style(presets::NOTHING)
-                    .set_header(["PROCS", "VERDICT", "MACHINES", "REASON"]);
-                // Procs that share their outcome share a row.
-                let mut from = 0;
-                while let Some(at) = judged.of.get(from).copied() {
-                    let same = judged.of[from..].iter().take_while(|other| **other == at).count();
-                    let outcome = &judged.outcomes[at as usize];
-                    let procs = match same {
-                        1 => from.to_string(),
-                        _ => format!("{from}-{}", from + same - 1),
-                    };
-                    let verdict = format!("{:?}", outcome.verdict).to_lowercase();
-                    let reason = outcome.reason.clone().unwrap_or_default();
-                    table.add_row([procs, verdict, kinds[at as usize].join(", "), reason]);
-                    from += same;
-                }
-                writeln!(out, "{}", table.trim_fmt())?;
-                writeln!(
-                    out,
-                    "{} procs, {} different requests",
-                    submission.procs(),
-                    judged.outcomes.len()
-                )?;
+        }
+        Format::Table => {
+            let mut rows = Vec::new();
+            // Procs that share their outcome share a row.
+            let mut from = 0;
+            while let Some(at) = judged.of.get(from).copied() {
+                let same = judged.of[from..].iter().take_while(|other| **other == at).count();
+                let outcome = &judged.outcomes[at as usize];
+                let procs = match same {
+                    1 => from.to_string(),
+                    _ => format!("{from}-{}", from + same - 1),
+                };
+                let verdict = format!("{:?}", outcome.verdict).to_lowercase();
+                let reason = outcome.reason.clone().unwrap_or_default();
+                rows.push(vec![procs, verdict, kinds[at as usize].join(", "), reason]);
+                from += same;
             }
+            let head = ["PROCS", "VERDICT", "MACHINES", "REASON"];
+            writeln!(out, "{}", table(&head, &[], rows.into_iter()))?;
+            writeln!(
+                out,
+                "{} procs, {} different requests",
+                submission.procs(),
+                judged.outcomes.len()
+            )?;
         }
-        Ok(out.flush()?)
     }
+    Ok(out.flush()?)
 }
 
 fn read(path: &Path) -> Result<String, CondorError> {
--- a/crates/indigopath/src/counts.rs
+++ b/crates/indigopath/src/counts.rs
@@ -1,36 +1,18 @@
 //! `indigopath counts`: what the leader says of counted resources, as a table or as JSON.
 
-use clap::{Args, Subcommand, ValueEnum};
-use comfy_table::presets;
-use comfy_table::{CellAlignment, Table};
+use crate::client::{ClientError, Nodes, table};
+use clap::{Args, Subcommand};
 use indigopath_core::intake::parse_id;
 use indigopath_core::wire::paths;
 use indigopath_counts::status::{CountList, CountStatus, Explanation, HolderList};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use std::net::SocketAddrV4;
-use std::time::Duration;
 use thiserror::Error;
 
-/// Longest wait for a node's answer, in ms: a node answers from memory.
-const TIMEOUT_MS: u64 = 3_000;
-
 #[derive(Args)]
 pub struct CountsArgs {
     #[command(subcommand)]
     what: Option<What>,
-    /// Controller to ask; several may be given, and the one that leads answers
-    #[arg(
-        long = "node",
-        value_name = "ADDRESS:PORT",
-        env = "INDIGOPATH_NODES",
-        value_delimiter = ',',
-        global = true
-    )]
-    nodes: Vec<SocketAddrV4>,
-    /// How to show it
-    #[arg(long, value_enum, default_value_t = Format::Table, global = true)]
-    format: Format,
+    #[command(flatten)]
+    nodes: Nodes,
 }
 
 #[derive(Subcommand)]
@@ -49,24 +31,12 @@
     },
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
-enum Format {
-    Table,
-    Json,
-}
-
 #[derive(Debug, Error)]
 pub enum CountsError {
-    #[error("no controller is named: give --node ADDRESS:PORT, or set INDIGOPATH_NODES")]
-    NoNode,
-    #[error("no controller that leads answered: {0}")]
-    NoAnswer(String),
     #[error("{0:?} is no job id: one is wk- and a number")]
     NoJob(String),
-    #[error("{0}")]
-    Refused(String),
-    #[error("a controller's answer cannot be read: {0}")]
-    Unreadable(#[from] serde_json::Error),
+    #[error(transparent)]
+    Client(#[from] ClientError),
 }
 
 /// Asks, and returns what is to be printed.
@@ -76,84 +46,24 @@
 pub fn run(args: &CountsArgs) -> Result<String, CountsError> {
     match args.what.as_ref().unwrap_or(&What::List) {
         What::List => {
-            let list: CountList = ask(&args.nodes, paths::COUNTS)?;
-            show(args.format, &list, list_table)
+            let list: CountList = args.nodes.get(paths::COUNTS)?;
+            Ok(args.nodes.show(&list, list_table)?)
         }
         What::Holders { count } => {
             let path = format!("{}/{}", paths::COUNTS, paths::HOLDERS);
-            let mut list: HolderList = ask(&args.nodes, &path)?;
+            let mut list: HolderList = args.nodes.get(&path)?;
             if let Some(count) = count {
                 list.holders.retain(|holder| holder.count == *count);
             }
-            show(args.format, &list, holders_table)
+            Ok(args.nodes.show(&list, holders_table)?)
         }
         What::Explain { job } => {
             let job = parse_id(job).ok_or_else(|| CountsError::NoJob(job.clone()))?;
             let path = format!("{}/{}{job}", paths::COUNTS, paths::EXPLAIN);
-            let explanation: Explanation = ask(&args.nodes, &path)?;
-            show(args.format, &explanation, explain_text)
-        }
-    }
-}
-
-fn show<T: Serialize>(
-    format: Format,
-    value: &T,
-    table: impl Fn(&T) -> String,
-) -> Result<String, CountsError> {
-    Ok(match format {
-        Format::Table => table(value),
-        Format::Json => serde_json::to_string_pretty(value)?,
-    })
-}
-
-/// The first answer of a node that leads.
-fn ask<T: DeserializeOwned>(nodes: &[SocketAddrV4], path: &str) -> Result<T, CountsError> {
-    if nodes.is_empty() {
-        return Err(CountsError::NoNode);
-    }
-    let agent: ureq::Agent = ureq::Agent::config_builder()
-        .timeout_global(Some(Duration::from_millis(TIMEOUT_MS)))
-        .http_status_as_error(false)
-        .build()
-        .into();
-    let mut problems = Vec::new();
-    for node in nodes {
-        let answer = agent
-            .get(format!("http://{node}{path}"))
-            .call()
-            .and_then(|mut answer| Ok((answer.status().as_u16(), answer.body_mut().read_to_string()?)));
-        match answer {
-            Ok((200, body)) => return Ok(serde_json::from_str(&body)?),
-            Ok((421, _)) => problems.push(format!("{node} does not lead")),
-            Ok((503, body)) => problems.push(format!("{node}: {}", error_of(&body))),
-            Ok((_, body)) => return Err(CountsError::Refused(error_of(&body))),
-            Err(error) => problems.push(format!("{node}: {error}")),
+            let explanation: Explanation = args.nodes.get(&path)?;
+            Ok(args.nodes.show(&explanation, explain_text)?)
         }
     }
-    Err(CountsError::NoAnswer(problems.join("; ")))
-}
-
-/// The reason in an answer that is none.
-fn error_of(body: &str) -> String {
-    serde_json::from_str::<serde_json::Value>(body)
-        .ok()
-        .and_then(|value| value["error"].as_str().map(str::to_owned))
-        .unwrap_or_else(|| body.to_owned())
-}
-
-fn table(head: &[&str], right: &[usize], rows: impl Iterator<Item = Vec<String>>) -> String {
-    let mut table = Table::new();
-    table.load_style(presets::NOTHING).set_header(head.to_vec());
-    for row in rows {
-        table.add_row(row);
-    }
-    for at in right {
-        if let Some(column) = table.column_mut(*at) {
-            column.set_cell_alignment(CellAlignment::Right);
-        }
-    }
-    table.trim_fmt()
 }
 
 fn list_table(list: &CountList) -> String {
@@ -315,10 +225,4 @@
         assert!(text.starts_with("wk-7: 3 tasks wait; 3 of its tasks wait for units of seat"));
         assert_eq!(text.lines().count(), 3, "{text}");
     }
-
-    #[test]
-    fn nobody_to_ask_is_said_plainly() {
-        let error = ask::<CountList>(&[], paths::COUNTS).unwrap_err();
-        assert!(error.to_string().contains("--node"));
-    }
 }
--- a/crates/indigopath/src/event_loop.rs
+++ b/crates/indigopath/src/event_loop.rs
@@ -2,6 +2,7 @@
 //! what the sockets bring is queued, and the core works through it in batches.
 
 use crate::http;
+use indigopath_core::constants::{CLUSTER_OPS, RETRY_AFTER_S};
 use indigopath_core::io::{CallId, Content, Destination, Effect, Outcome, RequestId};
 use indigopath_core::node::{Command, Node};
 use indigopath_core::peers::{Frame, MAX_FRAME};
@@ -112,6 +113,8 @@
     cloud: SocketAddrV4,
     peers: Vec<Peer>,
     queue: Vec<Command>,
+    /// Whether submit files are served.
+    submit_files: bool,
     node: Node,
     started: Instant,
     swept: u64,
@@ -159,6 +162,7 @@
             cloud: settings.services.cloud,
             peers,
             queue: Vec::new(),
+            submit_files: settings.operator.condor.is_some(),
             node: Node::new(settings, rand::random(), 0, wall_ms()),
             started,
             swept: 0,
@@ -621,7 +625,8 @@
                 Fate::Keep
             };
         }
-        match http::parse_request(&connection.input) {
+        match http::parse_request(&connection.input, self.submit_files) {
+            Ok(None) if connection.input.len() > http::MAX_ORDINARY => self.wait_for_file(key),
             Ok(None) => Fate::Keep,
             Ok(Some(request)) => {
                 connection.input.drain(..request.length);
@@ -638,21 +643,43 @@
                 });
                 Fate::Keep
             }
-            Err(broken) => {
-                *closing = true;
-                connection.input.clear();
-                let body = format!("{{\"error\":\"{broken}\"}}");
-                http::write_answer(
-                    &mut connection.output,
-                    broken.status(),
-                    None,
-                    Content::Json,
-                    false,
-                    body.as_bytes(),
-                );
-                self.write(key)
-            }
+            Err(broken) => self.refuse(key, broken.status(), None, &broken.to_string()),
+        }
+    }
+
+    /// Only so many submit files come in at a time: what bounds memory. Others are told at
+    /// once to come back.
+    fn wait_for_file(&mut self, key: usize) -> Fate {
+        let large = self
+            .connections
+            .iter()
+            .filter(|(_, other)| matches!(other.role, Role::Client { .. }))
+            .filter(|(_, other)| other.input.len() > http::MAX_ORDINARY);
+        if large.count() <= CLUSTER_OPS {
+            return Fate::Keep;
+        }
+        let problem = "too many submit files at once, come back later";
+        self.refuse(key, 503, Some(RETRY_AFTER_S), problem)
+    }
+
+    /// Answers a request that is not taken, and closes after it.
+    fn refuse(&mut self, key: usize, status: u16, retry_after_s: Option<u64>, problem: &str) -> Fate {
+        let connection = &mut self.connections[key];
+        if let Role::Client { closing, .. } = &mut connection.role {
+            *closing = true;
         }
+        connection.input = Vec::new();
+        let body = format!("{{\"error\":\"{problem}\"}}");
+        let output = &mut connection.output;
+        http::write_answer(
+            output,
+            status,
+            retry_after_s,
+            Content::Json,
+            false,
+            body.as_bytes(),
+        );
+        self.write(key)
     }
 
     fn read_answer(&mut self, key: usize, closed: bool) -> Fate {
--- a/crates/indigopath/src/http.rs
+++ b/crates/indigopath/src/http.rs
@@ -2,8 +2,9 @@
 //! connection, bodies by length (or, in answers, chunked or until the close).
 
 use httparse::{Header, Status};
-use indigopath_core::constants::MAX_BODY;
+use indigopath_core::constants::{MAX_BODY, MAX_SUBMIT_BODY};
 use indigopath_core::io::Content;
+use indigopath_core::wire::paths;
 use thiserror::Error;
 
 /// Largest head of a message, in bytes.
@@ -95,8 +96,12 @@
     Ok(framing)
 }
 
-/// Takes a request off the front of `bytes`, once it is whole.
-pub fn parse_request(bytes: &[u8]) -> Result<Option<Request>, Broken> {
+/// Most bytes that a request waits with for its end, unless it is a submit file.
+pub const MAX_ORDINARY: usize = MAX_HEAD + MAX_BODY;
+
+/// Takes a request off the front of `bytes`, once it is whole. With `submit_files`, those may
+/// have a longer body than others.
+pub fn parse_request(bytes: &[u8], submit_files: bool) -> Result<Option<Request>, Broken> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     let head = match request.parse(bytes) {
@@ -107,16 +112,21 @@
         Err(_) => return Err(Broken::Malformed),
     };
     let framing = framing(request.headers)?;
+    let most = if submit_files && request.path == Some(paths::CLUSTERS) {
+        MAX_SUBMIT_BODY
+    } else {
+        MAX_BODY
+    };
     let one_one = request.version == Some(1);
     let keep_alive = !framing.close && (one_one || framing.keep_alive);
     let (body, length) = if framing.chunked {
-        match chunked(&bytes[head..], MAX_BODY)? {
+        match chunked(&bytes[head..], most)? {
             Some((body, length)) => (body, head + length),
             None => return Ok(None),
         }
     } else {
         let length = framing.length.unwrap_or(0);
-        if length > MAX_BODY {
+        if length > most {
             return Err(Broken::TooLarge);
         }
         let Some(body) = bytes.get(head..head + length) else {
@@ -222,8 +232,10 @@
         200 => "OK",
         201 => "Created",
         400 => "Bad Request",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         413 => "Content Too Large",
         421 => "Misdirected Request",
         422 => "Unprocessable Content",
@@ -286,9 +298,9 @@
     fn requests_come_whole_or_not_at_all() {
         let bytes = write_request("POST", "/v1/jobs", "here", b"{\"a\":1}");
         for cut in 0..bytes.len() {
-            assert_eq!(parse_request(&bytes[..cut]), Ok(None), "cut at {cut}");
+            assert_eq!(parse_request(&bytes[..cut], false), Ok(None), "cut at {cut}");
         }
-        let request = parse_request(&bytes).unwrap().unwrap();
+        let request = parse_request(&bytes, false).unwrap().unwrap();
         assert_eq!(request.body, b"{\"a\":1}");
         assert_eq!(request.length, bytes.len());
         assert!(request.keep_alive);
@@ -296,7 +308,7 @@
 
     #[test]
     fn what_cannot_be_served_is_told_apart() {
-        let refused = |text: &str| parse_request(text.as_bytes()).unwrap_err().status();
+        let refused = |text: &str| parse_request(text.as_bytes(), true).unwrap_err().status();
         assert_eq!(refused("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"), 413);
         assert_eq!(refused("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), 400);
         assert_eq!(
@@ -311,6 +323,21 @@
         );
     }
 
+    #[test]
+    fn a_submit_file_may_be_longer() {
+        let file =
+            |length: usize| format!("POST /v1/condor/clusters HTTP/1.1\r\nContent-Length: {length}\r\n\r\n");
+        assert_eq!(parse_request(file(MAX_SUBMIT_BODY).as_bytes(), true), Ok(None));
+        assert_eq!(
+            parse_request(file(MAX_SUBMIT_BODY).as_bytes(), false),
+            Err(Broken::TooLarge)
+        );
+        assert_eq!(
+            parse_request(file(MAX_SUBMIT_BODY + 1).as_bytes(), true),
+            Err(Broken::TooLarge)
+        );
+    }
+
     #[test]
     fn answers_by_length_chunks_or_close() {
         let mut bytes = Vec::new();
--- a/crates/indigopath/src/main.rs
+++ b/crates/indigopath/src/main.rs
@@ -1,6 +1,7 @@
 //! indigopath: an elastic cluster scheduler for small sites.
 #![forbid(unsafe_code)]
 
+mod client;
 mod condor;
 mod counts;
 mod event_loop;
