Submit files end to end: the command line against real controllers that are killed

Scenarios drive the core; nothing had driven the program. A gang is one proc in q, as condor users expect.

--- a/crates/core/src/condor/desk.rs
+++ b/crates/core/src/condor/desk.rs
@@ -927,11 +927,11 @@
     const SILENT: Next = Next::Later("the state service does not answer");
     let jobs = |page: StoredPage, state: fn(&StoredItem) -> Option<(u32, String)>| {
         let past = page.items.into_iter().filter_map(move |item| {
-            let (procs, state) = state(&item)?;
+            let (tasks, state) = state(&item)?;
             let (_, job) = item.key.split_once('/')?;
             Some(Past {
                 job: job.to_owned(),
-                procs,
+                tasks,
                 state,
             })
         });
@@ -989,7 +989,7 @@
                     let spec = JobSpec::from_value(&item.value).ok()?;
                     let held = spec.condor.as_ref()?.held().is_some();
                     let state = if held { "held" } else { "live" };
-                    Some((procs_of(&spec), state.to_owned()))
+                    Some((spec.tasks, state.to_owned()))
                 });
                 Next::Call(Step::ReadEnded)
             }
--- a/crates/core/src/condor/mod.rs
+++ b/crates/core/src/condor/mod.rs
@@ -161,6 +161,8 @@
     /// Time of day, in ms since 1970.
     pub submitted_ms: u64,
     pub state: RowState,
+    /// Its tasks run together and are one proc.
+    pub gang: bool,
     pub tasks: u32,
     pub done: u32,
     pub running: u32,
@@ -221,7 +223,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Past {
     pub job: String,
-    pub procs: u32,
+    /// Its tasks, or those that were done when it ended.
+    pub tasks: u32,
     pub state: String,
 }
 
--- a/crates/core/src/leader/clusters.rs
+++ b/crates/core/src/leader/clusters.rs
@@ -214,6 +214,7 @@
                 } else {
                     RowState::Idle
                 },
+                gang: job.spec.shape == Shape::Gang,
                 tasks: job.spec.tasks,
                 done,
                 running,
--- a/crates/indigopath/src/condor.rs
+++ b/crates/indigopath/src/condor.rs
@@ -279,6 +279,13 @@
 
 /// Done, running, idle and held procs of an array. A gang is one proc.
 fn shares(row: &QueueRow) -> [u32; 4] {
+    if row.gang {
+        return match row.state {
+            RowState::Running => [0, 1, 0, 0],
+            RowState::Idle => [0, 0, 1, 0],
+            RowState::Held => [0, 0, 0, 1],
+        };
+    }
     let waiting = row.tasks.saturating_sub(row.done + row.running);
     match row.state {
         RowState::Held => [row.done, row.running, 0, waiting],
@@ -458,9 +465,9 @@
             let jobs = found
                 .jobs
                 .iter()
-                .map(|job| vec![job.job.clone(), job.procs.to_string(), job.state.clone()]);
+                .map(|job| vec![job.job.clone(), job.tasks.to_string(), job.state.clone()]);
             text.push('\n');
-            text.push_str(&table(&["JOB", "PROCS", "STATE"], &[1], jobs));
+            text.push_str(&table(&["JOB", "TASKS", "STATE"], &[1], jobs));
         }
         text
     })?;
--- /dev/null
+++ b/crates/indigopath/tests/condor.rs
@@ -0,0 +1,367 @@
+//! Submit files from the command line to real controllers, on loopback, while controllers are
+//! killed at random: every cluster that was accepted is there once, all of it is done, and
+//! nothing that was refused ran.
+//!
+//! The seed is printed; `INDIGOPATH_SEED=N` plays the same decisions again. Time is only an
+//! upper bound: nothing is judged by how long it took.
+
+use indigopath_core::wire::Flavors;
+use indigopath_sim::cloud::Cloud;
+use indigopath_sim::licences::LicenceServer;
+use indigopath_sim::live::Live;
+use indigopath_sim::worker::Times;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+const NODES: usize = 3;
+/// No run may take longer, in s; one takes about twenty seconds.
+const LONGEST_S: u64 = 400;
+
+/// The controllers' processes. They end with this.
+struct Site {
+    folder: PathBuf,
+    nodes: Vec<SocketAddrV4>,
+    running: Vec<Option<Child>>,
+    back_at: Vec<Instant>,
+    began: Instant,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for child in self.running.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Site {
+    fn keep_up(&mut self) {
+        assert!(
+            self.began.elapsed() < Duration::from_secs(LONGEST_S),
+            "{}",
+            self.problems()
+        );
+        for node in 0..NODES {
+            if let Some(child) = &mut self.running[node]
+                && let Ok(Some(status)) = child.try_wait()
+            {
+                panic!(
+                    "controller n{node} ended by itself: {status}\n{}",
+                    self.problems()
+                );
+            }
+            if self.running[node].is_none() && Instant::now() >= self.back_at[node] {
+                let log = std::fs::OpenOptions::new()
+                    .create(true)
+                    .append(true)
+                    .open(self.folder.join(format!("n{node}.log")))
+                    .unwrap();
+                let child = Command::new(env!("CARGO_BIN_EXE_indigopath"))
+                    .args(["--config", &format!("n{node}.json"), "--operator", "operator.hcl"])
+                    .current_dir(&self.folder)
+                    .stdin(Stdio::null())
+                    .stdout(Stdio::null())
+                    .stderr(log)
+                    .spawn();
+                self.running[node] = Some(child.expect("a controller starts"));
+            }
+        }
+    }
+
+    fn kill(&mut self, node: usize) {
+        if let Some(mut child) = self.running[node].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+            self.back_at[node] = Instant::now() + Duration::from_millis(400);
+        }
+    }
+
+    fn problems(&self) -> String {
+        let logs = (0..NODES).map(|node| {
+            let log = std::fs::read_to_string(self.folder.join(format!("n{node}.log"))).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            lines[lines.len().saturating_sub(15)..].join("\n")
+        });
+        logs.collect::<Vec<_>>().join("\n")
+    }
+
+    fn command(&self, words: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_indigopath"));
+        command
+            .arg("condor")
+            .args(words)
+            .current_dir(&self.folder)
+            .stdin(Stdio::null());
+        for node in &self.nodes {
+            command.args(["--node", &node.to_string()]);
+        }
+        command
+    }
+
+    /// The command line, until it is answered, while controllers come back.
+    fn run(&mut self, words: &[&str]) -> Output {
+        loop {
+            self.keep_up();
+            let output = self.command(words).output().expect("the program runs");
+            let silent = String::from_utf8_lossy(&output.stderr).contains("no controller that can tell");
+            if !silent {
+                return output;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    fn json(&mut self, words: &[&str]) -> Value {
+        let words: Vec<&str> = words.iter().copied().chain(["--format", "json"]).collect();
+        let output = self.run(&words);
+        serde_json::from_slice(&output.stdout)
+            .unwrap_or_else(|_| panic!("{words:?}: {}", String::from_utf8_lossy(&output.stderr)))
+    }
+}
+
+fn start(live: &Live, nodes: Vec<SocketAddrV4>) -> Site {
+    let folder = std::env::temp_dir().join(format!("indigopath-condor-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let peer = |at: usize| SocketAddrV4::new(*nodes[at].ip(), nodes[at].port() + 1).to_string();
+    for node in 0..NODES {
+        let siblings: Vec<Value> = (0..NODES)
+            .filter(|at| *at != node)
+            .map(|at| json!({ "member": format!("n{at}"), "area": "east", "addr": peer(at) }))
+            .collect();
+        let settings = json!({
+            "member": format!("n{node}"), "area": "east",
+            "bind": nodes[node].to_string(), "cluster_listen": peer(node), "siblings": siblings,
+            "services": { "cloud": live.cloud.to_string(), "state": live.state.to_string() },
+            "deployment": {
+                "zones": ["east", "west"],
+                "teams": [{ "name": "vision", "gpus": 8.0, "gpus_max": 16.0 }, { "name": "comics" }],
+                "workers": { "report_s": 0.4, "lease_s": 4.0, "gang_wait_s": 5.0, "gang_peer_s": 1.0, "cancel_s": 9.0 },
+                "state": { "rps": 2000.0, "write_rps": 1000.0, "value_kb": 16.0, "txn_ops": 12 },
+                "cloud": { "rps": 50.0, "list_lag_s": 0.3 },
+                "resources": { "cores": 1.0, "ram_mb": 200.0, "max_sockets": 1000 },
+                "skew_ms": 20.0,
+            }
+        });
+        std::fs::write(folder.join(format!("n{node}.json")), settings.to_string()).unwrap();
+    }
+    let operator = "idle_return_s = 2\ncondor {\n default_team = \"vision\"\n default_class = \"scan-cleaning\"\n \
+                    default_image = \"scan:1\"\n default_image_gb = 0.05\n machine \"small\" {\n OpSys = \"LINUX\"\n }\n}\n";
+    std::fs::write(folder.join("operator.hcl"), operator).unwrap();
+    Site {
+        folder,
+        nodes,
+        running: (0..NODES).map(|_| None).collect(),
+        back_at: vec![Instant::now(); NODES],
+        began: Instant::now(),
+    }
+}
+
+fn cloud() -> Cloud {
+    let types = json!({ "Rigs": [{
+        "Label": "small", "Cpus": 32, "Gpus": 4, "MemGb": 128, "CacheGb": 40, "FetchGbPerS": 1.0,
+        "Rate": 8.0, "LowPrice": 2.5, "StartupS": 0.6, "Yards": ["east", "west"]
+    }] });
+    let flavors: Flavors = serde_json::from_value(types).unwrap();
+    let mut cloud = Cloud::default();
+    cloud.types = flavors.types;
+    cloud.lag_ms = Some(300);
+    cloud
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// Done tasks of a cluster, by the workers' own count.
+fn done(live: &Live, cluster: u64) -> usize {
+    let prefix = format!("wk-99{cluster:010}");
+    live.with(|models| {
+        let jobs = models.jobs.iter().filter(|(id, _)| id.starts_with(&prefix));
+        jobs.map(|(_, facts)| facts.done.len()).sum()
+    })
+}
+
+fn until(site: &mut Site, what: &str, mut holds: impl FnMut(&mut Site) -> bool) {
+    while !holds(site) {
+        site.keep_up();
+        assert!(
+            site.began.elapsed() < Duration::from_secs(LONGEST_S),
+            "{what} never came\n{}",
+            site.problems()
+        );
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn submit_files_run_once_whatever_controllers_end() {
+    let seed = std::env::var("INDIGOPATH_SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok())
+        .unwrap_or_else(|| rand::rng().random::<u32>().into());
+    println!("seed {seed}");
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let process = std::process::id();
+    let nodes: Vec<SocketAddrV4> = (0..NODES as u8)
+        .map(|node| {
+            let ip = Ipv4Addr::new(127, 64 + (process >> 8) as u8 % 128, process as u8, 30 + node);
+            SocketAddrV4::new(ip, 18_180)
+        })
+        .collect();
+    let times = Times {
+        report_ms: 400,
+        lease_ms: 4_000,
+        gang_wait_ms: 5_000,
+        least_ms: 100,
+        retry_ms: 100,
+    };
+    let live = Live::start(cloud(), LicenceServer::default(), times, nodes.clone());
+    let mut site = start(&live, nodes);
+    let write = |name: &str, text: &str| std::fs::write(site.folder.join(name), text).unwrap();
+    write("items.txt", "1\n2\n3\n");
+    write(
+        "pages.sub",
+        "executable = clean.sh\narguments = $(n)\nrequest_gpus = 1\nrequirements = OpSys == \"LINUX\" && ! Spot\n\
+         queue 2 n from items.txt\nrequest_gpus = 0\nrequest_memory = 2 GB\nqueue 3\n",
+    );
+    write("bad.sub", "queue 2\nrequirements = Memroy > 1\nqueue\n");
+    write("broken.sub", "request_cpus = $(x\nqueue\n");
+    write(
+        "over.sub",
+        "universe = parallel\nmachine_count = 5\nrequest_gpus = 4\nqueue\n",
+    );
+    write("held.sub", "hold = true\nqueue 2\n");
+    // As large as a file from a user gets: most of it items.
+    let items: String = (0..10_000)
+        .map(|number| format!("scans/volume-7/page-{number:06}.tif\n"))
+        .collect();
+    write(
+        "large.sub",
+        &format!("arguments = $(Item)\nhold = true\nqueue from (\n{items})\n"),
+    );
+    until(&mut site, "the first answer", |site| {
+        site.json(&["q"])["jobs"].is_array()
+    });
+
+    // What is refused is told, and nothing of it is there.
+    let bad = site.run(&["submit", "bad.sub"]);
+    assert_eq!(bad.status.code(), Some(1));
+    assert!(
+        text(&bad.stderr).contains("bad.sub:2:16: requirements"),
+        "{}",
+        text(&bad.stderr)
+    );
+    let broken = site.run(&["submit", "broken.sub"]);
+    assert_eq!(broken.status.code(), Some(1));
+    assert!(
+        text(&broken.stderr).starts_with("broken.sub:1:16: "),
+        "{}",
+        text(&broken.stderr)
+    );
+    assert_eq!(site.run(&["submit", "none.sub"]).status.code(), Some(2));
+    assert_eq!(site.run(&["hold", "x"]).status.code(), Some(2));
+    assert_eq!(site.run(&["hold", "77"]).status.code(), Some(1));
+    assert_eq!(site.json(&["history"])["clusters"], json!([]));
+
+    // Clusters while controllers end: each is accepted once, under a number of its own.
+    let mut clusters = Vec::new();
+    let mut kills = 0;
+    for _ in 0..12 {
+        site.keep_up();
+        let mut child = site
+            .command(&["submit", "pages.sub", "--owner", "awa", "--format", "json"])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        std::thread::sleep(Duration::from_millis(rng.random_range(0..60)));
+        match rng.random_range(0..4) {
+            0 => (0..NODES).for_each(|node| site.kill(node)),
+            _ => site.kill(rng.random_range(0..NODES)),
+        }
+        kills += 1;
+        until(&mut site, "an answer", |_| child.try_wait().unwrap().is_some());
+        let output = child.wait_with_output().unwrap();
+        assert!(output.status.success(), "{}", site.problems());
+        let accepted: Value = serde_json::from_slice(&output.stdout).unwrap();
+        assert_eq!((&accepted["procs"], &accepted["jobs"]), (&json!(9), &json!(2)));
+        clusters.push(accepted["cluster"].as_u64().unwrap());
+    }
+    let mut different = clusters.clone();
+    different.dedup();
+    assert_eq!(different.len(), clusters.len(), "{clusters:?}");
+    assert_eq!(
+        site.json(&["history"])["clusters"].as_array().unwrap().len(),
+        clusters.len()
+    );
+
+    // What is over the limit is held, and a release does not bypass it.
+    let over = site.json(&["submit", "over.sub"]);
+    let over = over["cluster"].as_u64().unwrap().to_string();
+    let released = site.run(&["release", &over]);
+    assert_eq!(released.status.code(), Some(1));
+    assert!(
+        text(&released.stderr).contains("team vision's limit of 16"),
+        "{}",
+        text(&released.stderr)
+    );
+    let held = site.json(&["submit", "held.sub"]);
+    assert_eq!(held["held"][0]["reason"], "hold = true in the submit file");
+    let held = held["cluster"].as_u64().unwrap();
+    let submitted = site.run(&["submit", "large.sub"]);
+    let told = text(&submitted.stdout);
+    assert!(
+        told.starts_with("10000 job(s) submitted to cluster "),
+        "{told}{}",
+        text(&submitted.stderr)
+    );
+    let large = told
+        .trim_end_matches(['.', '\n'])
+        .rsplit(' ')
+        .next()
+        .unwrap()
+        .to_owned();
+
+    for cluster in &clusters {
+        until(&mut site, "the end of a cluster", |_| done(&live, *cluster) == 9);
+        until(&mut site, "its record", |site| {
+            let history = site.json(&["history", &cluster.to_string()]);
+            let jobs = history["jobs"].as_array().unwrap().clone();
+            jobs.len() == 2 && jobs.iter().all(|job| job["state"] == "completed")
+        });
+    }
+    assert_eq!(done(&live, held), 0);
+    let queue = text(&site.run(&["q"]).stdout);
+    assert!(
+        queue.contains("JOB_IDS") && queue.contains("10003 held"),
+        "{queue}"
+    );
+    let why = text(&site.run(&["q", "--hold"]).stdout);
+    assert!(why.contains("it needs 20 GPUs at once"), "{why}");
+    let released = site.run(&["release", &held.to_string()]);
+    assert_eq!(
+        text(&released.stdout),
+        format!("All jobs in cluster {held} have been released\n")
+    );
+    until(&mut site, "the end of what was held", |_| done(&live, held) == 2);
+    for cluster in [&over, &large] {
+        let removed = site.run(&["rm", cluster]);
+        assert!(removed.status.success(), "{}", text(&removed.stderr));
+    }
+    until(&mut site, "an empty queue", |site| {
+        site.json(&["q"])["jobs"] == json!([])
+    });
+    let total: usize = clusters.iter().map(|cluster| done(&live, *cluster)).sum();
+    println!(
+        "{} clusters of 9 procs, {total} done, {kills} kills of controllers",
+        clusters.len()
+    );
+    assert!(Path::new(&site.folder).exists());
+}
--- a/crates/sim/src/live.rs
+++ b/crates/sim/src/live.rs
@@ -8,7 +8,7 @@
 use crate::licences::{Fate, LicenceServer};
 use crate::state::{Reply, StateService};
 use crate::worker::{Times, Worker};
-use crate::world::JobFacts;
+use crate::world::{JobFacts, learn_jobs};
 use indigopath_core::wire::{Cause, TaskState};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -23,6 +23,9 @@
 /// Grain of the models' clock, in ms.
 const STEP_MS: u64 = 10;
 
+/// How long tasks of submit files run, in s.
+const FILE_RUN_S: f64 = 0.4;
+
 /// Longest wait for a controller's answer, in ms.
 const CALL_MS: u64 = 4_000;
 
@@ -237,8 +240,12 @@
     let text = |value: Value| value.to_string().into_bytes();
     let reply = {
         let mut models = lock(models);
-        let now = models.now;
-        models.state.handle(method, path, body, now)
+        let (now, changes) = (models.now, models.state.changes);
+        let reply = models.state.handle(method, path, body, now);
+        if models.state.changes > changes {
+            learn_jobs(&mut models.jobs, body, FILE_RUN_S);
+        }
+        reply
     };
     match reply {
         Reply::Now(status, value) => (status, text(value)),
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -617,7 +617,7 @@
                     self.calls
                         .note("changes", (self.state.changes - changes) as usize, now);
                     if self.state.changes > changes {
-                        self.learn_clusters(body);
+                        learn_jobs(&mut self.jobs, body, self.condor_run_s);
                     }
                     match reply {
                         Reply::Now(status, value) => Some((status, json_bytes(&value))),
@@ -682,37 +682,6 @@
         named && !body.contains("\"leader\"") && !path.contains("/changes")
     }
 
-    /// Jobs of submit files are known by their records alone: nobody else names them.
-    fn learn_clusters(&mut self, body: &[u8]) {
-        let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
-            return;
-        };
-        for change in transaction.changes {
-            let Change::Put { key, value, .. } = change else {
-                continue;
-            };
-            let Some(cluster) = value["condor"]["cluster"].as_u64() else {
-                continue;
-            };
-            let id = key.trim_start_matches("j/").to_owned();
-            let text = |field: &str| value[field].as_str().unwrap_or_default().to_owned();
-            let run_s = self.condor_run_s;
-            let facts = self.jobs.entry(id).or_insert_with(|| JobFacts {
-                shape: text("shape"),
-                tasks: value["tasks"].as_u64().unwrap_or(0) as u32,
-                gpus: value["needs"]["gpus"].as_f64().unwrap_or(0.0),
-                run_s,
-                image: text("image"),
-                image_gb: value["image_gb"].as_f64().unwrap_or(0.0),
-                accepted: true,
-                cluster: Some(cluster),
-                ..JobFacts::default()
-            });
-            facts.team = text("team");
-            facts.spec = Some(value);
-        }
-    }
-
     /// Of a submit file's job: whether nothing holds it back, by the records.
     fn may_run(&self, job: &str, cluster: u64) -> Result<(), &'static str> {
         if self.state.value(&format!("c/{cluster:010}")).is_none() {
@@ -1141,6 +1110,37 @@
     }
 }
 
+/// Jobs of submit files are known by their records alone: nobody else names them. `run_s` is
+/// how long their tasks run.
+pub(crate) fn learn_jobs(jobs: &mut BTreeMap<String, JobFacts>, body: &[u8], run_s: f64) {
+    let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
+        return;
+    };
+    for change in transaction.changes {
+        let Change::Put { key, value, .. } = change else {
+            continue;
+        };
+        let Some(cluster) = value["condor"]["cluster"].as_u64() else {
+            continue;
+        };
+        let id = key.trim_start_matches("j/").to_owned();
+        let text = |field: &str| value[field].as_str().unwrap_or_default().to_owned();
+        let facts = jobs.entry(id).or_insert_with(|| JobFacts {
+            shape: text("shape"),
+            tasks: value["tasks"].as_u64().unwrap_or(0) as u32,
+            gpus: value["needs"]["gpus"].as_f64().unwrap_or(0.0),
+            run_s,
+            image: text("image"),
+            image_gb: value["image_gb"].as_f64().unwrap_or(0.0),
+            accepted: true,
+            cluster: Some(cluster),
+            ..JobFacts::default()
+        });
+        facts.team = text("team");
+        facts.spec = Some(value);
+    }
+}
+
 fn json_bytes(value: &Value) -> Vec<u8> {
     value.to_string().into_bytes()
 }
