Terms of requirements are matched one by one; a file's expressions have a budget of steps

A file of 10,000 requirements could cost a node minutes of processor time: each was bounded, all together were not. A requirement is matched term by term, each over the kinds that are left, and terms that look at machines alone are remembered.

--- a/crates/classad/src/constants.rs
+++ b/crates/classad/src/constants.rs
@@ -15,7 +15,7 @@
 pub const MAX_RECURSION: u32 = 500;
 
 /// Nodes that one evaluation may visit. A requirement has dozens.
-pub const MAX_STEPS: u32 = 100_000;
+pub const MAX_STEPS: u32 = 20_000;
 
 /// Longest string, in bytes, or list, in entries, that an evaluation may make.
 pub const MAX_MADE: usize = 64 * 1024;
--- a/crates/classad/src/eval.rs
+++ b/crates/classad/src/eval.rs
@@ -70,6 +70,8 @@
 pub struct Evaluator {
     now_s: i64,
     steps: u32,
+    /// Steps of all evaluations before this one.
+    spent: u64,
     recursion: u32,
     /// Attributes that are being evaluated: where their expression lies, and their name.
     open: Vec<usize>,
@@ -108,6 +110,7 @@
 
     /// The value of an expression of `my`, which looks at `target`.
     pub fn evaluate(&mut self, expr: &Expr, my: &Ad, target: Option<&Ad>) -> Value {
+        self.spent += u64::from(self.steps);
         self.steps = 0;
         self.recursion = 0;
         self.open.clear();
@@ -123,6 +126,11 @@
         self.value(expr, ads, place)
     }
 
+    /// Steps of all evaluations so far, for whoever has to bound many of them.
+    pub fn spent(&self) -> u64 {
+        self.spent + u64::from(self.steps)
+    }
+
     /// What went wrong first in the last evaluation, if it came to ERROR.
     pub fn fault(&self) -> Option<&Fault> {
         self.fault.as_ref()
@@ -186,6 +194,7 @@
                 self.logical(*operator, two, ads, place)
             }
             Kind::Binary(operator, two) => {
+                self.steps += 2;
                 let (made_left, made_right);
                 let left = match plain(&two.0, ads, place) {
                     Some(value) => value,
--- a/crates/classad/src/expr.rs
+++ b/crates/classad/src/expr.rs
@@ -3,6 +3,8 @@
 use crate::constants::MAX_DEPTH;
 use crate::functions::Function;
 use crate::{Name, Value};
+use rustc_hash::FxHasher;
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 /// Whose attribute is meant.
@@ -232,6 +234,30 @@
         }
     }
 
+    /// Equal expressions have the same; others hardly ever do.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = FxHasher::default();
+        self.feed(&mut hasher);
+        hasher.finish()
+    }
+
+    fn feed(&self, hasher: &mut FxHasher) {
+        std::mem::discriminant(&self.kind).hash(hasher);
+        match &self.kind {
+            Kind::Literal(value) => feed_value(value, hasher),
+            Kind::Attribute(scope, name) => (scope, name).hash(hasher),
+            Kind::Select(_, name) => name.hash(hasher),
+            Kind::Unary(operator, _) => std::mem::discriminant(operator).hash(hasher),
+            Kind::Binary(operator, _) => std::mem::discriminant(operator).hash(hasher),
+            Kind::Call(function, _) => function.name.hash(hasher),
+            Kind::Record(record) => record.0.iter().for_each(|(name, _)| name.hash(hasher)),
+            Kind::Index(_) | Kind::Choose(_) | Kind::Otherwise(_) | Kind::List(_) => (),
+        }
+        for child in self.children() {
+            child.feed(hasher);
+        }
+    }
+
     /// The parts that all must hold: those between its outermost `&&`.
     pub fn terms(&self) -> Vec<&Expr> {
         let mut terms = Vec::new();
@@ -246,6 +272,19 @@
     }
 }
 
+fn feed_value(value: &Value, hasher: &mut FxHasher) {
+    std::mem::discriminant(value).hash(hasher);
+    match value {
+        Value::Bool(value) => value.hash(hasher),
+        Value::Int(value) => value.hash(hasher),
+        // As equality sees it, where the two zeros are the same.
+        Value::Real(value) => (*value + 0.0).to_bits().hash(hasher),
+        Value::Str(text) => text.hash(hasher),
+        Value::List(entries) => entries.iter().for_each(|entry| feed_value(entry, hasher)),
+        Value::Undefined | Value::Error | Value::Record(_) => (),
+    }
+}
+
 /// A name in an expression.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reference<'e> {
--- a/crates/condor/src/judge.rs
+++ b/crates/condor/src/judge.rs
@@ -1,7 +1,7 @@
 //! Which machines do for a proc, and if none do, why not.
 
 use crate::cluster::{Hold, Why};
-use crate::constants::{KINDS_SHOWN, MIB_PER_GB, NAMES_SHOWN, PROBLEMS_SHOWN};
+use crate::constants::{KINDS_SHOWN, MAX_FILE_STEPS, MIB_PER_GB, NAMES_SHOWN, PROBLEMS_SHOWN, TERMS_KEPT};
 use crate::request::{self, Asked, Problem, Reading, Request};
 use crate::site::{Kind, Kinds, Site};
 use crate::submit::{Batch, Key, Submission, What};
@@ -61,6 +61,7 @@
         cluster,
         now_s,
         matched: FxHashMap::default(),
+        terms: FxHashMap::default(),
     };
     let mut judged = Judged::default();
     for batch in &submission.batches {
@@ -76,6 +77,9 @@
     now_s: i64,
     /// What requests without an expression come to, by what they need.
     matched: FxHashMap<[u64; 4], FixedBitSet>,
+    /// Terms that look at machines alone, by their fingerprint, and the kinds that they hold
+    /// for.
+    terms: FxHashMap<u64, (Expr, FixedBitSet)>,
 }
 
 /// Attributes that tell procs apart which otherwise ask for the same.
@@ -116,6 +120,11 @@
     /// What becomes of a request, and whether others with the same telling values share it.
     fn request(&mut self, reading: Reading) -> (Outcome, bool) {
         let Reading { request, ad } = reading;
+        if self.evaluator.spent() > MAX_FILE_STEPS {
+            let reason = "the file's expressions take too many steps to be matched: split it";
+            let outcome = self.without_kinds(Verdict::Refused, reason.to_owned(), None);
+            return (outcome, true);
+        }
         let mut names = FxHashSet::default();
         let mut problems = Vec::new();
         for asked in [&request.requirements, &request.rank].into_iter().flatten() {
@@ -240,22 +249,69 @@
         let Some(asked) = &request.requirements else {
             return kinds;
         };
-        let values = Values::of(
-            &asked.expr,
-            ad,
-            &kinds,
-            names,
-            &self.site.kinds,
-            &mut self.evaluator,
-        );
-        for (at, kind) in all.iter().enumerate() {
-            if kinds.contains(at) && values.get(kind).truth() != Some(true) {
-                kinds.remove(at);
+        // All terms must hold: each is asked of the kinds that those before it leave.
+        for term in asked.expr.terms() {
+            if kinds.is_clear() {
+                break;
             }
+            self.narrow(term, ad, names, &mut kinds);
         }
         kinds
     }
 
+    /// Leaves the kinds for which a term holds. What does not look at the job comes to the
+    /// same for every request, and files repeat themselves: it is remembered.
+    fn narrow(&mut self, term: &Expr, ad: &Ad, names: &FxHashSet<Arc<str>>, kinds: &mut FixedBitSet) {
+        let calls = term.calls();
+        // What eval() looks at is known only once it has.
+        let any = calls.iter().any(|(function, _)| function.name == "eval");
+        let of_machines = !any
+            && term.references().iter().all(|reference| match reference.scope {
+                Scope::Target => true,
+                Scope::Any => !ad.contains(reference.name),
+                Scope::My => false,
+            });
+        let fingerprint = term.fingerprint();
+        if of_machines
+            && let Some((known, holds)) = self.terms.get(&fingerprint)
+            && known == term
+        {
+            kinds.intersect_with(holds);
+            return;
+        }
+        let all = &self.site.kinds;
+        let zone = any || names.contains("zone");
+        let spot = any || names.contains("spot") || names.contains("rate");
+        // Kinds that do not differ in what it looks at come to the same.
+        let mut by_class: Vec<Option<bool>> = vec![None; all.classes()];
+        let mut holds = FixedBitSet::with_capacity(all.all().len());
+        for (at, kind) in all.all().iter().enumerate() {
+            if !of_machines && !kinds.contains(at) {
+                continue;
+            }
+            let class = all.class(kind, zone, spot);
+            let truth = match by_class.get(class).copied().flatten() {
+                Some(truth) => truth,
+                None => {
+                    let value = self.evaluator.evaluate(term, ad, Some(&kind.ad));
+                    let truth = value.truth() == Some(true);
+                    if let Some(known) = by_class.get_mut(class) {
+                        *known = Some(truth);
+                    }
+                    truth
+                }
+            };
+            holds.set(at, truth);
+        }
+        kinds.intersect_with(&holds);
+        if of_machines {
+            if self.terms.len() >= TERMS_KEPT {
+                self.terms.clear();
+            }
+            self.terms.insert(fingerprint, (term.clone(), holds));
+        }
+    }
+
     fn ranks(&mut self, request: &Request, ad: &Ad) -> Vec<f64> {
         let Some(asked) = &request.rank else {
             return Vec::new();
@@ -462,52 +518,6 @@
     }
 }
 
-/// An expression's value for every kind, evaluated once for kinds that do not differ in what
-/// it looks at.
-struct Values<'k> {
-    kinds: &'k Kinds,
-    zone: bool,
-    spot: bool,
-    values: Vec<Option<Value>>,
-}
-
-impl<'k> Values<'k> {
-    fn of(
-        expr: &Expr,
-        ad: &Ad,
-        among: &FixedBitSet,
-        names: &FxHashSet<Arc<str>>,
-        kinds: &'k Kinds,
-        evaluator: &mut Evaluator,
-    ) -> Values<'k> {
-        // What eval() looks at is known only once it has.
-        let any = expr.calls().iter().any(|(function, _)| function.name == "eval");
-        let mut values = Values {
-            kinds,
-            zone: any || names.contains("zone"),
-            spot: any || names.contains("spot") || names.contains("rate"),
-            values: vec![None; kinds.classes()],
-        };
-        for kind in kinds.of(among) {
-            let class = kinds.class(kind, values.zone, values.spot);
-            if let Some(value) = values.values.get_mut(class)
-                && value.is_none()
-            {
-                *value = Some(evaluator.evaluate(expr, ad, Some(&kind.ad)));
-            }
-        }
-        values
-    }
-
-    fn get(&self, kind: &Kind) -> &Value {
-        let class = self.kinds.class(kind, self.zone, self.spot);
-        self.values
-            .get(class)
-            .and_then(Option::as_ref)
-            .unwrap_or(&Value::Undefined)
-    }
-}
-
 /// Everything that the submitter should know of commands that change nothing here.
 pub fn notes(submission: &Submission) -> Vec<(Place, String)> {
     let mut notes: Vec<(Place, String)> = submission
