--- a/crates/condor/src/lib.rs
+++ b/crates/condor/src/lib.rs
@@ -51,7 +51,8 @@
 pub use judge::{Judged, Outcome, Verdict, judge, notes};
 pub use request::{Asked, Level, Problem, Request};
 pub use site::{
-    CondorSettings, CondorSettingsError, Declared, Kind, Kinds, MACHINE_ATTRIBUTES, MachineType, Site, Team,
+    CondorSettings, CondorSettingsError, Declared, Kind, Kinds, MACHINE_ATTRIBUTES, MachineType, Site,
+    SiteFile, Team,
 };
 pub use source::{Files, Matching, Place, SubmitError};
 pub use submit::{Batch, Key, Note, Proc, Submission, What, read};
--- a/crates/condor/src/site.rs
+++ b/crates/condor/src/site.rs
@@ -119,7 +119,7 @@
 }
 
 /// A machine type as the cloud offers it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct MachineType {
     pub name: String,
     pub cpus: f64,
@@ -133,7 +133,7 @@
 }
 
 /// A team and the most that it may use at a time; 0 is no limit.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Team {
     pub name: String,
     pub cpus_max: f64,
@@ -251,6 +251,28 @@
     ad
 }
 
+/// A site as text, for corpora and experiments.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SiteFile {
+    types: Vec<MachineType>,
+    zones: Vec<String>,
+    teams: Vec<Team>,
+    counts: Definitions,
+    condor: CondorSettings,
+}
+
+impl From<SiteFile> for Site {
+    fn from(file: SiteFile) -> Site {
+        Site {
+            kinds: Kinds::new(&file.types, &file.zones, &file.condor),
+            teams: file.teams,
+            counts: file.counts,
+            settings: file.condor,
+        }
+    }
+}
+
 /// Everything that a file is held against.
 #[derive(Debug, Clone, Default)]
 pub struct Site {
--- a/crates/condor/tests/corpus.rs
+++ b/crates/condor/tests/corpus.rs
@@ -10,76 +10,22 @@
 //!
 //! A file that expects several lines of a proc expects all of them.
 
-use indigopath_condor::{
-    CondorSettings, Files, Judged, Kinds, MachineType, Matching, Site, Submission, SubmitError, Team, Verdict,
-};
-use indigopath_counts::Definitions;
+use indigopath_condor::{Files, Judged, Matching, Site, SiteFile, Submission, SubmitError, Verdict};
 use libtest_mimic::{Arguments, Failed, Trial};
-use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 
 /// Fewest files that this is about.
 const LEAST: usize = 80;
 
-#[derive(Deserialize)]
-struct Types {
-    types: Vec<Row>,
-    zones: Vec<String>,
-    teams: Vec<TeamRow>,
-    counts: Definitions,
-    condor: CondorSettings,
-}
-
-#[derive(Deserialize)]
-struct Row {
-    name: String,
-    cpus: f64,
-    gpus: f64,
-    memory_gb: f64,
-    price: f64,
-    spot_price: f64,
-    zones: Vec<String>,
-}
-
-#[derive(Deserialize)]
-struct TeamRow {
-    name: String,
-    cpus_max: f64,
-    gpus_max: f64,
-}
-
 fn folder() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/corpus")
 }
 
 fn site() -> Site {
     let text = std::fs::read_to_string(folder().join("site.json")).expect("site.json");
-    let read: Types = serde_json::from_str(&text).expect("a site");
-    let types: Vec<MachineType> = read
-        .types
-        .into_iter()
-        .map(|row| MachineType {
-            name: row.name,
-            cpus: row.cpus,
-            gpus: row.gpus,
-            memory_gb: row.memory_gb,
-            price: row.price,
-            spot_price: row.spot_price,
-            zones: row.zones,
-        })
-        .collect();
-    let teams = read.teams.into_iter().map(|row| Team {
-        name: row.name,
-        cpus_max: row.cpus_max,
-        gpus_max: row.gpus_max,
-    });
-    Site {
-        kinds: Kinds::new(&types, &read.zones, &read.condor),
-        teams: teams.collect(),
-        counts: read.counts,
-        settings: read.condor,
-    }
+    let file: SiteFile = serde_json::from_str(&text).expect("a site");
+    Site::from(file)
 }
 
 /// The files beside the corpus.
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -311,9 +311,14 @@
 
     /// How much there is of everything.
     pub fn census(&self) -> Census {
+        let waiting = |parked: bool| {
+            let jobs = self.jobs.values().filter(|job| job.parked == parked);
+            jobs.map(|job| job.waiting.len()).sum()
+        };
         let mut census = Census {
             jobs: self.jobs.len(),
-            waiting: self.jobs.values().map(|job| job.waiting.len()).sum(),
+            waiting: waiting(false),
+            held: waiting(true),
             rentals: self.rentals.values().filter(|rental| rental.is_open()).count(),
             ..Census::default()
         };
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -25,6 +25,8 @@
     pub jobs: usize,
     /// Tasks that wait.
     pub waiting: usize,
+    /// Tasks of jobs that are held, or whose cluster is not accepted yet.
+    pub held: usize,
     /// Attempts that are, or may be, on a machine.
     pub placed: usize,
     /// Requests to the cloud whose machines are not known yet.
@@ -208,7 +210,11 @@
         let census = standing.census.unwrap_or_default();
         self.jobs.set(amount(census.jobs));
         self.rentals.set(amount(census.rentals));
-        for (state, tasks) in [("waiting", census.waiting), ("placed", census.placed)] {
+        for (state, tasks) in [
+            ("waiting", census.waiting),
+            ("held", census.held),
+            ("placed", census.placed),
+        ] {
             self.tasks.get_or_create(&InState { state }).set(amount(tasks));
         }
         for (state, machines) in [
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -8,6 +8,7 @@
 //! | `d/<number>` | [`DoneRecord`]: completed tasks of many jobs, a bitmap each | the leader |
 //! | `s/<number>` | [`ShardRecord`]: what may be on each of many machines | the leader |
 //! | `h/<request>` | a rental sent to the cloud | the leader |
+//! | `n/…`, `k/…`, `c/…`, `j/~…` | clusters of submit files: see [`indigopath_condor::cluster`] | any node; the leader clears away |
 //! | `types` | machine types, for nodes that start while the cloud is down | the leader |
 //!
 //! The state service counts changed keys, not bytes. So machines, and completed
--- a/crates/counts/tests/loopback.rs
+++ b/crates/counts/tests/loopback.rs
@@ -7,22 +7,19 @@
 //! processes make of them depends on the machine). Time is only an upper bound: nothing is
 //! judged by how long it took.
 
-use indigopath_core::wire::Flavors;
-use indigopath_sim::cloud::Cloud;
+use indigopath_sim::controllers::{Controllers, NODES, addresses, small_cloud, times};
 use indigopath_sim::licences::{Feature, LicenceServer};
 use indigopath_sim::live::{HttpClient, Live};
-use indigopath_sim::worker::Times;
 use indigopath_sim::world::JobFacts;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
-const NODES: usize = 3;
 const KILLS: u32 = 52;
 const JOBS: u32 = 24;
 const SEATS: u32 = 4;
@@ -48,114 +45,6 @@
     target.join("debug/indigopath")
 }
 
-/// The controllers' processes. They end with this.
-struct Controllers {
-    program: PathBuf,
-    folder: PathBuf,
-    running: Vec<Option<Child>>,
-    back_at: Vec<Instant>,
-}
-
-impl Drop for Controllers {
-    fn drop(&mut self) {
-        for child in self.running.iter_mut().flatten() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-impl Controllers {
-    fn keep_up(&mut self) {
-        for node in 0..NODES {
-            if let Some(child) = &mut self.running[node]
-                && let Ok(Some(status)) = child.try_wait()
-            {
-                panic!("controller n{node} ended by itself: {status}");
-            }
-            if self.running[node].is_none() && Instant::now() >= self.back_at[node] {
-                let log = std::fs::OpenOptions::new()
-                    .create(true)
-                    .append(true)
-                    .open(self.folder.join(format!("n{node}.log")))
-                    .unwrap();
-                let child = Command::new(&self.program)
-                    .arg("--config")
-                    .arg(self.folder.join(format!("n{node}.json")))
-                    .arg("--operator")
-                    .arg(self.folder.join("operator.hcl"))
-                    .stdin(Stdio::null())
-                    .stdout(Stdio::null())
-                    .stderr(log)
-                    .spawn();
-                self.running[node] = Some(child.expect("a controller starts"));
-            }
-        }
-    }
-
-    fn kill(&mut self, node: usize) {
-        if let Some(mut child) = self.running[node].take() {
-            let _ = child.kill();
-            let _ = child.wait();
-            self.back_at[node] = Instant::now() + Duration::from_millis(400);
-        }
-    }
-
-    /// Where warnings and errors of a run can be read.
-    fn problems(&self) -> String {
-        let mut text = String::new();
-        for node in 0..NODES {
-            let log = std::fs::read_to_string(self.folder.join(format!("n{node}.log"))).unwrap_or_default();
-            let lines = log
-                .lines()
-                .filter(|line| line.contains(" error ") || line.contains("panicked"));
-            for line in lines.take(20) {
-                text.push_str(line);
-                text.push('\n');
-            }
-        }
-        text
-    }
-}
-
-fn settings(node: usize, nodes: &[SocketAddrV4], live: &Live) -> Value {
-    let peer = |at: usize| SocketAddrV4::new(*nodes[at].ip(), nodes[at].port() + 1).to_string();
-    let siblings: Vec<Value> = (0..NODES)
-        .filter(|at| *at != node)
-        .map(|at| json!({ "member": format!("n{at}"), "area": "east", "addr": peer(at) }))
-        .collect();
-    json!({
-        "member": format!("n{node}"), "area": "east",
-        "bind": nodes[node].to_string(), "cluster_listen": peer(node), "siblings": siblings,
-        "services": { "cloud": live.cloud.to_string(), "state": live.state.to_string() },
-        "deployment": {
-            "zones": ["east", "west"],
-            "teams": [
-                { "name": "red", "gpus": 16.0, "gpus_max": 64.0 },
-                { "name": "blue", "gpus": 16.0, "gpus_max": 64.0 },
-            ],
-            "workers": { "report_s": 0.4, "lease_s": 4.0, "gang_wait_s": 5.0, "gang_peer_s": 1.0, "cancel_s": 9.0 },
-            "state": { "rps": 2000.0, "write_rps": 1000.0, "value_kb": 16.0, "txn_ops": 12 },
-            "cloud": { "rps": 50.0, "list_lag_s": 0.3 },
-            "resources": { "cores": 1.0, "ram_mb": 200.0, "max_sockets": 1000 },
-            "skew_ms": 20.0,
-        }
-    })
-}
-
-fn cloud() -> Cloud {
-    let types = json!({ "Rigs": [{
-        "Label": "small", "Cpus": 32, "Gpus": 4, "MemGb": 128, "CacheGb": 40, "FetchGbPerS": 1.0,
-        "Rate": 8.0, "LowPrice": 2.5, "StartupS": 0.6, "Yards": ["east", "west"]
-    }] });
-    let flavors: Flavors = serde_json::from_value(types).unwrap();
-    let mut cloud = Cloud::default();
-    cloud.types = flavors.types;
-    cloud.lag_ms = Some(300);
-    cloud
-}
-
 /// What a user knows of a job.
 struct User {
     body: Vec<u8>,
@@ -326,14 +215,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let program = program();
 
-    // An address for each controller that no other run on this machine uses.
-    let process = std::process::id();
-    let nodes: Vec<SocketAddrV4> = (0..NODES as u8)
-        .map(|node| {
-            let ip = Ipv4Addr::new(127, 64 + (process >> 8) as u8 % 128, process as u8, 10 + node);
-            SocketAddrV4::new(ip, 18_080)
-        })
-        .collect();
+    let nodes = addresses(18_080);
     let licences = LicenceServer {
         features: BTreeMap::from([
             (
@@ -344,33 +226,17 @@
         ]),
         outage: false,
     };
-    let times = Times {
-        report_ms: 400,
-        lease_ms: 4_000,
-        gang_wait_ms: 5_000,
-        least_ms: 100,
-        retry_ms: 100,
-    };
-    let live = Live::start(cloud(), licences, times, nodes.clone());
-
-    let folder = std::env::temp_dir().join(format!("indigopath-loopback-{process}"));
-    std::fs::create_dir_all(&folder).unwrap();
-    for node in 0..NODES {
-        let text = settings(node, &nodes, &live).to_string();
-        std::fs::write(folder.join(format!("n{node}.json")), text).unwrap();
-    }
+    let live = Live::start(small_cloud(), licences, times(), nodes.clone());
     let operator = format!(
         "idle_return_s = 2\ncount \"seat\" {{\n units = {SEATS}\n linger_s = {LINGER_S}\n shares = {{ red = 2 }}\n \
          server = \"{}\"\n}}\ncount \"token\" {{\n units = {TOKENS}\n}}\n",
         live.licences
     );
-    std::fs::write(folder.join("operator.hcl"), operator).unwrap();
-    let mut controllers = Controllers {
-        program,
-        folder,
-        running: (0..NODES).map(|_| None).collect(),
-        back_at: vec![Instant::now(); NODES],
-    };
+    let teams = json!([
+        { "name": "red", "gpus": 16.0, "gpus_max": 64.0 },
+        { "name": "blue", "gpus": 16.0, "gpus_max": 64.0 },
+    ]);
+    let mut controllers = Controllers::new(program, "loopback", nodes.clone(), &live, &teams, &operator);
 
     let client = HttpClient::new(CALL_MS);
     let began = Instant::now();
--- a/crates/indigopath/tests/condor.rs
+++ b/crates/indigopath/tests/condor.rs
@@ -5,101 +5,40 @@
 //! The seed is printed; `INDIGOPATH_SEED=N` plays the same decisions again. Time is only an
 //! upper bound: nothing is judged by how long it took.
 
-use indigopath_core::wire::Flavors;
-use indigopath_sim::cloud::Cloud;
+use indigopath_sim::controllers::{Controllers, NODES, addresses, small_cloud, times};
 use indigopath_sim::licences::LicenceServer;
 use indigopath_sim::live::Live;
-use indigopath_sim::worker::Times;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
-use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
-const NODES: usize = 3;
 /// No run may take longer, in s; one takes about twenty seconds.
 const LONGEST_S: u64 = 400;
 
-/// The controllers' processes. They end with this.
+/// Controllers, and the command line that asks them.
 struct Site {
-    folder: PathBuf,
-    nodes: Vec<SocketAddrV4>,
-    running: Vec<Option<Child>>,
-    back_at: Vec<Instant>,
+    controllers: Controllers,
     began: Instant,
 }
 
-impl Drop for Site {
-    fn drop(&mut self) {
-        for child in self.running.iter_mut().flatten() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 impl Site {
     fn keep_up(&mut self) {
-        assert!(
-            self.began.elapsed() < Duration::from_secs(LONGEST_S),
-            "{}",
-            self.problems()
-        );
-        for node in 0..NODES {
-            if let Some(child) = &mut self.running[node]
-                && let Ok(Some(status)) = child.try_wait()
-            {
-                panic!(
-                    "controller n{node} ended by itself: {status}\n{}",
-                    self.problems()
-                );
-            }
-            if self.running[node].is_none() && Instant::now() >= self.back_at[node] {
-                let log = std::fs::OpenOptions::new()
-                    .create(true)
-                    .append(true)
-                    .open(self.folder.join(format!("n{node}.log")))
-                    .unwrap();
-                let child = Command::new(env!("CARGO_BIN_EXE_indigopath"))
-                    .args(["--config", &format!("n{node}.json"), "--operator", "operator.hcl"])
-                    .current_dir(&self.folder)
-                    .stdin(Stdio::null())
-                    .stdout(Stdio::null())
-                    .stderr(log)
-                    .spawn();
-                self.running[node] = Some(child.expect("a controller starts"));
-            }
-        }
-    }
-
-    fn kill(&mut self, node: usize) {
-        if let Some(mut child) = self.running[node].take() {
-            let _ = child.kill();
-            let _ = child.wait();
-            self.back_at[node] = Instant::now() + Duration::from_millis(400);
-        }
-    }
-
-    fn problems(&self) -> String {
-        let logs = (0..NODES).map(|node| {
-            let log = std::fs::read_to_string(self.folder.join(format!("n{node}.log"))).unwrap_or_default();
-            let lines: Vec<&str> = log.lines().collect();
-            lines[lines.len().saturating_sub(15)..].join("\n")
-        });
-        logs.collect::<Vec<_>>().join("\n")
+        let late = self.began.elapsed() >= Duration::from_secs(LONGEST_S);
+        assert!(!late, "it takes too long\n{}", self.controllers.problems());
+        self.controllers.keep_up();
     }
 
     fn command(&self, words: &[&str]) -> Command {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_indigopath"));
+        let mut command = Command::new(&self.controllers.program);
         command
             .arg("condor")
             .args(words)
-            .current_dir(&self.folder)
+            .current_dir(&self.controllers.folder)
             .stdin(Stdio::null());
-        for node in &self.nodes {
+        for node in &self.controllers.nodes {
             command.args(["--node", &node.to_string()]);
         }
         command
@@ -126,54 +65,16 @@
     }
 }
 
-fn start(live: &Live, nodes: Vec<SocketAddrV4>) -> Site {
-    let folder = std::env::temp_dir().join(format!("indigopath-condor-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let peer = |at: usize| SocketAddrV4::new(*nodes[at].ip(), nodes[at].port() + 1).to_string();
-    for node in 0..NODES {
-        let siblings: Vec<Value> = (0..NODES)
-            .filter(|at| *at != node)
-            .map(|at| json!({ "member": format!("n{at}"), "area": "east", "addr": peer(at) }))
-            .collect();
-        let settings = json!({
-            "member": format!("n{node}"), "area": "east",
-            "bind": nodes[node].to_string(), "cluster_listen": peer(node), "siblings": siblings,
-            "services": { "cloud": live.cloud.to_string(), "state": live.state.to_string() },
-            "deployment": {
-                "zones": ["east", "west"],
-                "teams": [{ "name": "vision", "gpus": 8.0, "gpus_max": 16.0 }, { "name": "comics" }],
-                "workers": { "report_s": 0.4, "lease_s": 4.0, "gang_wait_s": 5.0, "gang_peer_s": 1.0, "cancel_s": 9.0 },
-                "state": { "rps": 2000.0, "write_rps": 1000.0, "value_kb": 16.0, "txn_ops": 12 },
-                "cloud": { "rps": 50.0, "list_lag_s": 0.3 },
-                "resources": { "cores": 1.0, "ram_mb": 200.0, "max_sockets": 1000 },
-                "skew_ms": 20.0,
-            }
-        });
-        std::fs::write(folder.join(format!("n{node}.json")), settings.to_string()).unwrap();
-    }
-    let operator = "idle_return_s = 2\ncondor {\n default_team = \"vision\"\n default_class = \"scan-cleaning\"\n \
-                    default_image = \"scan:1\"\n default_image_gb = 0.05\n machine \"small\" {\n OpSys = \"LINUX\"\n }\n}\n";
-    std::fs::write(folder.join("operator.hcl"), operator).unwrap();
-    Site {
-        folder,
-        nodes,
-        running: (0..NODES).map(|_| None).collect(),
-        back_at: vec![Instant::now(); NODES],
-        began: Instant::now(),
+const OPERATOR: &str = r#"
+    idle_return_s = 2
+    condor {
+      default_team     = "vision"
+      default_class    = "scan-cleaning"
+      default_image    = "scan:1"
+      default_image_gb = 0.05
+      machine "small" { OpSys = "LINUX" }
     }
-}
-
-fn cloud() -> Cloud {
-    let types = json!({ "Rigs": [{
-        "Label": "small", "Cpus": 32, "Gpus": 4, "MemGb": 128, "CacheGb": 40, "FetchGbPerS": 1.0,
-        "Rate": 8.0, "LowPrice": 2.5, "StartupS": 0.6, "Yards": ["east", "west"]
-    }] });
-    let flavors: Flavors = serde_json::from_value(types).unwrap();
-    let mut cloud = Cloud::default();
-    cloud.types = flavors.types;
-    cloud.lag_ms = Some(300);
-    cloud
-}
+"#;
 
 fn text(bytes: &[u8]) -> String {
     String::from_utf8_lossy(bytes).into_owned()
@@ -190,12 +91,9 @@
 
 fn until(site: &mut Site, what: &str, mut holds: impl FnMut(&mut Site) -> bool) {
     while !holds(site) {
+        let late = site.began.elapsed() >= Duration::from_secs(LONGEST_S);
+        assert!(!late, "{what} never came\n{}", site.controllers.problems());
         site.keep_up();
-        assert!(
-            site.began.elapsed() < Duration::from_secs(LONGEST_S),
-            "{what} never came\n{}",
-            site.problems()
-        );
         std::thread::sleep(Duration::from_millis(100));
     }
 }
@@ -208,23 +106,15 @@
         .unwrap_or_else(|| rand::rng().random::<u32>().into());
     println!("seed {seed}");
     let mut rng = SmallRng::seed_from_u64(seed);
-    let process = std::process::id();
-    let nodes: Vec<SocketAddrV4> = (0..NODES as u8)
-        .map(|node| {
-            let ip = Ipv4Addr::new(127, 64 + (process >> 8) as u8 % 128, process as u8, 30 + node);
-            SocketAddrV4::new(ip, 18_180)
-        })
-        .collect();
-    let times = Times {
-        report_ms: 400,
-        lease_ms: 4_000,
-        gang_wait_ms: 5_000,
-        least_ms: 100,
-        retry_ms: 100,
+    let nodes = addresses(18_180);
+    let live = Live::start(small_cloud(), LicenceServer::default(), times(), nodes.clone());
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_indigopath"));
+    let teams = json!([{ "name": "vision", "gpus": 8.0, "gpus_max": 16.0 }, { "name": "comics" }]);
+    let mut site = Site {
+        controllers: Controllers::new(program, "condor", nodes, &live, &teams, OPERATOR),
+        began: Instant::now(),
     };
-    let live = Live::start(cloud(), LicenceServer::default(), times, nodes.clone());
-    let mut site = start(&live, nodes);
-    let write = |name: &str, text: &str| std::fs::write(site.folder.join(name), text).unwrap();
+    let write = |name: &str, text: &str| std::fs::write(site.controllers.folder.join(name), text).unwrap();
     write("items.txt", "1\n2\n3\n");
     write(
         "pages.sub",
@@ -283,13 +173,13 @@
             .unwrap();
         std::thread::sleep(Duration::from_millis(rng.random_range(0..60)));
         match rng.random_range(0..4) {
-            0 => (0..NODES).for_each(|node| site.kill(node)),
-            _ => site.kill(rng.random_range(0..NODES)),
+            0 => (0..NODES).for_each(|node| site.controllers.kill(node)),
+            _ => site.controllers.kill(rng.random_range(0..NODES)),
         }
         kills += 1;
         until(&mut site, "an answer", |_| child.try_wait().unwrap().is_some());
         let output = child.wait_with_output().unwrap();
-        assert!(output.status.success(), "{}", site.problems());
+        assert!(output.status.success(), "{}", site.controllers.problems());
         let accepted: Value = serde_json::from_slice(&output.stdout).unwrap();
         assert_eq!((&accepted["procs"], &accepted["jobs"]), (&json!(9), &json!(2)));
         clusters.push(accepted["cluster"].as_u64().unwrap());
@@ -363,5 +253,4 @@
         "{} clusters of 9 procs, {total} done, {kills} kills of controllers",
         clusters.len()
     );
-    assert!(Path::new(&site.folder).exists());
 }
--- /dev/null
+++ b/crates/sim/src/controllers.rs
@@ -0,0 +1,182 @@
+//! Real controllers round the stand-ins, for tests in real time: their settings, their
+//! processes, and what they said when something went wrong.
+
+use crate::cloud::Cloud;
+use crate::live::Live;
+use indigopath_core::wire::Flavors;
+use serde_json::{Value, json};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Controllers of a site.
+pub const NODES: usize = 3;
+
+/// How long a controller that was killed stays away, in ms.
+const AWAY_MS: u64 = 400;
+
+/// Lines of each log that are shown when a test fails.
+const LOG_SHOWN: usize = 20;
+
+/// The controllers' processes, and the folder in which their settings and logs lie. Both end
+/// with this.
+pub struct Controllers {
+    pub program: PathBuf,
+    pub folder: PathBuf,
+    pub nodes: Vec<SocketAddrV4>,
+    pub running: Vec<Option<Child>>,
+    back_at: Vec<Instant>,
+}
+
+impl Drop for Controllers {
+    fn drop(&mut self) {
+        for child in self.running.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// An address for each controller that no other run on this machine uses.
+pub fn addresses(port: u16) -> Vec<SocketAddrV4> {
+    let process = std::process::id();
+    let node = |node: u8| {
+        let ip = Ipv4Addr::new(127, 64 + (process >> 8) as u8 % 128, process as u8, 10 + node);
+        SocketAddrV4::new(ip, port)
+    };
+    (0..NODES as u8).map(node).collect()
+}
+
+impl Controllers {
+    /// Writes the settings of controllers that serve `teams`, with the operators' own in HCL.
+    /// They start with [`Controllers::keep_up`].
+    pub fn new(
+        program: PathBuf,
+        name: &str,
+        nodes: Vec<SocketAddrV4>,
+        live: &Live,
+        teams: &Value,
+        operator: &str,
+    ) -> Controllers {
+        let folder = std::env::temp_dir().join(format!("indigopath-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        for node in 0..nodes.len() {
+            let text = settings(node, &nodes, live, teams).to_string();
+            std::fs::write(folder.join(format!("n{node}.json")), text).expect("settings");
+        }
+        std::fs::write(folder.join("operator.hcl"), operator).expect("settings");
+        Controllers {
+            program,
+            folder,
+            running: nodes.iter().map(|_| None).collect(),
+            back_at: vec![Instant::now(); nodes.len()],
+            nodes,
+        }
+    }
+
+    /// Starts whoever is away. Whoever has ended by itself fails the test.
+    pub fn keep_up(&mut self) {
+        for node in 0..self.nodes.len() {
+            if let Some(child) = &mut self.running[node]
+                && let Ok(Some(status)) = child.try_wait()
+            {
+                panic!(
+                    "controller n{node} ended by itself: {status}\n{}",
+                    self.problems()
+                );
+            }
+            if self.running[node].is_none() && Instant::now() >= self.back_at[node] {
+                let log = std::fs::OpenOptions::new()
+                    .create(true)
+                    .append(true)
+                    .open(self.folder.join(format!("n{node}.log")))
+                    .expect("a log");
+                let child = Command::new(&self.program)
+                    .args(["--config", &format!("n{node}.json"), "--operator", "operator.hcl"])
+                    .current_dir(&self.folder)
+                    .stdin(Stdio::null())
+                    .stdout(Stdio::null())
+                    .stderr(log)
+                    .spawn();
+                self.running[node] = Some(child.expect("a controller starts"));
+            }
+        }
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        if let Some(mut child) = self.running[node].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+            self.back_at[node] = Instant::now() + Duration::from_millis(AWAY_MS);
+        }
+    }
+
+    /// The last that the controllers said, errors first.
+    pub fn problems(&self) -> String {
+        let mut text = String::new();
+        for node in 0..self.nodes.len() {
+            let log = std::fs::read_to_string(self.folder.join(format!("n{node}.log"))).unwrap_or_default();
+            let bad = |line: &&str| line.contains(" error ") || line.contains("panicked");
+            let lines: Vec<&str> = log.lines().collect();
+            let last = &lines[lines.len().saturating_sub(LOG_SHOWN)..];
+            for line in log
+                .lines()
+                .filter(bad)
+                .take(LOG_SHOWN)
+                .chain(last.iter().copied())
+            {
+                text.push_str(line);
+                text.push('\n');
+            }
+        }
+        text
+    }
+}
+
+fn settings(node: usize, nodes: &[SocketAddrV4], live: &Live, teams: &Value) -> Value {
+    let peer = |at: usize| SocketAddrV4::new(*nodes[at].ip(), nodes[at].port() + 1).to_string();
+    let siblings: Vec<Value> = (0..nodes.len())
+        .filter(|at| *at != node)
+        .map(|at| json!({ "member": format!("n{at}"), "area": "east", "addr": peer(at) }))
+        .collect();
+    json!({
+        "member": format!("n{node}"), "area": "east",
+        "bind": nodes[node].to_string(), "cluster_listen": peer(node), "siblings": siblings,
+        "services": { "cloud": live.cloud.to_string(), "state": live.state.to_string() },
+        "deployment": {
+            "zones": ["east", "west"],
+            "teams": teams,
+            "workers": { "report_s": 0.4, "lease_s": 4.0, "gang_wait_s": 5.0, "gang_peer_s": 1.0, "cancel_s": 9.0 },
+            "state": { "rps": 2000.0, "write_rps": 1000.0, "value_kb": 16.0, "txn_ops": 12 },
+            "cloud": { "rps": 50.0, "list_lag_s": 0.3 },
+            "resources": { "cores": 1.0, "ram_mb": 200.0, "max_sockets": 1000 },
+            "skew_ms": 20.0,
+        }
+    })
+}
+
+/// The times that go with these settings, for [`Live::start`].
+pub fn times() -> crate::worker::Times {
+    crate::worker::Times {
+        report_ms: 400,
+        lease_ms: 4_000,
+        gang_wait_ms: 5_000,
+        least_ms: 100,
+        retry_ms: 100,
+    }
+}
+
+/// A cloud with one small type of machine, which boots at once.
+pub fn small_cloud() -> Cloud {
+    let types = json!({ "Rigs": [{
+        "Label": "small", "Cpus": 32, "Gpus": 4, "MemGb": 128, "CacheGb": 40, "FetchGbPerS": 1.0,
+        "Rate": 8.0, "LowPrice": 2.5, "StartupS": 0.6, "Yards": ["east", "west"]
+    }] });
+    let flavors: Flavors = serde_json::from_value(types).expect("machine types");
+    let mut cloud = Cloud::default();
+    cloud.types = flavors.types;
+    cloud.lag_ms = Some(300);
+    cloud
+}
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod cloud;
+pub mod controllers;
 pub mod licences;
 pub mod live;
 mod script;
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -30,3 +30,20 @@
 # Whether GET /v1/counts/holders names the tasks that hold units. It shows ids of all
 # teams' jobs to whoever reaches a controller.
 show_holders = true
+
+# HTCondor submit files are served where this block stands: docs/operations/condor.md.
+condor {
+  # Team of files without accounting_group; without it, such files are held.
+  # default_team = "vision"
+
+  # Class of their jobs, and the image of files that name none, with its size in GB.
+  default_class    = "scan-cleaning"
+  default_image    = "scan:1"
+  default_image_gb = 2.0
+
+  # What machines of a type have beyond Cpus, Gpus, Memory, MachineType, Zone, Spot, Rate.
+  machine "g8" {
+    OpSys = "LINUX"
+    Arch  = "X86_64"
+  }
+}
