A file's different requests are bounded before they are judged; explain without a block

Procs that were held twice after a conflict were counted twice. explain without the operators' block refused every file without an image; it says what it assumes instead.

--- a/crates/condor/src/cluster.rs
+++ b/crates/condor/src/cluster.rs
@@ -320,7 +320,7 @@
 
 /// A cluster that would be more jobs than one may be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("the file makes {0} different requests; at most {MAX_JOBS} are taken at once: split it")]
+#[error("the file makes {0} different requests or more; at most {MAX_JOBS} are taken at once: split it")]
 pub struct TooManyJobs(pub usize);
 
 /// The arrays of a cluster, in the order of their first procs. A proc that is a gang is one
--- a/crates/condor/src/constants.rs
+++ b/crates/condor/src/constants.rs
@@ -58,6 +58,7 @@
 /// Terms whose kinds are remembered while a file is judged.
 pub const TERMS_KEPT: usize = 4_096;
 
-/// Steps that the expressions of one file may take altogether: some twenty for each of 10,000
-/// requirements and 40 kinds, and half a second of a core at the most.
-pub const MAX_FILE_STEPS: u64 = 10_000_000;
+/// Steps that the expressions of one file may take altogether: some 300 for each of 10,000
+/// requirements, and a tenth of a second of a core, which a controller with a tenth of one
+/// can spare without losing its leases.
+pub const MAX_FILE_STEPS: u64 = 3_000_000;
--- a/crates/condor/src/judge.rs
+++ b/crates/condor/src/judge.rs
@@ -1,6 +1,6 @@
 //! Which machines do for a proc, and if none do, why not.
 
-use crate::cluster::{Hold, Why};
+use crate::cluster::{Hold, TooManyJobs, Why};
 use crate::constants::{KINDS_SHOWN, MAX_FILE_STEPS, MIB_PER_GB, NAMES_SHOWN, PROBLEMS_SHOWN, TERMS_KEPT};
 use crate::request::{self, Asked, Problem, Reading, Request};
 use crate::site::{Kind, Kinds, Site};
@@ -55,6 +55,29 @@
 
 /// Judges every proc of a file. Those that ask for the same are judged once.
 pub fn judge(submission: &Submission, cluster: u64, now_s: i64, site: &Site) -> Judged {
+    judge_some(submission, cluster, now_s, site, usize::MAX)
+}
+
+/// The same for who takes only so many different requests.
+///
+/// # Errors
+/// There are more; no time is spent on those beyond.
+pub fn judge_at_most(
+    submission: &Submission,
+    cluster: u64,
+    now_s: i64,
+    site: &Site,
+    most: usize,
+) -> Result<Judged, TooManyJobs> {
+    let judged = judge_some(submission, cluster, now_s, site, most);
+    if judged.outcomes.len() > most {
+        return Err(TooManyJobs(judged.outcomes.len()));
+    }
+    Ok(judged)
+}
+
+/// Judges until there are more than `most` outcomes.
+fn judge_some(submission: &Submission, cluster: u64, now_s: i64, site: &Site, most: usize) -> Judged {
     let mut judge = Judge {
         site,
         evaluator: Evaluator::new(now_s),
@@ -65,7 +88,7 @@
     };
     let mut judged = Judged::default();
     for batch in &submission.batches {
-        judge.batch(batch, &mut judged);
+        judge.batch(batch, most, &mut judged);
     }
     judged
 }
@@ -86,7 +109,7 @@
 const OWN: [&str; 8] = ["procid", "args", "environment", "in", "out", "err", "iwd", "cmd"];
 
 impl Judge<'_> {
-    fn batch(&mut self, batch: &Batch, judged: &mut Judged) {
+    fn batch(&mut self, batch: &Batch, most: usize, judged: &mut Judged) {
         // What merely says what runs does not change where it may.
         let telling: Vec<usize> = batch
             .varying
@@ -97,6 +120,9 @@
             .collect();
         let mut known: FxHashMap<Vec<&str>, u32> = FxHashMap::default();
         for proc in &batch.procs {
+            if judged.outcomes.len() > most {
+                return;
+            }
             let values: Vec<&str> = telling.iter().map(|at| &*proc.values[*at]).collect();
             if let Some(at) = known.get(&values) {
                 judged.of.push(*at);
--- a/crates/condor/src/lib.rs
+++ b/crates/condor/src/lib.rs
@@ -48,7 +48,7 @@
 mod template;
 
 pub use cluster::{Bundle, Hold, KindSet, Part, Procs, Recorder, Why};
-pub use judge::{Judged, Outcome, Verdict, judge, notes};
+pub use judge::{Judged, Outcome, Verdict, judge, judge_at_most, notes};
 pub use request::{Asked, Level, Problem, Request};
 pub use site::{
     CondorSettings, CondorSettingsError, Declared, Kind, Kinds, MACHINE_ATTRIBUTES, MachineType, Site,
--- a/crates/core/src/condor/desk.rs
+++ b/crates/core/src/condor/desk.rs
@@ -789,6 +789,10 @@
                 };
                 self.left.clear();
                 self.not.clear();
+                if self.act != Act::Remove {
+                    // Those that were changed before are found again, as they were asked to be.
+                    self.done = 0;
+                }
                 let mut seen = false;
                 for item in page.items {
                     let Ok(spec) = JobSpec::from_value(&item.value) else {
--- a/crates/core/src/condor/plan.rs
+++ b/crates/core/src/condor/plan.rs
@@ -6,10 +6,10 @@
 use crate::records::Record;
 use crate::wire::{Priority, Shape};
 use indigopath_condor::cluster::{Array, arrays};
-use indigopath_condor::constants::MAX_CLUSTER_PROCS;
+use indigopath_condor::constants::{MAX_CLUSTER_PROCS, MAX_JOBS};
 use indigopath_condor::{
-    Bundle, Judged, KindSet, Level, Outcome, Part, Procs, Request, Site, Submission, Verdict, What, judge,
-    notes, read,
+    Bundle, Judged, KindSet, Level, Outcome, Part, Procs, Request, Site, Submission, Verdict, What,
+    judge_at_most, notes, read,
 };
 use std::sync::Arc;
 
@@ -63,7 +63,8 @@
     if submission.procs() == 0 {
         return Err(refused("the file has no procs".to_owned()));
     }
-    let judged = judge(&submission, cluster, bundle.at_s, site);
+    let judged = judge_at_most(&submission, cluster, bundle.at_s, site, MAX_JOBS)
+        .map_err(|error| refused(error.to_string()))?;
     let bad = told(&judged, |verdict| {
         matches!(verdict, Verdict::Refused | Verdict::Never)
     });
--- a/crates/indigopath/src/condor.rs
+++ b/crates/indigopath/src/condor.rs
@@ -3,7 +3,9 @@
 use crate::client::{ClientError, Format, Nodes, table};
 use crate::{BAD_SETTINGS, Files, load};
 use clap::{Args, Subcommand};
-use indigopath_condor::{Bundle, Judged, Matching, Recorder, Site, Submission, SubmitError, Verdict};
+use indigopath_condor::{
+    Bundle, CondorSettings, Judged, Matching, Recorder, Site, Submission, SubmitError, Verdict,
+};
 use indigopath_core::condor::{
     Accepted, Changed, History, QueueList, QueueRow, Refused, RowState, parse_target,
 };
@@ -484,7 +486,19 @@
                 why: error.to_string(),
             })?;
         let text = read(&self.file)?;
-        let condor = settings.operator.condor.clone().unwrap_or_default();
+        let condor = settings.operator.condor.clone().unwrap_or_else(|| {
+            let team = settings.deployment.teams.first().map(|team| team.name.clone());
+            eprintln!(
+                "note: the operators' settings have no condor block; explained as if it named team {:?} and some image \
+                 where the file names none",
+                team.as_deref().unwrap_or("")
+            );
+            CondorSettings {
+                default_team: team,
+                default_image: Some("any".to_owned()),
+                ..CondorSettings::default()
+            }
+        });
         let site = indigopath_core::condor::site(
             &settings.deployment,
             &flavors.types,
