A file's budget of steps holds within a requirement too; reasons cost less

The budget was looked at between requirements only, and one of 200 costly terms could have taken seconds. It is looked at before each evaluation now, and a reason goes through 24 terms at most and names only the kinds that it shows.

--- a/crates/condor/src/constants.rs
+++ b/crates/condor/src/constants.rs
@@ -35,6 +35,9 @@
 /// Problems that one proc's reason lists.
 pub const PROBLEMS_SHOWN: usize = 8;
 
+/// Terms of a requirement that its reason goes through.
+pub const TERMS_SHOWN: usize = 24;
+
 /// Kinds of machines that a reason lists for a term before it only counts them.
 pub const KINDS_SHOWN: usize = 6;
 
--- a/crates/condor/src/judge.rs
+++ b/crates/condor/src/judge.rs
@@ -1,7 +1,9 @@
 //! Which machines do for a proc, and if none do, why not.
 
 use crate::cluster::{Hold, TooManyJobs, Why};
-use crate::constants::{KINDS_SHOWN, MAX_FILE_STEPS, MIB_PER_GB, NAMES_SHOWN, PROBLEMS_SHOWN, TERMS_KEPT};
+use crate::constants::{
+    KINDS_SHOWN, MAX_FILE_STEPS, MIB_PER_GB, NAMES_SHOWN, PROBLEMS_SHOWN, TERMS_KEPT, TERMS_SHOWN,
+};
 use crate::request::{self, Asked, Problem, Reading, Request};
 use crate::site::{Kind, Kinds, Site};
 use crate::submit::{Batch, Key, Submission, What};
@@ -147,9 +149,7 @@
     fn request(&mut self, reading: Reading) -> (Outcome, bool) {
         let Reading { request, ad } = reading;
         if self.evaluator.spent() > MAX_FILE_STEPS {
-            let reason = "the file's expressions take too many steps to be matched: split it";
-            let outcome = self.without_kinds(Verdict::Refused, reason.to_owned(), None);
-            return (outcome, true);
+            return (self.too_costly(), true);
         }
         let mut names = FxHashSet::default();
         let mut problems = Vec::new();
@@ -171,6 +171,9 @@
             );
         }
         let kinds = self.kinds(&request, &ad, &names);
+        if self.evaluator.spent() > MAX_FILE_STEPS {
+            return (self.too_costly(), shared);
+        }
         if kinds.is_clear() {
             let reason = self.why_none(&request, &ad);
             return (self.without_kinds(Verdict::Never, reason, Some(request)), shared);
@@ -199,6 +202,11 @@
         (outcome, shared)
     }
 
+    fn too_costly(&self) -> Outcome {
+        let reason = "the file's expressions take too many steps to be matched: split it";
+        self.without_kinds(Verdict::Refused, reason.to_owned(), None)
+    }
+
     fn without_kinds(&self, verdict: Verdict, reason: String, request: Option<Request>) -> Outcome {
         Outcome {
             verdict,
@@ -312,7 +320,8 @@
         let mut by_class: Vec<Option<bool>> = vec![None; all.classes()];
         let mut holds = FixedBitSet::with_capacity(all.all().len());
         for (at, kind) in all.all().iter().enumerate() {
-            if !of_machines && !kinds.contains(at) {
+            let beyond = self.evaluator.spent() > MAX_FILE_STEPS;
+            if beyond || (!of_machines && !kinds.contains(at)) {
                 continue;
             }
             let class = all.class(kind, zone, spot);
@@ -362,29 +371,25 @@
             return "no kind of machine is known".to_owned();
         }
         let mut parts = Vec::new();
-        let mut tell = |what: String, excluded: Vec<String>| {
+        let mut tell = |what: String, excluded: Vec<&Kind>| {
+            let names = excluded.iter().take(KINDS_SHOWN).map(ToString::to_string);
+            let names = names.collect::<Vec<_>>().join(", ");
             let shown = match excluded.len() {
                 0 => return,
                 all if all == kinds.all().len() => format!("all {all} kinds"),
-                some if some <= KINDS_SHOWN => excluded.join(", "),
-                some => format!(
-                    "{}, … ({some} of {} kinds)",
-                    excluded[..KINDS_SHOWN].join(", "),
-                    kinds.all().len()
-                ),
+                some if some <= KINDS_SHOWN => names,
+                some => format!("{names}, … ({some} of {} kinds)", kinds.all().len()),
             };
             parts.push(format!("{what} excludes {shown}"));
         };
-        let without = |does: &dyn Fn(&Kind) -> bool| -> Vec<String> {
-            kinds
-                .all()
-                .iter()
-                .filter(|kind| !does(kind))
-                .map(ToString::to_string)
-                .collect()
+        let without = |does: &dyn Fn(&Kind) -> bool| -> Vec<&Kind> {
+            kinds.all().iter().filter(|kind| !does(kind)).collect()
         };
         if let Some(asked) = &request.requirements {
-            for term in asked.expr.terms() {
+            for term in asked.expr.terms().into_iter().take(TERMS_SHOWN) {
+                if self.evaluator.spent() > MAX_FILE_STEPS {
+                    break;
+                }
                 let mut excluded = Vec::new();
                 let mut because = Vec::new();
                 for kind in kinds.all() {
@@ -392,7 +397,7 @@
                     if value.truth() == Some(true) {
                         continue;
                     }
-                    excluded.push(kind.to_string());
+                    excluded.push(kind);
                     let why = match value {
                         Value::Undefined => "UNDEFINED".to_owned(),
                         Value::Error => {
--- a/crates/condor/tests/any_text.rs
+++ b/crates/condor/tests/any_text.rs
@@ -141,3 +141,24 @@
         let _ = read(&text, "any.sub", 1, 0, &Same(String::new()));
     }
 }
+
+// A requirement of 200 terms that differs from proc to proc: seconds of a controller's
+// processor, had only each evaluation been bounded.
+#[test]
+fn a_file_has_a_budget_of_steps() {
+    // What looks at the job is asked anew for every proc.
+    let terms: Vec<String> = (0..200)
+        .map(|number| format!("Cpus + ProcId > {number} - 1000"))
+        .collect();
+    let mut text = format!("requirements = {}\n", terms.join(" && "));
+    text.push_str("queue 20000\n");
+    let submission = read(&text, "any.sub", 1, 0, &Same(String::new())).unwrap();
+    let judged = judge(&submission, 1, 0, &site());
+    let last = judged.outcomes.last().unwrap();
+    assert_eq!(last.verdict, indigopath_condor::Verdict::Refused);
+    assert!(
+        last.reason.as_ref().unwrap().contains("too many steps"),
+        "{:?}",
+        last.reason
+    );
+}
