--- a/crates/indigopath/tests/condor.rs
+++ b/crates/indigopath/tests/condor.rs
@@ -76,6 +76,13 @@
     }
 "#;
 
+/// The most memory that a process has had, in kB, where the system tells.
+fn peak_kb(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    line.trim().trim_end_matches(" kB").trim().parse().ok()
+}
+
 fn text(bytes: &[u8]) -> String {
     String::from_utf8_lossy(bytes).into_owned()
 }
@@ -248,6 +255,16 @@
     until(&mut site, "an empty queue", |site| {
         site.json(&["q"])["jobs"] == json!([])
     });
+    // The largest file went through one of them; the platform gives each 200 MB.
+    let peaks: Vec<u64> = site
+        .controllers
+        .running
+        .iter()
+        .flatten()
+        .filter_map(|child| peak_kb(child.id()))
+        .collect();
+    println!("memory peaks in kB: {peaks:?}");
+    assert!(peaks.iter().all(|peak| *peak < 200_000), "{peaks:?}");
     let total: usize = clusters.iter().map(|cluster| done(&live, *cluster)).sum();
     println!(
         "{} clusters of 9 procs, {total} done, {kills} kills of controllers",
