Read once more: one fit, one pace, one list of kinds' names, one reading of an id

A native submission's id was parsed twice where submit files are served; what a team's limit must allow at once, the tolerance of sums, the pacing of a step and the changes of a job stood twice each. Each is one piece now, and a wrapper that did nothing is gone. Behaviour is as it was.

--- a/crates/classad/src/names.rs
+++ b/crates/classad/src/names.rs
@@ -101,7 +101,11 @@
         .filter_map(|known| {
             let key = known.to_ascii_lowercase();
             let contained = name.len() >= 3 && key.len() >= 3 && (key.contains(&name) || name.contains(&key));
-            let distance = if contained { 1 } else { distance(&name, &key) };
+            let distance = if contained {
+                1
+            } else {
+                strsim::osa_distance(&name, &key)
+            };
             (distance <= name.len().max(key.len()) / 2).then_some((distance, known))
         })
         .collect();
@@ -109,8 +113,3 @@
     found.dedup();
     found.into_iter().map(|(_, known)| known).take(NEAREST).collect()
 }
-
-/// Letters to change, add, leave out or swap with their neighbour.
-fn distance(a: &str, b: &str) -> usize {
-    strsim::osa_distance(a, b)
-}
--- a/crates/condor/src/cluster.rs
+++ b/crates/condor/src/cluster.rs
@@ -14,7 +14,6 @@
 use crate::source::{Files, Matching};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
-use fixedbitset::FixedBitSet;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -408,11 +407,6 @@
     pub at_ms: u64,
 }
 
-/// The kinds of an outcome, by name.
-pub fn kind_names(set: &FixedBitSet, kinds: &Kinds) -> Vec<String> {
-    kinds.of(set).map(ToString::to_string).collect()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/condor/src/judge.rs
+++ b/crates/condor/src/judge.rs
@@ -251,10 +251,9 @@
     }
 
     fn fits(request: &Request, kind: &Kind) -> bool {
-        const EPSILON: f64 = 1e-6;
-        request.cpus <= kind.cpus + EPSILON
-            && request.gpus <= kind.gpus + EPSILON
-            && request.memory_gb <= kind.memory_gb + EPSILON
+        within(request.cpus, kind.cpus)
+            && within(request.gpus, kind.gpus)
+            && within(request.memory_gb, kind.memory_gb)
     }
 
     /// Whether spot machines are out because nobody asked for them: an expression says for
@@ -423,15 +422,15 @@
         }
         tell(
             format!("request_cpus {}", request.cpus),
-            without(&|kind| request.cpus <= kind.cpus + 1e-6),
+            without(&|kind| within(request.cpus, kind.cpus)),
         );
         tell(
             format!("request_gpus {}", request.gpus),
-            without(&|kind| request.gpus <= kind.gpus + 1e-6),
+            without(&|kind| within(request.gpus, kind.gpus)),
         );
         tell(
             format!("request_memory {:.0} MiB", request.memory_gb * MIB_PER_GB),
-            without(&|kind| request.memory_gb <= kind.memory_gb + 1e-6),
+            without(&|kind| within(request.memory_gb, kind.memory_gb)),
         );
         format!("no kind of machine does: {}", parts.join("; "))
     }
@@ -466,13 +465,18 @@
     }
 }
 
+/// Whether an amount is no more than another, sums of decimals allowed for.
+fn within(amount: f64, most: f64) -> bool {
+    amount <= most + 1e-6
+}
+
 /// What a request asks for beyond its team's limit, if anything.
 fn over_limit(request: &Request, site: &Site) -> Option<String> {
     let team = site.teams.iter().find(|team| team.name == request.team)?;
     let together = f64::from(request.together());
     let over = |what: &str, each: f64, most: f64| {
         let all = each * together;
-        (most > 0.0 && all > most + 1e-6).then(|| {
+        (most > 0.0 && !within(all, most)).then(|| {
             format!(
                 "it needs {all} {what} at once, more than team {}'s limit of {most}",
                 team.name
--- a/crates/condor/src/site.rs
+++ b/crates/condor/src/site.rs
@@ -219,6 +219,11 @@
         set.ones().filter_map(|at| self.all.get(at))
     }
 
+    /// The kinds of a set, by name.
+    pub fn names(&self, set: &FixedBitSet) -> Vec<String> {
+        self.of(set).map(ToString::to_string).collect()
+    }
+
     /// Number of a kind among those that differ in what an expression looks at.
     pub(crate) fn class(&self, kind: &Kind, zone: bool, spot: bool) -> usize {
         let zone_number = if zone { kind.place.1 } else { 0 };
--- a/crates/core/src/condor/desk.rs
+++ b/crates/core/src/condor/desk.rs
@@ -312,13 +312,9 @@
             .map(|(id, _)| *id)
             .collect();
         for id in due {
-            let Some(op) = self.ops.get_mut(&id) else { continue };
-            if let Some((step, changes)) = op.waiting.take() {
-                if self.pace.take(changes, 0.0, io.now) {
-                    self.call(id, step, context, io);
-                } else {
-                    op.waiting = Some((step, changes));
-                }
+            let waiting = self.ops.get_mut(&id).and_then(|op| op.waiting.take());
+            if let Some((step, changes)) = waiting {
+                self.paced(id, step, changes, context, io);
             }
         }
         for op in self.ops.values_mut() {
@@ -353,14 +349,7 @@
         };
         match next {
             Next::Call(step) => self.call(id, step, context, io),
-            Next::Paced(step, changes) => {
-                let changes = changes as f64;
-                if self.pace.take(changes, 0.0, io.now) {
-                    self.call(id, step, context, io);
-                } else {
-                    op.waiting = Some((step, changes));
-                }
-            }
+            Next::Paced(step, changes) => self.paced(id, step, changes as f64, context, io),
             Next::Again(step) => {
                 op.rounds += 1;
                 if op.rounds > CLUSTER_ROUNDS {
@@ -390,6 +379,15 @@
         true
     }
 
+    /// Takes a step once its changes are within this node's share; until then it waits.
+    fn paced(&mut self, id: u64, step: Step, changes: f64, context: &Context<'_>, io: &mut Io) {
+        if self.pace.take(changes, 0.0, io.now) {
+            self.call(id, step, context, io);
+        } else if let Some(op) = self.ops.get_mut(&id) {
+            op.waiting = Some((step, changes));
+        }
+    }
+
     fn end(&mut self, id: u64, tell: impl FnOnce(RequestId, &mut Io), io: &mut Io) {
         if let Some(op) = self.ops.remove(&id)
             && let Some(request) = op.request
@@ -763,11 +761,15 @@
         })
     }
 
+    /// Keys that change with each job.
+    fn changes_each(&self) -> usize {
+        if self.act == Act::Remove { 2 } else { 1 }
+    }
+
     /// The jobs that go into the next transaction.
     fn next(&self, context: &Context<'_>) -> &[(JobSpec, u64)] {
-        let changes_each = if self.act == Act::Remove { 2 } else { 1 };
         let mut bytes = 0;
-        let most = batch_size(context, changes_each);
+        let most = batch_size(context, self.changes_each());
         let fitting = self.left.iter().take(most).take_while(|(spec, _)| {
             bytes += spec.to_text().get().len() + 256;
             bytes <= TXN_BYTES
@@ -896,7 +898,7 @@
             .iter()
             .map(|(spec, _)| spec.id.clone())
             .collect();
-        let changes = ids.len() * if self.act == Act::Remove { 2 } else { 1 };
+        let changes = ids.len() * self.changes_each();
         Next::Paced(Step::Apply(ids), changes)
     }
 }
--- a/crates/core/src/condor/mod.rs
+++ b/crates/core/src/condor/mod.rs
@@ -6,7 +6,6 @@
 
 pub use desk::{Act, Context, Desk, Route, Target, parse_target, route};
 
-use crate::intake::parse_id;
 use crate::model::{JobId, JobSpec};
 use crate::records::{self, Record};
 use crate::settings::Deployment;
@@ -96,11 +95,8 @@
 
 /// Whether a team's limit would ever let tasks of the job that run together start.
 fn within_limit(spec: &JobSpec, team: &crate::settings::Team) -> bool {
-    let together = match spec.shape {
-        crate::wire::Shape::Array => 1,
-        crate::wire::Shape::Gang | crate::wire::Shape::Service => spec.tasks,
-    };
-    team.allows(&spec.needs.times(f64::from(together)))
+    let together = spec.shape.at_once(u64::from(spec.tasks));
+    team.allows(&spec.needs.times(together as f64))
 }
 
 /// The job without those of its holds that the settings in force no longer call for; `None`
@@ -237,22 +233,10 @@
     pub jobs: Vec<Past>,
 }
 
-/// Refuses a user's own id that could be a submit file's job.
-pub fn refuses_id(body: &[u8]) -> bool {
-    #[derive(Deserialize)]
-    struct OnlyId {
-        #[serde(rename = "Id")]
-        id: String,
-    }
-    let only: Result<OnlyId, _> = serde_json::from_slice(body);
-    only.ok()
-        .and_then(|only| parse_id(&only.id))
-        .is_some_and(|id| is_reserved(&id))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::intake::parse_id;
 
     #[test]
     fn ids_of_jobs_and_keys_of_open_clusters_read_back() {
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -4,7 +4,7 @@
 use crate::constants::{MAX_AMOUNT, MAX_DURATION_S, MAX_NAME, MAX_TASKS};
 use crate::model::{JobId, JobSpec, Resources};
 use crate::settings::Deployment;
-use crate::wire::{JOB_PREFIX, JobBody, MachineType, Shape};
+use crate::wire::{JOB_PREFIX, JobBody, MachineType};
 use indigopath_counts::{Definitions, Demand};
 use std::borrow::Cow;
 use std::sync::Arc;
@@ -117,10 +117,7 @@
         return Err(impossible("unknown team"));
     };
     // One task of an array must fit the team's limit; of the other shapes, all.
-    let together = match body.shape {
-        Shape::Array => 1,
-        Shape::Gang | Shape::Service => body.tasks,
-    };
+    let together = body.shape.at_once(body.tasks);
     if !team.allows(&needs.times(together as f64)) {
         return Err(impossible("over the team's limit"));
     }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -268,15 +268,20 @@
     }
 
     fn submit(&mut self, request: RequestId, body: &[u8]) {
-        if self.settings.operator.condor.is_some() && condor::refuses_id(body) {
+        let types = (!self.type_list.is_empty()).then_some(self.type_list.as_slice());
+        let deployment = &self.settings.deployment;
+        let definitions = &self.settings.operator.counts;
+        let accepted = intake::accept(body, deployment, definitions, types, self.io.wall_ms);
+        let id = match &accepted {
+            Ok(spec) => Some(&spec.id),
+            Err((id, _)) => id.as_ref(),
+        };
+        if self.settings.operator.condor.is_some() && id.is_some_and(condor::is_reserved) {
             let problem = "ids of this form are given to submit files";
             self.io.reply_error(request, 422, problem);
             return;
         }
-        let types = (!self.type_list.is_empty()).then_some(self.type_list.as_slice());
-        let deployment = &self.settings.deployment;
-        let definitions = &self.settings.operator.counts;
-        match intake::accept(body, deployment, definitions, types, self.io.wall_ms) {
+        match accepted {
             Ok(spec) => {
                 let job = spec.id.clone();
                 self.users
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -18,6 +18,17 @@
     Service,
 }
 
+impl Shape {
+    /// Of so many tasks, those that a team's limit must allow at once: one of an array, all
+    /// of the others.
+    pub fn at_once(self, tasks: u64) -> u64 {
+        match self {
+            Shape::Array => 1,
+            Shape::Gang | Shape::Service => tasks,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Priority {
     #[serde(rename = "critical")]
--- a/crates/experiments/src/corpus.rs
+++ b/crates/experiments/src/corpus.rs
@@ -3,7 +3,6 @@
 #![forbid(unsafe_code)]
 
 use clap::Parser;
-use indigopath_condor::cluster::kind_names;
 use indigopath_condor::{Files, Matching, Site, SiteFile, judge, notes, read};
 use minijinja::{Environment, Value, context};
 use plotters::prelude::*;
@@ -112,7 +111,7 @@
                 shown.rows.push(Row {
                     procs: judged.of.iter().filter(|of| **of as usize == at).count(),
                     verdict: format!("{:?}", outcome.verdict).to_lowercase(),
-                    kinds: kind_names(&outcome.kinds, &site.kinds).join(", "),
+                    kinds: site.kinds.names(&outcome.kinds).join(", "),
                     reason: outcome.reason.clone().unwrap_or_default(),
                 });
             }
--- a/crates/indigopath/src/condor.rs
+++ b/crates/indigopath/src/condor.rs
@@ -534,7 +534,7 @@
     let kinds: Vec<Vec<String>> = judged
         .outcomes
         .iter()
-        .map(|outcome| site.kinds.of(&outcome.kinds).map(ToString::to_string).collect())
+        .map(|outcome| site.kinds.names(&outcome.kinds))
         .collect();
     let mut out = std::io::BufWriter::new(std::io::stdout().lock());
     match format {
