Served share: counted by class and team, warned of, and a least share for what starves

Change: served.rs says what served means by shape (array: tasks that run or are done; gang: all tasks while all run; service: replicas up), from 60 s after the submission and within the team's limit. In /metrics as served_share; a warning, once, under 0.7. The scenario world counts it by itself, as an oracle on every scenario. It found that priority alone starves a class: beside a flood of urgent work nothing of a standard class had started after four minutes. Of work older than two minutes less than half of which is served, one start in five now comes before all other, and what runs of it does not give way until it has recovered.

Tried on the way: turns of up to 64 at once, which swept the flood off all machines for a moment, and a mark that went as soon as the share had risen, after which all of it was stopped again at once.

--- a/crates/condor/benches/pass.rs
+++ b/crates/condor/benches/pass.rs
@@ -139,6 +139,7 @@
     fn pass(&self) -> (usize, usize) {
         let (feeds, gone, keepers, hosts) = (BTreeMap::new(), HashMap::new(), BTreeMap::new(), Hosts::new());
         let definitions = Definitions::new();
+        let starved = indigopath_core::served::Starved::default();
         let site = Site {
             deployment: &self.deployment,
             types: &self.types,
@@ -146,6 +147,7 @@
             machines: &self.machines,
             hosts: &hosts,
             spot_loss: 0.0,
+            starved: &starved,
             units: Units {
                 definitions: &definitions,
                 policy: Policy::default(),
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -412,6 +412,57 @@
 /// a third, and the worker's word of it is on its way.
 pub const FETCH_LEAST_S: f64 = 1.0;
 
+// ---- served share ------------------------------------------------------------
+
+/// Age of a job, in ms, from which on its tasks count as asked for: a boot and a fetch, within
+/// which nobody could have had more.
+pub const SERVED_AFTER_MS: u64 = 60_000;
+
+/// How long, in ms, a job that was done speaks for its class and team.
+pub const SERVED_WINDOW_MS: u64 = 300_000;
+
+/// Share of what a class or team asks for under which it counts as not served. Users hold a
+/// day against us on which a class has less than half.
+pub const SERVED_LEAST: f64 = 0.6;
+
+/// Share under which operators are warned: early enough to act before it falls under
+/// [`SERVED_LEAST`].
+pub const SERVED_WARN: f64 = 0.7;
+
+/// How long, in ms, it must have been so: a burst's first minute is no trouble.
+pub const SERVED_FOR_MS: u64 = 10_000;
+
+/// Share from which on a warned class or team has recovered.
+pub const SERVED_WELL: f64 = 0.8;
+
+/// Age of a term, in ms, at which its leader has heard all machines that it can hear, and
+/// may judge shares: two of the longest report intervals seen.
+pub const SERVED_TERM_MS: u64 = 16_000;
+
+/// For how long, in ms, it must have been so for the trouble to be over.
+pub const SERVED_WELL_MS: u64 = 60_000;
+
+/// Share of old work under which a class or team is starved.
+pub const SERVED_STARVED: f64 = 0.5;
+
+/// Age of a job, in ms, from which on its work is old in this sense: what priority is for must be
+/// given time to work.
+pub const STARVED_AFTER_MS: u64 = 120_000;
+
+/// Turns that a start of other work earns for starved work: one start in five is its own.
+pub const STARVED_TURN: f64 = 0.25;
+
+/// Most turns that can be earned beforehand: what is placed at once must not sweep others
+/// off all machines.
+pub const STARVED_TURNS: f64 = 4.0;
+
+/// Most turns that can be owed, by a large gang, which needs all its places at once.
+pub const STARVED_OWED: f64 = 16.0;
+
+/// Classes whose share stands in the metrics, the worst served first; users name them, so there
+/// may be any number.
+pub const SERVED_SHOWN: usize = 100;
+
 // ---- counted resources -------------------------------------------------------
 
 /// How long, in ms, something must have been wrong with a count before operators are
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -22,6 +22,7 @@
 use crate::placement::{self, Decision, Site, Types, Unplaced, faulty};
 use crate::records::{self, DoneRecord, Record, ShardRecord};
 use crate::rental::Rental;
+use crate::served::{Served, Share, Whose};
 use crate::settings::Settings;
 use crate::users::Counts;
 use crate::wire::{
@@ -203,6 +204,7 @@
     check_at: Millis,
     forecast_at: Millis,
     forecast: Forecast,
+    served: Served,
     pass_at: Millis,
     passed_at: Millis,
     changed: bool,
@@ -259,6 +261,7 @@
             check_at: 0,
             forecast_at: 0,
             forecast: Forecast::default(),
+            served: Served::default(),
             pass_at: 0,
             passed_at: 0,
             changed: true,
@@ -309,6 +312,11 @@
         self.load.is_none()
     }
 
+    /// How much of what classes and teams ask for they have.
+    pub fn shares(&self) -> impl Iterator<Item = (&Whose, Share)> {
+        self.served.shares()
+    }
+
     /// How much there is of everything.
     pub fn census(&self) -> Census {
         let waiting = |parked: bool| {
@@ -660,6 +668,10 @@
                     &self.boot_s,
                     io,
                 );
+                let short = self.counted.short.iter().map(|short| &short.job).collect();
+                let judged = io.now >= self.started + SERVED_TERM_MS;
+                self.served
+                    .look(&self.jobs, &self.counts, &short, &settings.deployment, judged, io);
             }
             self.look_at_counts(&settings.operator.counts, io);
             self.look_at_clusters(settings, io);
@@ -688,6 +700,7 @@
             hosts: &self.hosts,
             spot_loss: self.spot.loss(),
             units: self.units(&settings.operator.counts),
+            starved: &self.served.starved,
             now: io.now,
         };
         let plan = placement::plan(&site);
@@ -741,6 +754,7 @@
             Shape::Array | Shape::Service => fresh,
         };
         job.waiting.remove(&task.index);
+        self.served.starved.placed(&job.spec);
         let counts = job.spec.counts.clone();
         let age_ms = job.age_ms(now);
         let cached = machine.has_image(&job.spec.image);
--- a/crates/core/src/leader/writing.rs
+++ b/crates/core/src/leader/writing.rs
@@ -153,6 +153,7 @@
                 log::info!("job={job} is done");
                 if let Some(over) = self.jobs.get(&job) {
                     self.forecast.finished(over, now);
+                    self.served.finished(&over.spec, now);
                 }
                 self.job_over(&job, now);
                 self.writer.finished.push(job);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod placement;
 pub mod records;
 mod rental;
+pub mod served;
 pub mod settings;
 pub mod users;
 pub mod wire;
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -3,7 +3,9 @@
 //! What accumulates is kept here; what stands is set anew for every scrape. Only the
 //! leader knows machines, jobs and counts: the others say nothing of them.
 
+use crate::constants::SERVED_SHOWN;
 use crate::io::Effect;
+use crate::served::Whose;
 use indigopath_counts::status::CountStatus;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -12,6 +14,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
+use std::sync::atomic::AtomicU64;
 
 /// Upper ends of the histogram of waits, in s: from the pass that follows a submission
 /// to a night.
@@ -48,6 +51,8 @@
     /// While it leads.
     pub census: Option<Census>,
     pub counts: Vec<CountStatus>,
+    /// How much of what classes and teams ask for they have, from 0 to 1.
+    pub shares: Vec<(Whose, f64)>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -71,6 +76,13 @@
     status: u16,
 }
 
+/// A class or a team, as `whose`, by its name.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Of {
+    whose: &'static str,
+    name: String,
+}
+
 type Gauges = Family<OfCount, Gauge>;
 
 #[derive(Debug)]
@@ -94,6 +106,7 @@
     waiting: Gauges,
     used: Family<OfTeam, Gauge>,
     oversubscribed: Gauges,
+    served: Family<Of, Gauge<f64, AtomicU64>>,
     registry: Registry,
 }
 
@@ -125,6 +138,7 @@
             waiting: Family::default(),
             used: Family::default(),
             oversubscribed: Family::default(),
+            served: Family::default(),
             registry: Registry::with_prefix("indigopath"),
         };
         metrics.register();
@@ -167,6 +181,11 @@
             "How often this leader saw more held than there is",
             self.oversubscribed.clone(),
         );
+        registry.register(
+            "served_share",
+            "How much of what a class or team asks for it has",
+            self.served.clone(),
+        );
         registry.register_with_unit(
             "count_wait",
             "Age of a job when a task of it got its units",
@@ -229,11 +248,29 @@
                 .set(amount(machines));
         }
         self.set_counts(&standing.counts);
+        self.set_shares(&standing.shares);
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
     }
 
+    fn set_shares(&self, shares: &[(Whose, f64)]) {
+        self.served.clear();
+        let mut worst: Vec<&(Whose, f64)> = shares.iter().collect();
+        worst.sort_by(|a, b| a.1.total_cmp(&b.1));
+        for (whose, share) in worst.into_iter().take(SERVED_SHOWN) {
+            let (whose, name) = match whose {
+                Whose::Class(name) => ("class", name),
+                Whose::Team(name) => ("team", name),
+            };
+            let labels = Of {
+                whose,
+                name: name.clone(),
+            };
+            self.served.get_or_create(&labels).set(*share);
+        }
+    }
+
     fn set_counts(&self, counts: &[CountStatus]) {
         // A count, or a team's use of it, may be gone since the last scrape.
         for family in [
@@ -314,12 +351,14 @@
                 ..Census::default()
             }),
             counts: vec![seat],
+            shares: vec![(Whose::Class("batch".to_owned()), 0.5)],
         };
         let text = metrics.encode(&standing).unwrap();
         for line in [
             "indigopath_leads 1",
             "indigopath_machines{state=\"busy\"} 3",
             "indigopath_count_held{count=\"seat\"} 3",
+            "indigopath_served_share{whose=\"class\",name=\"batch\"} 0.5",
             "indigopath_count_lingering{count=\"seat\"} 1",
             "indigopath_count_wait_seconds_bucket{le=\"5.0\",count=\"seat\"} 1",
         ] {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -387,6 +387,12 @@
             siblings: self.fresh().count(),
             census,
             counts: counts.unwrap_or_default(),
+            shares: self.term.as_ref().map_or_else(Vec::new, |term| {
+                let shares = term.shares();
+                shares
+                    .map(|(whose, share)| (whose.clone(), share.part()))
+                    .collect()
+            }),
         };
         match self.metrics.encode(&standing) {
             Ok(text) => self
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -11,6 +11,7 @@
 };
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
+use crate::served::Starved;
 use crate::settings::{Deployment, Team};
 use crate::wire::{MachineType, Priority, Shape};
 use indigopath_condor::KindSet;
@@ -34,6 +35,8 @@
     /// Spot machines lost, per second and machine.
     pub spot_loss: f64,
     pub units: Units<'a>,
+    /// Who has had less than the least share for long.
+    pub starved: &'a Starved,
     pub now: Millis,
 }
 
@@ -272,7 +275,7 @@
             visit.skip,
         )
     });
-    for visit in order {
+    for visit in turns_first(order, site.starved) {
         if pass.starts >= STARTS_PER_PASS {
             break;
         }
@@ -287,6 +290,34 @@
     pass.plan
 }
 
+/// Brings so many tasks of starved work before all others as have turns. A gang needs one
+/// turn only, as half of it is no use; what it takes beyond that is owed.
+fn turns_first<'a>(mut order: Vec<Visit<'a>>, starved: &Starved) -> Vec<Visit<'a>> {
+    let mut turns = starved.turns();
+    if turns == 0 {
+        return order;
+    }
+    let mut first = Vec::new();
+    for visit in &mut order {
+        if turns == 0 || !starved.first(&visit.job.spec) {
+            continue;
+        }
+        let tasks = match visit.job.spec.shape {
+            Shape::Gang => visit.most,
+            Shape::Array | Shape::Service => visit.most.min(turns),
+        };
+        first.push(Visit {
+            most: tasks,
+            ..*visit
+        });
+        visit.skip += tasks;
+        visit.most -= tasks;
+        turns = turns.saturating_sub(tasks);
+    }
+    first.extend(order.into_iter().filter(|visit| visit.most > 0));
+    first
+}
+
 impl<'a> Pass<'a> {
     fn new(site: &'a Site<'a>) -> Pass<'a> {
         let types: Vec<&MachineType> = site.types.values().collect();
@@ -990,7 +1021,8 @@
             let Some(victim) = running.job else {
                 continue;
             };
-            let lower = victim.spec.priority > job.spec.priority;
+            // What starved work holds is its least share, whatever its priority.
+            let lower = victim.spec.priority > job.spec.priority && !self.site.starved.is(&victim.spec);
             let borrowed = self.within.contains(&job.spec.id)
                 && victim.spec.priority >= job.spec.priority
                 && victim.spec.team != job.spec.team
--- /dev/null
+++ b/crates/core/src/served.rs
@@ -0,0 +1,512 @@
+//! Served share: how much of what the jobs of a class, or of a team, ask for they have.
+//!
+//! **Asked for** is every task from [`SERVED_AFTER_MS`] after its job's submission on, as
+//! before that no machine could be up with its image; of a team's tasks, though, only as
+//! many as its limit lets run at a time, those that run first and then the oldest. Held
+//! jobs ask for nothing, nor do jobs that fail wherever they are tried.
+//!
+//! **Served** is, of an array, a task that runs or is done; of a gang, all its tasks while
+//! all of them run, and none before; of a service, a replica that is up now. Jobs that were
+//! done within the last [`SERVED_WINDOW_MS`] count as asked for and served: the class goes
+//! by what it got lately, not only by what still waits.
+//!
+//! Operators are warned before a class or a team falls under [`SERVED_LEAST`], once, until it
+//! has recovered. What stays under [`SERVED_STARVED`] is *starved*, and placement gives
+//! it turns before others: see [`Starved`].
+
+use crate::constants::*;
+use crate::io::{Effect, Io};
+use crate::model::{Job, JobId, JobSpec, Millis, Resources};
+use crate::settings::{Deployment, Team};
+use crate::users::Counts;
+use crate::wire::Shape;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
+
+/// Whose share it is.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Whose {
+    /// All jobs of a class.
+    Class(String),
+    /// All jobs of a team.
+    Team(String),
+}
+
+impl fmt::Display for Whose {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Whose::Class(name) => write!(f, "class={name}"),
+            Whose::Team(name) => write!(f, "team={name}"),
+        }
+    }
+}
+
+/// Tasks that are asked for, and those of them that are served.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Tasks asked for.
+    pub asked: u32,
+    /// Of these, tasks that have what their shape asks.
+    pub served: u32,
+    /// Of these, tasks that wait for units of a count rather than for machines.
+    pub short_of_units: u32,
+}
+
+impl Share {
+    /// From 0 to 1; 1 where nothing is asked for.
+    pub fn part(self) -> f64 {
+        if self.asked == 0 {
+            1.0
+        } else {
+            f64::from(self.served) / f64::from(self.asked)
+        }
+    }
+
+    fn add(&mut self, other: Share) {
+        self.asked += other.asked;
+        self.served += other.served;
+        self.short_of_units += other.short_of_units;
+    }
+}
+
+/// Classes and teams of whose old work less than half is served, and how many of their tasks
+/// may be placed before all others in the next pass. What runs of them does not give way to
+/// work of higher priority until they have recovered.
+///
+/// Priority alone would leave a class with nothing for as long as more important work
+/// fills every machine, a whole day if need be.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Starved {
+    /// With each, whether it has less than the least share now.
+    classes: BTreeMap<String, bool>,
+    teams: BTreeMap<String, bool>,
+    turns: f64,
+}
+
+impl Starved {
+    /// Whether the job is of a class or team that has not recovered yet: its work does not
+    /// give way.
+    pub fn is(&self, spec: &JobSpec) -> bool {
+        // Nearly always there is none.
+        !self.classes.is_empty() && self.classes.contains_key(&spec.class)
+            || !self.teams.is_empty() && self.teams.contains_key(&spec.team)
+    }
+
+    /// Whether the job's turn may come before all others.
+    pub fn first(&self, spec: &JobSpec) -> bool {
+        self.classes.get(&spec.class) == Some(&true) || self.teams.get(&spec.team) == Some(&true)
+    }
+
+    /// Tasks of starved work that come first in the next pass.
+    pub fn turns(&self) -> u32 {
+        if self.classes.is_empty() && self.teams.is_empty() {
+            0
+        } else {
+            // Saturates: while more was placed than there were turns, there is none.
+            self.turns as u32
+        }
+    }
+
+    /// A task of such a job was placed: what is placed for others earns turns, what is
+    /// placed for starved work uses them up.
+    pub fn placed(&mut self, spec: &JobSpec) {
+        let change = if self.is(spec) { -1.0 } else { STARVED_TURN };
+        self.turns = (self.turns + change).clamp(-STARVED_OWED, STARVED_TURNS);
+    }
+
+    /// `less`: whether it has less than the least share; `None` once it has recovered.
+    fn mark(&mut self, whose: &Whose, less: Option<bool>) {
+        let (names, name) = match whose {
+            Whose::Class(name) => (&mut self.classes, name),
+            Whose::Team(name) => (&mut self.teams, name),
+        };
+        let known = match less {
+            Some(less) => names.insert(name.clone(), less).is_some(),
+            None => names.remove(name).is_some(),
+        };
+        match less {
+            Some(_) if !known => {
+                log::info!("{whose} is starved: some of its work comes before all other");
+            }
+            None if known => log::info!("{whose} is starved no longer"),
+            _ => (),
+        }
+    }
+
+    fn has(&self, whose: &Whose) -> bool {
+        match whose {
+            Whose::Class(name) => self.classes.contains_key(name),
+            Whose::Team(name) => self.teams.contains_key(name),
+        }
+    }
+}
+
+/// Since when a share is low or well, and whether operators were told.
+#[derive(Debug, Clone, Copy, Default)]
+struct Low {
+    /// Under the share at which operators are warned.
+    since: Option<Millis>,
+    well_since: Option<Millis>,
+    told: bool,
+}
+
+/// What a leader remembers of shares.
+#[derive(Debug, Default)]
+pub struct Served {
+    /// Tasks of jobs that were done, by the second.
+    done: BTreeMap<Whose, VecDeque<(Millis, u32)>>,
+    low: BTreeMap<Whose, Low>,
+    shares: BTreeMap<Whose, Share>,
+    /// What placement needs to know.
+    pub starved: Starved,
+}
+
+impl Served {
+    /// Shares as of the last look, for display.
+    pub fn shares(&self) -> impl Iterator<Item = (&Whose, Share)> {
+        self.shares.iter().map(|(whose, share)| (whose, *share))
+    }
+
+    /// A job was done.
+    pub fn finished(&mut self, spec: &JobSpec, now: Millis) {
+        for whose in of(spec) {
+            let done = self.done.entry(whose).or_default();
+            match done.back_mut().filter(|(at, _)| now < *at + SECOND_MS) {
+                Some((_, tasks)) => *tasks += spec.tasks,
+                None => done.push_back((now, spec.tasks)),
+            }
+        }
+    }
+
+    /// Looks at all live jobs. `counts` are tasks done and running, `short` jobs that wait for units.
+    /// `judged`: this leader has heard most machines, so that a share says something.
+    pub fn look(
+        &mut self,
+        jobs: &BTreeMap<JobId, Job>,
+        counts: &Counts,
+        short: &BTreeSet<&JobId>,
+        deployment: &Deployment,
+        judged: bool,
+        io: &mut Io,
+    ) {
+        let now = io.now;
+        self.done.retain(|_, done| {
+            while done.front().is_some_and(|(at, _)| now > at + SERVED_WINDOW_MS) {
+                done.pop_front();
+            }
+            !done.is_empty()
+        });
+        self.shares = self.shares_of(SERVED_AFTER_MS, jobs, counts, short, deployment, now);
+        if !judged {
+            return;
+        }
+        let old = self.shares_of(STARVED_AFTER_MS, jobs, counts, short, deployment, now);
+        // Classes are named by users: what nobody asks for any more is forgotten.
+        for whose in self.low.keys().filter(|whose| !self.shares.contains_key(whose)) {
+            self.starved.mark(whose, None);
+        }
+        self.low.retain(|whose, _| self.shares.contains_key(whose));
+        for (whose, share) in &self.shares {
+            if share.part() >= SERVED_WELL && !self.low.contains_key(whose) {
+                continue;
+            }
+            let low = self.low.entry(whose.clone()).or_default();
+            let old = old.get(whose).copied().unwrap_or_default();
+            if judge(low, whose, *share, old, &mut self.starved, io) {
+                self.low.remove(whose);
+            }
+        }
+    }
+
+    /// Shares of live jobs that are so old, and of those that were done lately.
+    fn shares_of(
+        &self,
+        least_age_ms: Millis,
+        jobs: &BTreeMap<JobId, Job>,
+        counts: &Counts,
+        short: &BTreeSet<&JobId>,
+        deployment: &Deployment,
+        now: Millis,
+    ) -> BTreeMap<Whose, Share> {
+        let mut shares = live_shares(least_age_ms, jobs, counts, short, deployment, now);
+        for (whose, done) in &self.done {
+            let tasks = done.iter().map(|(_, tasks)| tasks).sum();
+            shares.entry(whose.clone()).or_default().add(Share {
+                asked: tasks,
+                served: tasks,
+                short_of_units: 0,
+            });
+        }
+        shares
+    }
+}
+
+/// What follows from a share, and from that of old work alone: a warning, and whether it
+/// is starved. True once it has recovered.
+fn judge(low: &mut Low, whose: &Whose, share: Share, old: Share, starved: &mut Starved, io: &mut Io) -> bool {
+    let (part, now) = (share.part(), io.now);
+    if part < SERVED_WARN {
+        low.since.get_or_insert(now);
+    } else {
+        low.since = None;
+    }
+    if !low.told && low.since.is_some_and(|since| now >= since + SERVED_FOR_MS) {
+        low.told = true;
+        let missing = share.asked - share.served;
+        let why = if 2 * share.short_of_units > missing {
+            "units of counts"
+        } else {
+            "machines"
+        };
+        io.effects.push(Effect::Warning(format!(
+            "{whose} has only {part:.2} of what it asks for: {} of {} tasks older than {} s run or are \
+             done, most of the others wait for {why}; under {SERVED_LEAST} it counts as not served",
+            share.served,
+            share.asked,
+            SERVED_AFTER_MS / SECOND_MS,
+        )));
+    }
+    // A leader that has just taken over judges by the age of what waits, not by what it saw:
+    // with leaders that end every minute nothing would ever have been starved for long.
+    if starved.has(whose) || old.part() < SERVED_STARVED {
+        starved.mark(whose, Some(part < SERVED_LEAST));
+    }
+    if part < SERVED_WELL {
+        low.well_since = None;
+        return false;
+    }
+    // For a while, or its work would give way again at once, and it would be starved and not
+    // starved by turns.
+    if now < *low.well_since.get_or_insert(now) + SERVED_WELL_MS {
+        return false;
+    }
+    starved.mark(whose, None);
+    if low.told {
+        log::info!("{whose} has {part:.2} of what it asks for again");
+    }
+    true
+}
+
+fn of(spec: &JobSpec) -> [Whose; 2] {
+    [Whose::Class(spec.class.clone()), Whose::Team(spec.team.clone())]
+}
+
+/// What a live job has, and asks for beyond that.
+struct Standing<'a> {
+    job: &'a Job,
+    /// Done, or on a machine as its shape asks.
+    served: u32,
+    /// Of these, on a machine.
+    running: u32,
+    missing: u32,
+}
+
+fn standing<'a>(job: &'a Job, counts: &Counts) -> Standing<'a> {
+    let spec = &job.spec;
+    let (done, running) = counts.get(&spec.id).copied().unwrap_or((0, 0));
+    let (done, running) = match spec.shape {
+        Shape::Array => (done.min(spec.tasks), running.min(spec.tasks.saturating_sub(done))),
+        Shape::Service => (0, running.min(spec.tasks)),
+        Shape::Gang if done > 0 || running >= spec.tasks => (0, spec.tasks),
+        Shape::Gang => (0, 0),
+    };
+    Standing {
+        job,
+        served: done + running,
+        running,
+        missing: spec.tasks - done - running,
+    }
+}
+
+fn live_shares(
+    least_age_ms: Millis,
+    jobs: &BTreeMap<JobId, Job>,
+    counts: &Counts,
+    short: &BTreeSet<&JobId>,
+    deployment: &Deployment,
+    now: Millis,
+) -> BTreeMap<Whose, Share> {
+    let mut shares: BTreeMap<Whose, Share> = BTreeMap::new();
+    let mut used: BTreeMap<&str, Resources> = BTreeMap::new();
+    let mut asking: Vec<Standing<'_>> = Vec::new();
+    for job in jobs.values() {
+        let standing = standing(job, counts);
+        let spec = &job.spec;
+        *used.entry(spec.team.as_str()).or_default() += spec.needs.times(f64::from(standing.running));
+        if job.age_ms(now) >= least_age_ms && !job.parked && !job.to_blame() {
+            asking.push(standing);
+        }
+    }
+    asking.sort_by_key(|standing| std::cmp::Reverse(standing.job.age_ms(now)));
+    for standing in asking {
+        let spec = &standing.job.spec;
+        let team = deployment.teams.iter().find(|team| team.name == spec.team);
+        let used = used.entry(spec.team.as_str()).or_default();
+        let missing = match (team, spec.shape) {
+            (None, _) => 0,
+            (Some(team), Shape::Array) => room_within(team, used, spec, standing.missing),
+            // The others come whole or not at all.
+            (Some(team), _) => {
+                let most = room_within(team, used, spec, standing.missing);
+                if most < standing.missing { 0 } else { most }
+            }
+        };
+        *used += spec.needs.times(f64::from(missing));
+        let share = Share {
+            asked: standing.served + missing,
+            served: standing.served,
+            short_of_units: if short.contains(&spec.id) { missing } else { 0 },
+        };
+        for whose in of(spec) {
+            shares.entry(whose).or_default().add(share);
+        }
+    }
+    shares
+}
+
+/// How many more tasks of the job its team's limit allows, of `most`.
+fn room_within(team: &Team, used: &Resources, spec: &JobSpec, most: u32) -> u32 {
+    let left = |max: f64, used: f64| {
+        if max == 0.0 {
+            f64::INFINITY
+        } else {
+            (max - used).max(0.0)
+        }
+    };
+    let room = Resources {
+        cpus: left(team.cpus_max, used.cpus),
+        gpus: left(team.gpus_max, used.gpus),
+        memory_gb: f64::INFINITY,
+    };
+    // Saturates: no limit at all is a number larger than any.
+    (spec.needs.count_in(&room) as u32).min(most)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::Settings;
+    use serde_json::json;
+
+    fn settings() -> Settings {
+        Settings::parse(include_str!("../tests/support/settings.json")).unwrap()
+    }
+
+    /// A job that is `age_s` old.
+    fn job(id: &str, shape: &str, tasks: u32, age_s: u64, team: &str) -> Job {
+        let spec = json!({
+            "id": id, "class": shape, "team": team, "shape": shape, "priority": "standard",
+            "tasks": tasks, "needs": { "cpus": 2.0, "gpus": 1.0, "memory_gb": 8.0 }, "image": "img",
+            "image_gb": 1.0, "types": null, "zone": null, "one_zone": false, "spread": false,
+            "spot": false, "estimate_s": 10.0, "checkpoint_s": 0.0, "save_s": 0.0,
+            "deadline_s": null, "submitted_ms": 1_000_000 - age_s * 1_000
+        });
+        Job::new(serde_json::from_value(spec).unwrap(), 1, 0, 1_000_000)
+    }
+
+    fn share_of(jobs: Vec<Job>, running: &[(&str, u32, u32)], whose: &Whose) -> Share {
+        let jobs: BTreeMap<JobId, Job> = jobs.into_iter().map(|job| (job.spec.id.clone(), job)).collect();
+        let counts = running
+            .iter()
+            .map(|(id, done, running)| (JobId(std::sync::Arc::from(*id)), (*done, *running)))
+            .collect();
+        let none = BTreeSet::new();
+        live_shares(SERVED_AFTER_MS, &jobs, &counts, &none, &settings().deployment, 0)
+            .get(whose)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    fn class(name: &str) -> Whose {
+        Whose::Class(name.to_owned())
+    }
+
+    #[test]
+    fn each_shape_counts_what_it_asks() {
+        let of = |shape: &str, done, running| {
+            let share = share_of(
+                vec![job("wk-1", shape, 4, 90, "blue")],
+                &[("wk-1", done, running)],
+                &class(shape),
+            );
+            (share.served, share.asked)
+        };
+        assert_eq!(of("sweep", 1, 2), (3, 4));
+        assert_eq!(of("daemon", 0, 3), (3, 4));
+        assert_eq!(of("gang", 0, 3), (0, 4), "a gang that is not whole does nothing");
+        assert_eq!(of("gang", 0, 4), (4, 4));
+    }
+
+    #[test]
+    fn nothing_is_asked_for_before_a_machine_could_be_up() {
+        let share = share_of(vec![job("wk-1", "sweep", 4, 30, "blue")], &[], &class("sweep"));
+        assert_eq!(share, Share::default());
+        assert!(share.part() >= 1.0);
+    }
+
+    // A team that asks for ten times its limit is served when it has its limit.
+    #[test]
+    fn beyond_its_limit_a_team_asks_for_nothing() {
+        let jobs = vec![
+            job("wk-1", "sweep", 300, 90, "red"),
+            job("wk-2", "sweep", 12, 80, "red"),
+        ];
+        // 16 GPUs is the limit, and the younger job has 12 of them.
+        let share = share_of(jobs, &[("wk-2", 0, 12)], &Whose::Team("red".into()));
+        assert_eq!((share.served, share.asked), (12, 16));
+    }
+
+    #[test]
+    fn a_low_share_is_told_once_until_it_has_recovered() {
+        let mut io = Io::new(&settings(), 1, 0, 0);
+        let mut low = Low::default();
+        let mut starved = Starved::default();
+        let spec = job("wk-1", "sweep", 4, 90, "blue").spec;
+        let (mut warned, mut over_at) = (0, None);
+        for second in 0..400 {
+            io.now = second * SECOND_MS;
+            // It recovers for a moment, halfway, and then for good.
+            let served = if (100..130).contains(&second) || second >= 200 {
+                90
+            } else {
+                40
+            };
+            let share = Share {
+                asked: 100,
+                served,
+                short_of_units: 0,
+            };
+            let over = judge(&mut low, &class("sweep"), share, share, &mut starved, &mut io);
+            warned += std::mem::take(&mut io.effects).len();
+            if over {
+                over_at = Some(second);
+                break;
+            }
+            assert!(starved.is(&spec));
+            assert_eq!(starved.first(&spec), served == 40, "at {second} s");
+        }
+        assert_eq!(warned, 1);
+        assert_eq!(over_at, Some(200 + SERVED_WELL_MS / SECOND_MS));
+        assert!(!starved.is(&spec));
+    }
+
+    #[test]
+    fn others_starts_earn_turns_and_its_own_use_them() {
+        let mut starved = Starved::default();
+        let own = job("wk-1", "sweep", 4, 90, "blue").spec;
+        let other = job("wk-2", "gang", 4, 90, "blue").spec;
+        starved.mark(&class("sweep"), Some(true));
+        for _ in 0..9 {
+            starved.placed(&other);
+        }
+        assert_eq!(starved.turns(), 2);
+        starved.placed(&own);
+        assert_eq!(starved.turns(), 1);
+        for _ in 0..3 {
+            starved.placed(&own);
+        }
+        assert_eq!(starved.turns(), 0, "a gang took more than there were");
+        starved.mark(&class("sweep"), None);
+        assert_eq!(starved.turns(), 0);
+    }
+}
--- a/crates/counts/benches/pass.rs
+++ b/crates/counts/benches/pass.rs
@@ -129,6 +129,7 @@
 impl World {
     fn pass(&self) -> usize {
         let (feeds, gone, keepers, hosts) = (BTreeMap::new(), HashMap::new(), BTreeMap::new(), Hosts::new());
+        let starved = indigopath_core::served::Starved::default();
         let site = Site {
             deployment: &self.deployment,
             types: &self.types,
@@ -136,6 +137,7 @@
             machines: &self.machines,
             hosts: &hosts,
             spot_loss: 0.0,
+            starved: &starved,
             units: Units {
                 definitions: &self.definitions,
                 policy: Policy::default(),
--- a/crates/experiments/src/play.rs
+++ b/crates/experiments/src/play.rs
@@ -391,6 +391,7 @@
             },
             _ => Policy::default(),
         };
+        let starved = indigopath_core::served::Starved::default();
         let site = Site {
             deployment: &self.deployment,
             types: &self.types,
@@ -398,6 +399,7 @@
             machines: &self.machines,
             hosts: &self.hosts,
             spot_loss: 0.0,
+            starved: &starved,
             units: Units {
                 definitions: &self.plan.definitions,
                 policy,
--- a/crates/sim/src/cloud.rs
+++ b/crates/sim/src/cloud.rs
@@ -31,6 +31,8 @@
     pub rentals: u32,
     returned: Vec<String>,
     pub lag_ms: Option<u64>,
+    /// Most machines at a time; no limit without.
+    pub capacity: Option<usize>,
 }
 
 impl Cloud {
@@ -94,7 +96,16 @@
                 {
                     return (503, json!({ "error": "no capacity" }));
                 }
-                let machines = (0..request.count)
+                let here = self
+                    .machines
+                    .values()
+                    .filter(|machine| machine.gone_at.is_none())
+                    .count();
+                let left = self.capacity.map_or(usize::MAX, |most| most.saturating_sub(here));
+                if left == 0 {
+                    return (503, json!({ "error": "no capacity" }));
+                }
+                let machines = (0..request.count.min(u32::try_from(left).unwrap_or(u32::MAX)))
                     .map(|_| self.rent(&request.machine_type, &request.zone, request.spot, now))
                     .collect();
                 let answer = serde_json::to_value(MachineNames { machines }).unwrap();
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -3,6 +3,10 @@
 //! SECONDS`; `#` starts a comment. `count NAME units=4 linger=20 red=2 server` defines a
 //! count, with a team's share, and perhaps a licence server that the leader asks.
 //!
+//! Every class and team must be served at least half of what it asked for by the end (see
+//! [`World::served`]), or the line `unserved class=batch` says that this one is not: which must
+//! then be so.
+//!
 //! `condor team=red run=10` serves submit files, whose tasks run so long; `file NAME` and the
 //! lines after it that begin with `|` are one, and `at SECONDS condor NAME` sends it, to one
 //! node after the other, until it is answered.
@@ -16,6 +20,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
+/// Part of what a class or a team asks for under which a day fails.
+const LEAST_SERVED: f64 = 0.5;
+
 pub fn run(text: &str) -> Result<(), String> {
     let mut actions: BTreeMap<(u64, usize), String> = BTreeMap::new();
     let mut expects = Vec::new();
@@ -25,6 +32,7 @@
     let mut files: BTreeMap<String, String> = BTreeMap::new();
     let mut file = String::new();
     let mut condor_run_s = 10.0;
+    let mut unserved: Vec<String> = Vec::new();
     for (number, line) in text.lines().enumerate() {
         if let Some(text) = line.strip_prefix('|') {
             let text = format!("{}\n", text.strip_prefix(' ').unwrap_or(text));
@@ -47,6 +55,7 @@
             "count" => define(&mut operator, rest)?,
             "file" => file = rest.to_owned(),
             "condor" => condor_run_s = serve_files(&mut operator, rest)?,
+            "unserved" => unserved.push(rest.to_owned()),
             "until" => until = rest.parse::<u64>().map_err(|error| error.to_string())? * 1000,
             other => return Err(format!("line {}: unknown word {other}", number + 1)),
         }
@@ -75,6 +84,20 @@
     {
         problems.push("nothing_ran".to_owned());
     }
+    let served = world.served();
+    for (whose, (served, asked)) in &served {
+        if served / asked < LEAST_SERVED && !unserved.contains(whose) {
+            problems.push(format!("unserved: {whose} has {served:.1} of {asked}"));
+        }
+    }
+    for whose in unserved {
+        if served
+            .get(&whose)
+            .is_none_or(|(served, asked)| served / asked >= LEAST_SERVED)
+        {
+            problems.push(format!("{whose} is served after all"));
+        }
+    }
     for expect in expects {
         if let Err(problem) = check(&world, &expect) {
             problems.push(format!("expect {expect}: {problem}"));
@@ -137,6 +160,7 @@
     let facts = JobFacts {
         shape: shape.clone(),
         team: get("team", "blue"),
+        class: get("class", "batch"),
         tasks: amount("tasks", "1")? as u32,
         gpus: amount("gpus", "1")?,
         run_s: amount("run", "10")?,
@@ -243,7 +267,8 @@
                     Some(own) => format!("wk-{}", own + more),
                     None => id.to_owned(),
                 };
-                let (_, facts) = body(&id, &keyed)?;
+                let (_, mut facts) = body(&id, &keyed)?;
+                facts.asked_at = Some(world.now + more * 100);
                 world.jobs.insert(id.clone(), facts);
                 world.user_at.insert(id, world.now + more * 100);
             }
@@ -280,7 +305,12 @@
         // Whoever sends the so manieth call about clusters ends with it, before or after it
         // is carried out.
         "end-at" => world.end_at = Some((number(arg(1)?)? as u32, arg(2)? == "after")),
-        "withdraw" => world.jobs.get_mut(arg(1)?).ok_or("no such job")?.wants_cancel = true,
+        "withdraw" => {
+            let now = world.now;
+            let facts = world.jobs.get_mut(arg(1)?).ok_or("no such job")?;
+            facts.wants_cancel = true;
+            facts.withdrawn_at.get_or_insert(now);
+        }
         // A submission again, with another body: its job's state, never a refusal.
         "resubmit" => {
             let (body, _) = body(arg(1)?, &keyed)?;
@@ -420,6 +450,8 @@
                 .refused
                 .insert((arg(1)?.to_owned(), arg(2)? == "spot"));
         }
+        // Most machines that the cloud has, those that are up among them.
+        "capacity" => world.cloud.capacity = Some(number(arg(1)?)? as usize),
         "duds" => world.cloud.duds = number(arg(1)?)? as u32,
         "stranger" => {
             world.cloud.rent(arg(1)?, arg(2)?, false, world.now);
@@ -529,14 +561,20 @@
             };
             compare(have as f64, sign, want)
         }
+        // Of what a class or team asked for, what it had: `served class=batch >= 0.6`.
+        ["served", whose, sign, want] => {
+            let shares = world.served();
+            let (served, asked) = shares.get(*whose).ok_or("nothing was asked for")?;
+            compare(served / asked, sign, want)
+        }
         ["machines", sign, want] => compare(world.workers.len() as f64, sign, want),
         ["rented", sign, want] => compare(f64::from(world.cloud.rentals), sign, want),
         ["fenced", sign, want] => compare(f64::from(world.state.fenced), sign, want),
         ["refused", sign, want] => compare(f64::from(world.most_refused), sign, want),
         // Warnings to operators that speak of something, such as `class=batch`.
         ["warnings", of, sign, want] => {
-            let told = world.warnings.iter().filter(|text| text.contains(of));
-            compare(told.count() as f64, sign, want)
+            let told: Vec<&String> = world.warnings.iter().filter(|text| text.contains(of)).collect();
+            compare(told.len() as f64, sign, want).map_err(|problem| format!("{problem}: {told:#?}"))
         }
         ["answered", path, sign, want] => compare(
             world
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -22,6 +22,11 @@
 const CANCEL_MS: u64 = 50_000;
 pub(crate) const NODES: usize = 3;
 
+/// Age of a job from which on it must be served: what a boot and a fetch take.
+const SERVED_AFTER_MS: u64 = 60_000;
+/// Interval at which replicas that are up are counted.
+const SERVED_STEP_MS: u64 = 200;
+
 /// What the world knows of a job, apart from any controller.
 #[derive(Debug, Clone, Default)]
 pub struct JobFacts {
@@ -47,6 +52,17 @@
     pub cancelled_at: Option<u64>,
     pub done_told_at: Option<u64>,
     pub starts: u32,
+    pub class: String,
+    /// When its user first asked, and asked for its end.
+    pub asked_at: Option<u64>,
+    pub withdrawn_at: Option<u64>,
+    /// It can never run, its user was told.
+    pub refused: bool,
+    /// Tasks that were ever on a machine; of a gang, all of them once it ran.
+    pub started: BTreeSet<u32>,
+    /// Replica time since it must be served, in ms: what there was, and what was asked for.
+    pub up_ms: u64,
+    pub due_ms: u64,
     /// Of a submit file: what its record says of machines, and which cluster it is of.
     pub spec: Option<Value>,
     pub cluster: Option<u64>,
@@ -383,6 +399,9 @@
         for index in 0..NODES {
             self.step_node(index);
         }
+        if self.now.is_multiple_of(SERVED_STEP_MS) {
+            self.count_replicas();
+        }
         // Looking at thousands of tasks takes time, and nothing lasts only 10 ms.
         if self.workers.len() < 200 || self.now.is_multiple_of(200) {
             self.check_rules();
@@ -817,6 +836,7 @@
                     .push(task.state);
             }
         }
+        let mut ran: BTreeSet<String> = BTreeSet::new();
         for ((job, attempt), states) in gangs {
             let facts = &self.jobs[&job];
             if facts.shape != "gang" {
@@ -830,6 +850,7 @@
                     continue;
                 }
                 if start {
+                    ran.insert(job.clone());
                     task.state = TaskState::Running;
                     task.since = self.now;
                     task.progress_from = facts.saved_s;
@@ -842,6 +863,11 @@
                 }
             }
         }
+        for id in ran {
+            if let Some(facts) = self.jobs.get_mut(&id) {
+                facts.started = (0..facts.tasks).collect();
+            }
+        }
     }
 
     // ---- users ---------------------------------------------------------------
@@ -968,6 +994,7 @@
         let facts = self.jobs.get_mut(job).unwrap();
         match (kind, status) {
             (UserKind::Submit, 200 | 201) => facts.accepted = true,
+            (UserKind::Submit, 400 | 422) if !facts.accepted => facts.refused = true,
             (_, 400 | 404 | 422) if facts.accepted => {
                 self.breach("forgotten", format!("{job} got {status}"));
                 return;
@@ -1016,8 +1043,12 @@
     }
 
     fn check_start(&mut self, machine: &str, job: &str, index: u32) {
-        self.jobs.get_mut(job).unwrap().starts += 1;
-        let facts = self.jobs[job].clone();
+        let facts = self.jobs.get_mut(job).unwrap();
+        facts.starts += 1;
+        if facts.shape != "gang" {
+            facts.started.insert(index);
+        }
+        let facts = facts.clone();
         let worker = &self.workers[machine];
         let (zone, machine_type, spot) = (worker.zone.clone(), worker.machine_type.clone(), worker.spot);
         let name = format!("{job}/{index}");
@@ -1096,6 +1127,56 @@
         }
     }
 
+    // ---- served share --------------------------------------------------------
+
+    fn count_replicas(&mut self) {
+        let mut up: BTreeMap<String, u64> = BTreeMap::new();
+        for (_, task) in self
+            .on_machines()
+            .filter(|(_, task)| task.state == TaskState::Running)
+        {
+            *up.entry(task.job.clone()).or_default() += 1;
+        }
+        let now = self.now;
+        for (id, facts) in &mut self.jobs {
+            let due = facts.asked_at.is_some_and(|at| now >= at + SERVED_AFTER_MS);
+            if facts.shape == "daemon" && due && facts.withdrawn_at.is_none() {
+                let tasks = u64::from(facts.tasks);
+                facts.due_ms += tasks * SERVED_STEP_MS;
+                facts.up_ms += up.get(id).copied().unwrap_or(0).min(tasks) * SERVED_STEP_MS;
+            }
+        }
+    }
+
+    /// Tasks served and asked for so far, by class and by team. Asked for is every task of a job
+    /// that is old enough, unless its user took it back before, it can never run, or it was
+    /// submitted with a mistake. Served is, of an array, a task that was ever started; of
+    /// a gang, all once it ran; of a service, each replica by the time that it was up.
+    pub(crate) fn served(&self) -> BTreeMap<String, (f64, f64)> {
+        let mut shares: BTreeMap<String, (f64, f64)> = BTreeMap::new();
+        for facts in self.jobs.values() {
+            let Some(due_at) = facts.asked_at.map(|at| at + SERVED_AFTER_MS) else {
+                continue;
+            };
+            let until = facts.withdrawn_at.unwrap_or(self.now);
+            if until < due_at || facts.refused || facts.broken {
+                continue;
+            }
+            let asked = f64::from(facts.tasks);
+            let served = match facts.shape.as_str() {
+                "daemon" if facts.due_ms == 0 => continue,
+                "daemon" => asked * facts.up_ms as f64 / facts.due_ms as f64,
+                _ => facts.started.union(&facts.done).count() as f64,
+            };
+            for whose in [format!("class={}", facts.class), format!("team={}", facts.team)] {
+                let share = shares.entry(whose).or_default();
+                share.0 += served;
+                share.1 += asked;
+            }
+        }
+        shares
+    }
+
     /// The machine on which a task is now.
     pub(crate) fn machine_of(&self, name: &str) -> Option<String> {
         self.workers
