--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -154,6 +154,8 @@
     pub writes: Bucket,
     pub cloud: Bucket,
     pub effects: Vec<Effect>,
+    /// Requests told to come back later, by the reason, since it was last taken.
+    pub refusals: BTreeMap<String, u32>,
     state_rate: f64,
     follower_share: f64,
     next_call: u64,
@@ -174,6 +176,7 @@
             writes: Bucket::new(writes, writes, now),
             cloud: Bucket::new(cloud, cloud.max(1.0), now),
             effects: Vec::new(),
+            refusals: BTreeMap::new(),
             state_rate: deployment.state.rps,
             follower_share,
             next_call: 1,
@@ -243,6 +246,12 @@
     }
 
     pub fn reply_later(&mut self, request: RequestId, retry_after_s: u64, problem: &str) {
+        match self.refusals.get_mut(problem) {
+            Some(count) => *count += 1,
+            None => {
+                self.refusals.insert(problem.to_owned(), 1);
+            }
+        }
         let body = json(&crate::wire::ErrorAnswer { error: problem });
         self.answer(request, 503, Some(retry_after_s), Content::Json, body);
     }
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -200,7 +200,8 @@
             self.inspect(&id, io);
         }
         for id in lapsed {
-            log::info!("machine={id} its lease has run out: nothing is left on it");
+            let there = self.machines.get(&id).map_or(0, Machine::tasks_there);
+            log::info!("machine={id} its lease has run out: {there} tasks are lost, nothing is left on it");
             let changes = self.machines.get_mut(&id).map(Machine::clear).unwrap_or_default();
             self.apply(&id, changes, io);
             self.changed = true;
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -166,6 +166,8 @@
 pub struct Term {
     pub first_token: u64,
     started: Millis,
+    /// Something was placed in this term.
+    placed: bool,
     load: Option<Load>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) machines: BTreeMap<MachineId, Machine>,
@@ -228,6 +230,7 @@
         Term {
             first_token: token,
             started: now,
+            placed: false,
             load: Some(Load::default()),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
@@ -753,6 +756,10 @@
             Shape::Gang => job.gang.get_or_insert(GangAttempt::new(fresh)).number,
             Shape::Array | Shape::Service => fresh,
         };
+        if !std::mem::replace(&mut self.placed, true) {
+            let took_s = now.saturating_sub(self.started) as f64 / SECOND_MS as f64;
+            log::info!("the first task of this term is placed, {took_s:.2} s after the election");
+        }
         job.waiting.remove(&task.index);
         self.served.starved.placed(&job.spec);
         let counts = job.spec.counts.clone();
--- a/crates/core/src/leader/renting.rs
+++ b/crates/core/src/leader/renting.rs
@@ -498,6 +498,10 @@
                     continue;
                 };
                 self.gone.insert(id.clone(), io.now);
+                let there = machine.tasks_there();
+                if there > 0 {
+                    log::info!("machine={id} is gone, and {there} tasks with it");
+                }
                 let taken = machine.inspect_failed || machine.notice_until.is_some();
                 self.spot.lost += u32::from(machine.spot && machine.is_up() && taken);
                 self.writer.machine_gone(&machine);
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -391,6 +391,14 @@
         used
     }
 
+    /// Attempts that are or may be there.
+    pub fn tasks_there(&self) -> usize {
+        self.attempts
+            .iter()
+            .filter(|attempt| attempt.may_be_there())
+            .count()
+    }
+
     /// Nothing is or may be there, and no result waits to be recorded.
     pub fn is_empty(&self) -> bool {
         self.attempts
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -71,6 +71,8 @@
     /// All members' names in order; a heartbeat names its sender by position.
     members: Vec<String>,
     beat_at: Millis,
+    /// When requests that were told to come back were last logged.
+    refused_at: Millis,
     /// Counts of jobs as the leader last told them.
     told: Counts,
     /// Counts as this leader last told its siblings.
@@ -106,6 +108,7 @@
             types_at: 0,
             types_busy: false,
             beat_at: 0,
+            refused_at: 0,
             told: Counts::new(),
             sent: Counts::new(),
             workers: HashMap::new(),
@@ -188,12 +191,26 @@
                 self.news(news);
             }
         }
+        self.tell_refusals();
         if self.io.now >= self.beat_at {
             self.beat_at = self.io.now + HEARTBEAT_MS;
             self.beat();
         }
     }
 
+    /// One line a second at most, however many were refused.
+    fn tell_refusals(&mut self) {
+        if self.io.refusals.is_empty() || self.io.now < self.refused_at + SECOND_MS {
+            return;
+        }
+        self.refused_at = self.io.now;
+        let refusals = std::mem::take(&mut self.io.refusals);
+        let all: u32 = refusals.values().sum();
+        if let Some((why, count)) = refusals.iter().max_by_key(|(_, count)| **count) {
+            log::info!("{all} requests were told to come back, {count} of them: {why}");
+        }
+    }
+
     fn news(&mut self, news: News) {
         match news {
             News::Elected { token } => {
