Work of one rank goes by what it can still meet, not by age

Excluded: the processor (0.15 of a core on the mean), the cloud's rate (booting 5 to 30), changes.

Change: within a priority and rank the job comes first that has least time left for the next objective of its class that it can still meet, on starting or on finishing; what can meet none waits like the most patient of its class, and keeps its least share (served.rs). Without objectives a job is to start within 120 s.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -378,6 +378,14 @@
 /// are short: its own, and some for a wrong estimate.
 pub const RUNS_TO_WAIT: f64 = 1.3;
 
+/// Part of its estimate that a run takes at least, as a rule: a job for which even this no longer fits
+/// cannot meet an objective any more.
+pub const RUN_AT_LEAST: f64 = 1.0;
+
+/// Within what time, in s, a job whose class has no objectives is to start: it stands beside
+/// others by this.
+pub const UNSTATED_START_S: f64 = 120.0;
+
 /// What an empty machine costs a placement, in s: work gathers on few machines, so
 /// that others fall idle and go back.
 pub const EMPTY_COST_S: f64 = 3.0;
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -6,8 +6,9 @@
 use crate::constants::{
     EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_LEAST_S, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS,
     GATHER_TRIES, HELD_LASTING_S, HELD_LEAST_S, MOVES_PER_PASS, MOVES_SHARE, OUTLAST_COST_S,
-    PREEMPT_FOR_IMAGE_S, RANK_STEP_COST_S, ROOM_SEARCHES_PER_PASS, RUNS_TO_SPARE, RUNS_TO_WAIT, SECOND_MS,
-    SETTLED_MS, SPOT_COST_S, SPOT_RISK, SPOT_RISK_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    PREEMPT_FOR_IMAGE_S, RANK_STEP_COST_S, ROOM_SEARCHES_PER_PASS, RUN_AT_LEAST, RUNS_TO_SPARE, RUNS_TO_WAIT,
+    SECOND_MS, SETTLED_MS, SPOT_COST_S, SPOT_RISK, SPOT_RISK_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    UNSTATED_START_S,
 };
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
@@ -228,6 +229,43 @@
         && short_of_time(job, RUNS_TO_SPARE, deployment, now)
 }
 
+/// For how long, in ms, the job may still wait for a start without missing what its class's
+/// users expect: the next of its objectives, on starting or on finishing, that it can
+/// still meet. What can meet none any more waits like the most patient job of its class;
+/// what has none, like one that is to start within [`UNSTATED_START_S`].
+///
+/// In the order of age, where there is more work than room, everybody comes as late as
+/// everybody else, and hardly a job is in time; in this order most are.
+pub fn may_wait_ms(job: &Job, deployment: &Deployment, now: Millis) -> Millis {
+    let spec = &job.spec;
+    let age_s = job.age_ms(now) as f64 / SECOND_MS as f64;
+    // With each objective, by when a task should start for it, and must.
+    let starts = deployment
+        .within_s("wait", &spec.class)
+        .map(|within_s| (within_s, within_s));
+    let ends = deployment.within_s("finished", &spec.class).map(|within_s| {
+        let should_s = within_s - RUNS_TO_WAIT * spec.estimate_s;
+        (should_s, within_s - RUN_AT_LEAST * spec.estimate_s)
+    });
+    let mut latest: Option<f64> = None;
+    let mut next: Option<f64> = None;
+    for (should_s, must_s) in starts.chain(ends).filter(|(_, must_s)| *must_s > 0.0) {
+        let should_s = should_s.max(0.0);
+        latest = Some(latest.map_or(should_s, |other| other.max(should_s)));
+        if must_s >= age_s {
+            next = Some(next.map_or(should_s, |other| other.min(should_s)));
+        }
+    }
+    let left_s = match (latest, next) {
+        // A replica that is late is missed every second.
+        _ if spec.shape == Shape::Service && next.is_none() => 0.0,
+        (None, _) => (UNSTATED_START_S - age_s).max(0.0),
+        (Some(_), Some(next)) => (next - age_s).max(0.0),
+        (Some(latest), None) => latest,
+    };
+    (left_s * SECOND_MS as f64) as Millis
+}
+
 /// Jobs that fit into their team's guarantee together with its earlier ones.
 pub fn within_guarantee(
     deployment: &Deployment,
@@ -270,6 +308,7 @@
         (
             job.spec.priority,
             visit.rank,
+            may_wait_ms(job, site.deployment, site.now),
             Reverse(job.age_ms(site.now)),
             job.spec.id.clone(),
             visit.skip,
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -504,6 +504,18 @@
             0 => Ok(()),
             left => Err(format!("{left} are not")),
         },
+        // Jobs of a class whose users were told within so many seconds that they are done.
+        ["in-time", class, within, sign, want] => {
+            let within_ms = (number(within)? * 1000.0) as u64;
+            let done = world.jobs.values().filter(|job| job.class == *class);
+            let in_time = done.filter(|job| {
+                let took = job.done_told_at.zip(job.asked_at);
+                took.is_some_and(|(done, asked)| done <= asked + within_ms)
+            });
+            compare(in_time.count() as f64, sign, want)
+        }
+        // Tasks that waited for their image.
+        ["fetches", sign, want] => compare(f64::from(world.fetches), sign, want),
         // The most calls of a kind (changes, requests, cloud, workers) in any second.
         ["most", kind, sign, want] => compare(world.calls.most(kind) as f64, sign, want),
         ["total", kind, sign, want] => {
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -201,6 +201,8 @@
     pub(crate) probes: Vec<(String, u16)>,
     pub(crate) broken: Vec<String>,
     pub(crate) most_refused: u32,
+    /// Tasks that waited for their image.
+    pub(crate) fetches: u32,
     /// What operators were warned of.
     pub(crate) warnings: Vec<String>,
     /// GPUs that each team may use, in place of the settings'.
@@ -263,6 +265,7 @@
             probes: Vec::new(),
             broken: Vec::new(),
             most_refused: 0,
+            fetches: 0,
             warnings: Vec::new(),
             gpus_max,
             licences: LicenceServer::default(),
@@ -762,7 +765,13 @@
             .collect();
         for id in up {
             let machine = &self.cloud.machines[&id];
-            let worker = Worker::new(&id, &machine.machine_type, &machine.zone, machine.spot, self.now);
+            let mut worker = Worker::new(&id, &machine.machine_type, &machine.zone, machine.spot, self.now);
+            let known = self
+                .cloud
+                .types
+                .iter()
+                .find(|known| known.name == machine.machine_type);
+            worker.cache_gb = known.map_or(f64::INFINITY, |known| known.cache_gb);
             self.workers.insert(id, worker);
         }
         let taken: Vec<String> = self
@@ -793,6 +802,7 @@
                 self.send(&id, &format!("n{node}"), event);
             }
             for task in arrived {
+                self.fetches += u32::from(self.now > task.since + STEP_MS);
                 self.check_out(&id, &task);
                 self.check_start(&id, &task.job, task.index);
             }
