Arrays take the room beside their images first, then what is left

Change: among work of one priority and rank, tasks of arrays first take the room beside their images, in their order, and then the rest; gangs and replicas as before. The scenario world's machines forget images beyond their cache, as the protocol says.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -314,14 +314,9 @@
             visit.skip,
         )
     });
-    for visit in turns_first(order, site.starved) {
-        if pass.starts >= STARTS_PER_PASS {
-            break;
-        }
-        match visit.job.spec.shape {
-            Shape::Gang => pass.place_gang(&visit),
-            Shape::Array | Shape::Service => pass.place_tasks(&visit),
-        }
+    let order = turns_first(order, site.starved);
+    for peers in order.chunk_by(|a, b| a.job.spec.priority == b.job.spec.priority && a.rank == b.rank) {
+        pass.place_peers(peers);
     }
     pass.drain_noticed();
     pass.gather_replicas();
@@ -709,6 +704,88 @@
         });
     }
 
+    /// Places work of one priority and rank. Tasks of arrays first take the room beside their
+    /// images, in their order, and then what is left: otherwise, where more waits than there is
+    /// room, whatever room comes free goes to the job whose turn it is, and half of
+    /// the tasks fetch images that lie beside a room which another took.
+    fn place_peers(&mut self, peers: &[Visit<'a>]) {
+        let mut rest: Vec<(Visit<'a>, bool)> = Vec::new();
+        for visit in peers {
+            if self.starts >= STARTS_PER_PASS {
+                return;
+            }
+            match visit.job.spec.shape {
+                Shape::Gang => self.place_gang(visit),
+                Shape::Array if self.many_places_do(visit) => {
+                    let placed = self.place_beside_images(visit);
+                    if placed < visit.most {
+                        let left = Visit {
+                            skip: visit.skip + placed,
+                            most: visit.most - placed,
+                            ..*visit
+                        };
+                        rest.push((left, self.ordinary_short));
+                    }
+                }
+                Shape::Array | Shape::Service => self.place_tasks(visit),
+            }
+        }
+        let short = self.ordinary_short;
+        for (visit, short_then) in rest {
+            if self.starts >= STARTS_PER_PASS {
+                return;
+            }
+            // A gang that comes later in the order keeps it off nothing.
+            self.ordinary_short = short_then;
+            self.place_tasks(&visit);
+        }
+        self.ordinary_short = short;
+    }
+
+    /// Whether any machine does for each of the job's tasks alike, but for its image.
+    fn many_places_do(&self, visit: &Visit<'a>) -> bool {
+        let spec = &visit.job.spec;
+        !spec.spread && !spec.one_zone && !visit.counted
+    }
+
+    /// Places tasks where their image is; returns how many.
+    fn place_beside_images(&mut self, visit: &Visit<'a>) -> u32 {
+        let job = visit.job;
+        let mut ask = self.ask(job);
+        let full = self.full.get(&self.alike(&ask)).is_some_and(|least| *least <= 1);
+        if full || ask.fears_spot || ask.distrusts || ask.image.is_none() {
+            return 0;
+        }
+        let taken = self.zones_of(&job.spec.id);
+        let zones = self.open_zones(&job.spec, &taken);
+        let candidates: Vec<(f64, usize)> = self
+            .candidates(&ask, &zones, None)
+            .into_iter()
+            .filter(|(_, at)| self.has_image(&ask, *at) && self.rooms[*at].machine.errors.is_empty())
+            .collect();
+        if candidates.is_empty() {
+            return 0;
+        }
+        let allowed = self.quota_left(&job.spec, visit.most);
+        let mut waiting = job
+            .waiting
+            .iter()
+            .skip(visit.skip as usize)
+            .take(allowed as usize)
+            .copied();
+        let mut placed = 0;
+        for (_, at) in candidates {
+            while job.spec.needs.fits_in(&self.rooms[at].free) && self.starts < STARTS_PER_PASS {
+                let Some(index) = waiting.next() else {
+                    return placed;
+                };
+                self.take(&mut ask, index, at);
+                placed += 1;
+            }
+        }
+        placed
+    }
+
     fn place_tasks(&mut self, visit: &Visit<'a>) {
         let job = visit.job;
         let allowed = self.quota_left(&job.spec, visit.most);
--- a/crates/sim/src/worker.rs
+++ b/crates/sim/src/worker.rs
@@ -4,7 +4,7 @@
 use crate::world::JobFacts;
 use indigopath_core::wire::{Cause, DirectOrders, Order, Report, ReportAnswer, TaskReport, TaskState, Verb};
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 pub const GANG_PEER_MS: u64 = 5_000;
 
@@ -70,7 +70,10 @@
     pub seq: u64,
     pub token: u64,
     pub tasks: Vec<Task>,
-    images: BTreeSet<String>,
+    /// Images that it holds, with their size in GB, the latest used last.
+    images: Vec<(String, f64)>,
+    /// How much of them it holds at most, in GB.
+    pub cache_gb: f64,
     pub node: usize,
     pub in_flight: Option<(u64, u64)>,
     pub next_report: u64,
@@ -96,7 +99,8 @@
             seq: 0,
             token: 0,
             tasks: Vec::new(),
-            images: BTreeSet::new(),
+            images: Vec::new(),
+            cache_gb: f64::INFINITY,
             node: 0,
             in_flight: None,
             next_report: now,
@@ -305,10 +309,10 @@
             let before = task.state;
             match task.state {
                 TaskState::Fetching => {
-                    let ready = self.images.contains(&facts.image)
+                    let ready = self.images.iter().any(|(name, _)| *name == facts.image)
                         || now >= task.since + (facts.image_gb * 1000.0) as u64;
                     if ready {
-                        self.images.insert(facts.image.clone());
+                        touch(&mut self.images, &facts.image, facts.image_gb, self.cache_gb);
                         arrived.push(task.clone());
                         if facts.done.contains(&task.index) {
                             task.exit(Cause::Done);
@@ -363,6 +367,15 @@
     }
 }
 
+/// Notes an image as the latest used, and forgets the oldest beyond the cache.
+fn touch(images: &mut Vec<(String, f64)>, image: &str, gb: f64, cache_gb: f64) {
+    images.retain(|(name, _)| name != image);
+    images.push((image.to_owned(), gb));
+    while images.len() > 1 && images.iter().map(|(_, gb)| gb).sum::<f64>() > cache_gb {
+        images.remove(0);
+    }
+}
+
 impl Task {
     pub fn exit(&mut self, why: Cause) {
         self.state = TaskState::Exited;
