A job's second visit in a pass counts what the first one placed in each zone

Jobs with counts had two visits before: their spread replicas broke the rule too. Excluded: a replica thought gone that was not (none of the job's had been lost), a late start.

Change: a pass remembers where it placed tasks of jobs that are bound to zones.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -170,6 +170,9 @@
     /// The lowest priority of which anything is placed.
     lowest: Option<Priority>,
     any_leaving: bool,
+    /// Zones of what this pass has placed of jobs that are bound to zones: a job may have two
+    /// visits, and the second must not forget the first.
+    placed: HashMap<&'a JobId, Zones>,
     jobs_known: bool,
     searches: usize,
     /// Who holds which units of counts.
@@ -447,6 +450,7 @@
             ordinary_short: false,
             lowest,
             any_leaving,
+            placed: HashMap::new(),
             jobs_known: false,
             searches: 0,
             book,
@@ -554,7 +558,11 @@
     /// Where tasks of the job are or may be.
     fn zones_of(&self, job: &JobId) -> Zones {
         let zones = &self.site.deployment.zones;
-        let mut taken = vec![0; zones.len() + 1];
+        let mut taken = self
+            .placed
+            .get(job)
+            .cloned()
+            .unwrap_or_else(|| vec![0; zones.len() + 1]);
         for id in self.site.hosts.get(job).into_iter().flatten() {
             let Some(machine) = self.site.machines.get(id) else {
                 continue;
@@ -690,6 +698,11 @@
         room.free -= spec.needs;
         room.held_s = room.held_s.max(lasts_s(spec));
         let machine = room.machine.id.clone();
+        if spec.spread || spec.one_zone {
+            let zones = self.site.deployment.zones.len();
+            let placed = self.placed.entry(&spec.id).or_insert_with(|| vec![0; zones + 1]);
+            placed[room.place.map_or(zones, |(_, zone)| zone)] += 1;
+        }
         *usage_of(&mut self.usage, &spec.team) += spec.needs;
         if !spec.counts.is_empty() {
             self.book.take(&spec.team, &spec.counts, units::lasts_s(spec));
