Machines of a zone that is cut off are kept, and none are rented there

Excluded: too few questions (the zone is known to be silent after 11 s), a lack of cloud calls.

Change: when a machine is newly silent, twelve others of its zone are asked. Where most of them are silent too, the zone is cut off: its silent machines are kept for two leases, except those with replicas that may run in another zone, and nothing is rented there. A zone with more than three quarters of all machines is never judged so. Ledger and proofs as before.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -183,6 +183,27 @@
 /// to tell whether it is the leader who is cut off.
 pub const ROLL_SAMPLE: usize = 24;
 
+/// Machines of a zone asked when one of it is newly silent: enough to tell a zone that is cut
+/// off from a machine that is gone.
+pub const ZONE_SAMPLE: usize = 12;
+
+/// Machines that a zone must have for its silence to say more than theirs.
+pub const ZONE_LEAST: usize = 6;
+
+/// Share of all machines beyond which a zone's silence is rather everybody's.
+pub const ZONE_MOST: f64 = 0.75;
+
+/// Share of a zone's machines that, silent, make it cut off, whoever else answers.
+pub const ZONE_SILENT: f64 = 0.8;
+
+/// For how many of the workers' leases machines of a zone that is cut off are kept. After one they
+/// run nothing any more; but they hold images, and renting as many costs a boot each.
+pub const ZONE_KEPT_LEASES: u64 = 2;
+
+/// How long, in ms, nothing is rented in a zone that was cut off once none of its machines is
+/// silent and there: then it is tried again.
+pub const ZONE_AVOIDED_MS: u64 = 20_000;
+
 /// Direct commands under way at a time: each takes a socket.
 pub const DIRECTS_IN_FLIGHT: usize = 200;
 
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -147,6 +147,7 @@
         // A report later than this is missing, not just slow.
         let overdue_ms = (workers.report_s * REPORT_LATE * SECOND_MS as f64) as u64 + REPORT_SLACK_MS;
         self.call_roll(io);
+        self.call_zones(io);
         self.greet(io);
         let mut inspect = Vec::new();
         let mut lapsed = Vec::new();
@@ -210,7 +211,7 @@
         self.fence = self.fencing_needed();
     }
 
-    fn inspect(&mut self, id: &MachineId, io: &mut Io) {
+    pub(super) fn inspect(&mut self, id: &MachineId, io: &mut Io) {
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -7,6 +7,7 @@
 mod renting;
 mod reports;
 mod writing;
+mod zones;
 
 use crate::budget::Bucket;
 use crate::condor;
@@ -215,6 +216,8 @@
     /// When the roll was last called, because a machine was silent, and who is on it.
     roll_call: Option<Millis>,
     roll: Vec<MachineId>,
+    zones: zones::Zones,
+    known_zones: Vec<String>,
     bumped_at: Millis,
     pub counts: Counts,
     stored_types: bool,
@@ -272,6 +275,8 @@
             doubting_since: None,
             roll_call: None,
             roll: Vec::new(),
+            zones: zones::Zones::default(),
+            known_zones: settings.deployment.zones.clone(),
             bumped_at: 0,
             counts: Counts::new(),
             stored_types: false,
--- a/crates/core/src/leader/renting.rs
+++ b/crates/core/src/leader/renting.rs
@@ -172,6 +172,7 @@
                     .filter(|zone| {
                         machine_type.zones.contains(zone) && spec.eligible(machine_type, zone, spot)
                     })
+                    .filter(|zone| !self.is_cut(zone))
                     .filter(|zone| {
                         !self
                             .refused
@@ -391,6 +392,8 @@
                     .doubting_since
                     .is_none_or(|since| io.now < since + SUSPECT_SELF_MS + siblings.found_ms));
         let doubting = doubting || !self.others_answer();
+        let lease_ms = (settings.deployment.workers.lease_s * SECOND_MS as f64) as u64;
+        let kept = self.kept(lease_ms, io.now);
         let mut idle_alike: HashMap<MachineKind, usize> = HashMap::new();
         for machine in self
             .machines
@@ -416,7 +419,7 @@
                 let known_ms = machine.age_at_first_known + io.now.saturating_sub(machine.first_known);
                 known_ms as f64 > BOOT_GIVE_UP * boot_s * SECOND_MS as f64
             };
-            let silent = machine.inspect_failed && !doubting;
+            let silent = machine.inspect_failed && !doubting && !kept.contains(&machine.id);
             let idle = machine.is_up()
                 && machine.synced
                 && machine.is_empty()
--- /dev/null
+++ b/crates/core/src/leader/zones.rs
@@ -0,0 +1,212 @@
+//! Zones that are cut off: their machines are kept, as they go on working.
+//!
+//! A machine that is silent among others that answer is given back at once. Where a whole zone
+//! is silent, its machines run on inside it, and are all there when the cut is over: giving them
+//! back ends hundreds of tasks and empties as many caches, while often nothing could run them
+//! elsewhere. So they are kept for as long as the cut may last, and their tasks wait for
+//! their leases to run out, as for the ledger's proof.
+
+use super::*;
+
+/// Machines of a zone that were asked because others of it are silent.
+#[derive(Debug)]
+struct Roll {
+    called: Millis,
+    asked: Vec<MachineId>,
+    /// Since when most of its machines are silent.
+    cut_since: Option<Millis>,
+    /// When any of its machines was last silent, and there still.
+    silent_at: Millis,
+}
+
+/// What a leader knows of zones.
+#[derive(Debug, Default)]
+pub(super) struct Zones {
+    rolls: BTreeMap<String, Roll>,
+}
+
+/// How many of a zone's machines there are, and how many of them are silent.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    up: usize,
+    silent: usize,
+    newest: Millis,
+}
+
+impl Term {
+    fn tally(&self) -> BTreeMap<String, Tally> {
+        let mut tallies: BTreeMap<String, Tally> = BTreeMap::new();
+        for machine in self.machines.values().filter(|machine| machine.has_been_up()) {
+            let tally = match tallies.get_mut(machine.zone.as_str()) {
+                Some(tally) => tally,
+                None => tallies.entry(machine.zone.clone()).or_default(),
+            };
+            tally.up += 1;
+            if machine.inspect_failed && !machine.returning {
+                tally.silent += 1;
+                tally.newest = tally.newest.max(machine.silent_at);
+            }
+        }
+        tallies
+    }
+
+    /// Asks some of a zone's other machines whenever one is newly silent, and judges.
+    pub(super) fn call_zones(&mut self, io: &mut Io) {
+        if self.zones.rolls.is_empty() && self.machines.values().all(|machine| !machine.inspect_failed) {
+            return;
+        }
+        let tallies = self.tally();
+        let all: usize = tallies.values().map(|tally| tally.up).sum();
+        self.zones.rolls.retain(|zone, roll| match tallies.get(zone) {
+            Some(tally) if tally.silent > 0 => {
+                roll.silent_at = io.now;
+                true
+            }
+            Some(tally) if tally.up >= ZONE_LEAST => {
+                if roll.cut_since.is_some() {
+                    log::info!("zone={zone} answers again");
+                }
+                false
+            }
+            // Its machines are given back: after a while it is worth another try.
+            _ => roll.cut_since.is_some() && io.now < roll.silent_at + ZONE_AVOIDED_MS,
+        });
+        for (zone, tally) in tallies {
+            // A site that has one zone only, or nearly so, has no other to judge by.
+            let alone = tally.up as f64 > ZONE_MOST * all as f64;
+            if tally.silent == 0 || tally.up < ZONE_LEAST || alone {
+                continue;
+            }
+            let due =
+                self.zones.rolls.get(&zone).is_none_or(|roll| {
+                    roll.called < tally.newest && io.now >= roll.called + INSPECT_TIMEOUT_MS
+                });
+            if due {
+                self.call_zone(&zone, io);
+            }
+            self.judge_zone(&zone, tally, io.now);
+        }
+    }
+
+    fn call_zone(&mut self, zone: &str, io: &mut Io) {
+        let others: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|machine| machine.zone == zone && machine.has_been_up() && !machine.inspect_failed)
+            .map(|machine| machine.id.clone())
+            .collect();
+        let stride = others.len().div_ceil(ZONE_SAMPLE).max(1);
+        let first = io.rng.random_range(0..stride);
+        let asked: Vec<MachineId> = others.into_iter().skip(first).step_by(stride).collect();
+        for id in &asked {
+            self.questions.force(1.0, io.now);
+            self.inspect(id, io);
+        }
+        let cut_since = self.zones.rolls.get(zone).and_then(|roll| roll.cut_since);
+        let roll = Roll {
+            called: io.now,
+            asked,
+            cut_since,
+            silent_at: io.now,
+        };
+        self.zones.rolls.insert(zone.to_owned(), roll);
+    }
+
+    fn judge_zone(&mut self, zone: &str, tally: Tally, now: Millis) {
+        let Some(roll) = self.zones.rolls.get(zone) else {
+            return;
+        };
+        let heard = roll
+            .asked
+            .iter()
+            .filter(|id| {
+                let machine = self.machines.get(*id);
+                machine.is_some_and(|machine| machine.heard.is_some_and(|at| at >= roll.called))
+            })
+            .count();
+        let silent = roll.asked.len() - heard;
+        let answers = heard > 0 && heard >= silent;
+        let over = now >= roll.called + INSPECT_TIMEOUT_MS;
+        let called = roll.called;
+        let most = tally.silent as f64 >= ZONE_SILENT * tally.up as f64;
+        let Some(roll) = self.zones.rolls.get_mut(zone) else {
+            return;
+        };
+        if answers {
+            if roll.cut_since.take().is_some() {
+                log::info!("zone={zone} answers again");
+            }
+        } else if (most || over && silent > heard) && roll.cut_since.is_none() {
+            roll.cut_since = Some(called);
+            log::warn!(
+                "zone={zone} is cut off: {} of its {} machines are silent; they are kept meanwhile",
+                tally.silent,
+                tally.up
+            );
+        }
+    }
+
+    /// Whether machines rented in the zone would be out of reach.
+    pub(super) fn is_cut(&self, zone: &str) -> bool {
+        let roll = self.zones.rolls.get(zone);
+        roll.is_some_and(|roll| roll.cut_since.is_some())
+    }
+
+    /// Silent machines that are not given back now: while nobody knows yet whether their zone is
+    /// cut off, and while it is, for [`ZONE_KEPT_LEASES`] leases, unless a replica on them
+    /// could run in another zone, where people reach it.
+    pub(super) fn kept(&self, lease_ms: u64, now: Millis) -> HashSet<MachineId> {
+        let mut kept = HashSet::new();
+        for (zone, roll) in &self.zones.rolls {
+            let judging = now < roll.called + INSPECT_TIMEOUT_MS && !self.zone_answers(roll);
+            if roll.cut_since.is_none() && !judging {
+                continue;
+            }
+            for machine in self.machines.values() {
+                if machine.zone != *zone || !machine.inspect_failed {
+                    continue;
+                }
+                let heard = machine.heard.unwrap_or(self.started);
+                let long = now > heard + ZONE_KEPT_LEASES * lease_ms;
+                if judging || !long && !self.holds_what_may_move(machine) {
+                    kept.insert(machine.id.clone());
+                }
+            }
+        }
+        kept
+    }
+
+    /// Whether a replica on the machine may run in another zone.
+    fn holds_what_may_move(&self, machine: &Machine) -> bool {
+        let there = machine.attempts.iter().filter(|attempt| attempt.may_be_there());
+        let mut jobs = there.filter_map(|attempt| self.jobs.get(&attempt.task.job));
+        jobs.any(|job| job.spec.shape == Shape::Service && self.may_move_from(job, &machine.zone))
+    }
+
+    fn may_move_from(&self, job: &Job, zone: &str) -> bool {
+        let spec = &job.spec;
+        if spec.zone.is_some() || spec.one_zone && spec.tasks > 1 {
+            return false;
+        }
+        let mut elsewhere: BTreeMap<&str, u32> = BTreeMap::new();
+        let hosts = self.hosts.get(&spec.id).into_iter().flatten();
+        for host in hosts.filter_map(|id| self.machines.get(id)) {
+            let own = host
+                .attempts
+                .iter()
+                .filter(|attempt| attempt.task.job == spec.id && attempt.may_be_there());
+            *elsewhere.entry(host.zone.as_str()).or_default() += own.count() as u32;
+        }
+        self.known_zones.iter().any(|other| {
+            other != zone && elsewhere.get(other.as_str()).copied().unwrap_or(0) < spec.zone_cap()
+        })
+    }
+
+    fn zone_answers(&self, roll: &Roll) -> bool {
+        let heard = roll.asked.iter().filter(|id| {
+            let machine = self.machines.get(*id);
+            machine.is_some_and(|machine| machine.heard.is_some_and(|at| at >= roll.called))
+        });
+        2 * heard.count() >= roll.asked.len()
+    }
+}
