--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -6,8 +6,9 @@
 use crate::constants::{
     EMPTY_COST_S, ERRORS_COST_S, FAULTY_AFTER, FETCH_LEAST_S, FETCH_WEIGHT, GATHER_BELOW, GATHER_REPLICAS,
     GATHER_TRIES, HELD_LASTING_S, HELD_LEAST_S, MOVES_PER_PASS, MOVES_SHARE, OUTLAST_COST_S,
-    PREEMPT_FOR_IMAGE_S, RANK_STEP_COST_S, ROOM_SEARCHES_PER_PASS, RUNS_TO_SPARE, RUNS_TO_WAIT, SECOND_MS,
-    SETTLED_MS, SPOT_COST_S, SPOT_RISK, SPOT_RISK_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    PREEMPT_FOR_IMAGE_S, RANK_STEP_COST_S, ROOM_SEARCHES_PER_PASS, RUN_AT_LEAST, RUNS_TO_SPARE, RUNS_TO_WAIT,
+    SECOND_MS, SETTLED_MS, SPOT_COST_S, SPOT_RISK, SPOT_RISK_COST_S, STARTS_PER_PASS, STOP_GRACE_EXTRA_S,
+    UNSTATED_START_S,
 };
 use crate::ledger::{Attempt, Machine};
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, Millis, Resources, TaskId};
@@ -169,6 +170,9 @@
     /// The lowest priority of which anything is placed.
     lowest: Option<Priority>,
     any_leaving: bool,
+    /// Zones of what this pass has placed of jobs that are bound to zones: a job may have two
+    /// visits, and the second must not forget the first.
+    placed: HashMap<&'a JobId, Zones>,
     jobs_known: bool,
     searches: usize,
     /// Who holds which units of counts.
@@ -228,6 +232,43 @@
         && short_of_time(job, RUNS_TO_SPARE, deployment, now)
 }
 
+/// For how long, in ms, the job may still wait for a start without missing what its class's
+/// users expect: the next of its objectives, on starting or on finishing, that it can
+/// still meet. What can meet none any more waits like the most patient job of its class;
+/// what has none, like one that is to start within [`UNSTATED_START_S`].
+///
+/// In the order of age, where there is more work than room, everybody comes as late as
+/// everybody else, and hardly a job is in time; in this order most are.
+pub fn may_wait_ms(job: &Job, deployment: &Deployment, now: Millis) -> Millis {
+    let spec = &job.spec;
+    let age_s = job.age_ms(now) as f64 / SECOND_MS as f64;
+    // With each objective, by when a task should start for it, and must.
+    let starts = deployment
+        .within_s("wait", &spec.class)
+        .map(|within_s| (within_s, within_s));
+    let ends = deployment.within_s("finished", &spec.class).map(|within_s| {
+        let should_s = within_s - RUNS_TO_WAIT * spec.estimate_s;
+        (should_s, within_s - RUN_AT_LEAST * spec.estimate_s)
+    });
+    let mut latest: Option<f64> = None;
+    let mut next: Option<f64> = None;
+    for (should_s, must_s) in starts.chain(ends).filter(|(_, must_s)| *must_s > 0.0) {
+        let should_s = should_s.max(0.0);
+        latest = Some(latest.map_or(should_s, |other| other.max(should_s)));
+        if must_s >= age_s {
+            next = Some(next.map_or(should_s, |other| other.min(should_s)));
+        }
+    }
+    let left_s = match (latest, next) {
+        // A replica that is late is missed every second.
+        _ if spec.shape == Shape::Service && next.is_none() => 0.0,
+        (None, _) => (UNSTATED_START_S - age_s).max(0.0),
+        (Some(_), Some(next)) => (next - age_s).max(0.0),
+        (Some(latest), None) => latest,
+    };
+    (left_s * SECOND_MS as f64) as Millis
+}
+
 /// Jobs that fit into their team's guarantee together with its earlier ones.
 pub fn within_guarantee(
     deployment: &Deployment,
@@ -270,19 +311,15 @@
         (
             job.spec.priority,
             visit.rank,
+            may_wait_ms(job, site.deployment, site.now),
             Reverse(job.age_ms(site.now)),
             job.spec.id.clone(),
             visit.skip,
         )
     });
-    for visit in turns_first(order, site.starved) {
-        if pass.starts >= STARTS_PER_PASS {
-            break;
-        }
-        match visit.job.spec.shape {
-            Shape::Gang => pass.place_gang(&visit),
-            Shape::Array | Shape::Service => pass.place_tasks(&visit),
-        }
+    let order = turns_first(order, site.starved);
+    for peers in order.chunk_by(|a, b| a.job.spec.priority == b.job.spec.priority && a.rank == b.rank) {
+        pass.place_peers(peers);
     }
     pass.drain_noticed();
     pass.gather_replicas();
@@ -413,6 +450,7 @@
             ordinary_short: false,
             lowest,
             any_leaving,
+            placed: HashMap::new(),
             jobs_known: false,
             searches: 0,
             book,
@@ -520,7 +558,11 @@
     /// Where tasks of the job are or may be.
     fn zones_of(&self, job: &JobId) -> Zones {
         let zones = &self.site.deployment.zones;
-        let mut taken = vec![0; zones.len() + 1];
+        let mut taken = self
+            .placed
+            .get(job)
+            .cloned()
+            .unwrap_or_else(|| vec![0; zones.len() + 1]);
         for id in self.site.hosts.get(job).into_iter().flatten() {
             let Some(machine) = self.site.machines.get(id) else {
                 continue;
@@ -656,6 +698,11 @@
         room.free -= spec.needs;
         room.held_s = room.held_s.max(lasts_s(spec));
         let machine = room.machine.id.clone();
+        if spec.spread || spec.one_zone {
+            let zones = self.site.deployment.zones.len();
+            let placed = self.placed.entry(&spec.id).or_insert_with(|| vec![0; zones + 1]);
+            placed[room.place.map_or(zones, |(_, zone)| zone)] += 1;
+        }
         *usage_of(&mut self.usage, &spec.team) += spec.needs;
         if !spec.counts.is_empty() {
             self.book.take(&spec.team, &spec.counts, units::lasts_s(spec));
@@ -670,6 +717,88 @@
         });
     }
 
+    /// Places work of one priority and rank. Tasks of arrays first take the room beside their
+    /// images, in their order, and then what is left: otherwise, where more waits than there is
+    /// room, whatever room comes free goes to the job whose turn it is, and half of
+    /// the tasks fetch images that lie beside a room which another took.
+    fn place_peers(&mut self, peers: &[Visit<'a>]) {
+        let mut rest: Vec<(Visit<'a>, bool)> = Vec::new();
+        for visit in peers {
+            if self.starts >= STARTS_PER_PASS {
+                return;
+            }
+            match visit.job.spec.shape {
+                Shape::Gang => self.place_gang(visit),
+                Shape::Array if self.many_places_do(visit) => {
+                    let placed = self.place_beside_images(visit);
+                    if placed < visit.most {
+                        let left = Visit {
+                            skip: visit.skip + placed,
+                            most: visit.most - placed,
+                            ..*visit
+                        };
+                        rest.push((left, self.ordinary_short));
+                    }
+                }
+                Shape::Array | Shape::Service => self.place_tasks(visit),
+            }
+        }
+        let short = self.ordinary_short;
+        for (visit, short_then) in rest {
+            if self.starts >= STARTS_PER_PASS {
+                return;
+            }
+            // A gang that comes later in the order keeps it off nothing.
+            self.ordinary_short = short_then;
+            self.place_tasks(&visit);
+        }
+        self.ordinary_short = short;
+    }
+
+    /// Whether any machine does for each of the job's tasks alike, but for its image.
+    fn many_places_do(&self, visit: &Visit<'a>) -> bool {
+        let spec = &visit.job.spec;
+        !spec.spread && !spec.one_zone && !visit.counted
+    }
+
+    /// Places tasks where their image is; returns how many.
+    fn place_beside_images(&mut self, visit: &Visit<'a>) -> u32 {
+        let job = visit.job;
+        let mut ask = self.ask(job);
+        let full = self.full.get(&self.alike(&ask)).is_some_and(|least| *least <= 1);
+        if full || ask.fears_spot || ask.distrusts || ask.image.is_none() {
+            return 0;
+        }
+        let taken = self.zones_of(&job.spec.id);
+        let zones = self.open_zones(&job.spec, &taken);
+        let candidates: Vec<(f64, usize)> = self
+            .candidates(&ask, &zones, None)
+            .into_iter()
+            .filter(|(_, at)| self.has_image(&ask, *at) && self.rooms[*at].machine.errors.is_empty())
+            .collect();
+        if candidates.is_empty() {
+            return 0;
+        }
+        let allowed = self.quota_left(&job.spec, visit.most);
+        let mut waiting = job
+            .waiting
+            .iter()
+            .skip(visit.skip as usize)
+            .take(allowed as usize)
+            .copied();
+        let mut placed = 0;
+        for (_, at) in candidates {
+            while job.spec.needs.fits_in(&self.rooms[at].free) && self.starts < STARTS_PER_PASS {
+                let Some(index) = waiting.next() else {
+                    return placed;
+                };
+                self.take(&mut ask, index, at);
+                placed += 1;
+            }
+        }
+        placed
+    }
+
     fn place_tasks(&mut self, visit: &Visit<'a>) {
         let job = visit.job;
         let allowed = self.quota_left(&job.spec, visit.most);
