Returns are on record before the cloud is asked, and no call to it goes without a permit

Need: renting, returning and listing are done by whoever leads, and the cloud compares no token. A leader that the state service refuses, cut off from all but the cloud, gave idle machines back for 15 s after its successor's election, and the successor's tasks with them; a machine that never had work stood in no record, so nobody could know of its return.

By type the core builds no call that rents, returns or lists without one, and the event loop checks it again as the first bytes go out. A return is recorded under the leader's token first, many machines to a record; a successor places nothing there and finishes it, and a return that was refused is taken back on record. Metrics duties_epoch, duties_not_done.

--- a/crates/core/src/condor/desk.rs
+++ b/crates/core/src/condor/desk.rs
@@ -9,7 +9,7 @@
 use super::{Accepted, Changed, History, Past, Refused, Told, jobs_prefix, open_key, released, site};
 use crate::budget::Bucket;
 use crate::constants::*;
-use crate::io::{CallId, Calls, Destination, Io, Method, Outcome, RequestId, json};
+use crate::io::{CallId, Calls, Fenced, Io, Method, Outcome, RequestId, json};
 use crate::model::{JobId, JobSpec, Millis};
 use crate::records::{self, EndedRecord, Ending, Record};
 use crate::settings::Settings;
@@ -412,7 +412,7 @@
             );
         };
         io.state.force(1.0, io.now);
-        let call = io.call(Destination::State, method, path, body, STATE_TIMEOUT_MS);
+        let call = io.call(Fenced::State, method, path, body, STATE_TIMEOUT_MS);
         self.calls.expect(call, (id, step));
     }
 }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -2,9 +2,12 @@
 //! systems, frames to siblings. Nothing here does any input or output.
 
 use crate::budget::Bucket;
-use crate::constants::{CLOUD_SHARE, FOLLOWERS_STATE_SHARE, LEADER_STATE_SHARE, LEADER_WRITE_SHARE};
+use crate::constants::{
+    CLOUD_SHARE, CLOUD_TIMEOUT_MS, FOLLOWERS_STATE_SHARE, LEADER_STATE_SHARE, LEADER_WRITE_SHARE,
+};
 use crate::model::Millis;
 use crate::settings::Settings;
+use indigopath_duties::{Permit, Permits};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde::Serialize;
@@ -27,6 +30,24 @@
     Licences(SocketAddrV4),
 }
 
+/// Systems that compare a token, or are only asked: whoever calls them needs no permit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fenced {
+    State,
+    Worker(String),
+    Licences(SocketAddrV4),
+}
+
+impl From<Fenced> for Destination {
+    fn from(to: Fenced) -> Destination {
+        match to {
+            Fenced::State => Destination::State,
+            Fenced::Worker(addr) => Destination::Worker(addr),
+            Fenced::Licences(addr) => Destination::Licences(addr),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Method {
     Get,
@@ -112,6 +133,8 @@
         path: String,
         body: Vec<u8>,
         timeout_ms: u64,
+        /// What must still allow it when its bytes go out; dropped, it was not sent.
+        permit: Option<Permit>,
     },
     Frame {
         peer: usize,
@@ -154,6 +177,8 @@
     pub writes: Bucket,
     pub cloud: Bucket,
     pub effects: Vec<Effect>,
+    /// Leave to act on outside systems, which only a leader has.
+    pub permits: Permits,
     /// Requests told to come back later, by the reason, since it was last taken.
     pub refusals: BTreeMap<String, u32>,
     state_rate: f64,
@@ -176,6 +201,7 @@
             writes: Bucket::new(writes, writes, now),
             cloud: Bucket::new(cloud, cloud.max(1.0), now),
             effects: Vec::new(),
+            permits: Permits::default(),
             refusals: BTreeMap::new(),
             state_rate: deployment.state.rps,
             follower_share,
@@ -192,13 +218,46 @@
         self.state.set_rate(self.state_rate * share, self.now);
     }
 
+    /// A call to anything but the cloud: see [`Io::cloud_call`].
     pub fn call(
+        &mut self,
+        to: Fenced,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    ) -> CallId {
+        self.send(to.into(), method, path, body, timeout_ms, None)
+    }
+
+    /// A call that rents, returns or lists: the cloud compares no token, so there is none without a
+    /// permit.
+    pub fn cloud_call(&mut self, permit: Permit, method: Method, path: String, body: Vec<u8>) -> CallId {
+        let to = Destination::Cloud;
+        self.send(to, method, path, body, CLOUD_TIMEOUT_MS, Some(permit))
+    }
+
+    /// Asks the cloud for machine types, which changes nothing, and any node may.
+    pub fn types_call(&mut self) -> CallId {
+        let path = crate::wire::paths::FLAVORS.to_owned();
+        self.send(
+            Destination::Cloud,
+            Method::Get,
+            path,
+            Vec::new(),
+            CLOUD_TIMEOUT_MS,
+            None,
+        )
+    }
+
+    fn send(
         &mut self,
         to: Destination,
         method: Method,
         path: String,
         body: Vec<u8>,
         timeout_ms: u64,
+        permit: Option<Permit>,
     ) -> CallId {
         let call = CallId(self.next_call);
         self.next_call += 1;
@@ -209,6 +268,7 @@
             path,
             body,
             timeout_ms,
+            permit,
         });
         call
     }
@@ -216,7 +276,7 @@
     /// A call to the state service, charged to its budget.
     pub fn state_call(&mut self, method: Method, path: String, body: Vec<u8>, timeout_ms: u64) -> CallId {
         self.state.force(1.0, self.now);
-        self.call(Destination::State, method, path, body, timeout_ms)
+        self.call(Fenced::State, method, path, body, timeout_ms)
     }
 
     fn answer(
--- a/crates/core/src/leader/counts.rs
+++ b/crates/core/src/leader/counts.rs
@@ -150,7 +150,7 @@
         }
         for server in due {
             let call = io.call(
-                Destination::Licences(server),
+                Fenced::Licences(server),
                 Method::Get,
                 paths::LICENCES.to_owned(),
                 Vec::new(),
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -73,7 +73,7 @@
             orders,
         });
         let call = io.call(
-            Destination::Worker(addr),
+            Fenced::Worker(addr),
             Method::Post,
             paths::DIRECT.to_owned(),
             body,
@@ -220,7 +220,7 @@
         };
         machine.inspecting = true;
         let call = io.call(
-            Destination::Worker(addr),
+            Fenced::Worker(addr),
             Method::Get,
             paths::INSPECT.to_owned(),
             Vec::new(),
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -15,7 +15,7 @@
 use crate::fleet::{self, Coming, Queue};
 use crate::forecast::Forecast;
 use crate::gangs::GangAttempt;
-use crate::io::{CallId, Calls, Destination, Io, Method, Outcome, RequestId, json};
+use crate::io::{CallId, Calls, Fenced, Io, Method, Outcome, RequestId, json};
 use crate::leadership::{Leadership, News, keep_alive_ms};
 use crate::ledger::{Attempt, Change, Machine, Stop};
 use crate::metrics::Census;
@@ -648,7 +648,9 @@
             if let Some(news) = self.check_self(leadership, siblings, io) {
                 return Some(news);
             }
-            self.give_back(types, settings, siblings, io);
+            if certain {
+                self.give_back(types, settings, siblings, io);
+            }
         }
         self.poll_listing(io);
         self.poll_servers(&settings.operator.counts, io);
--- a/crates/core/src/leader/renting.rs
+++ b/crates/core/src/leader/renting.rs
@@ -1,6 +1,7 @@
 //! The fleet: what is rented, what goes back, what the cloud lists.
 
 use super::*;
+use indigopath_duties::Duty;
 
 impl Term {
     pub(super) fn waste_s(&self, types: &Types, name: &str) -> f64 {
@@ -244,14 +245,19 @@
     }
 
     pub(super) fn send_rentals(&mut self, io: &mut Io) {
+        let now = io.now;
+        let due = |rental: &Rental| {
+            rental.recorded && rental.is_open() && !rental.in_flight && now >= rental.retry_at
+        };
+        if !self.rentals.values().any(due) {
+            return;
+        }
+        let Ok(permit) = io.permits.ask(Duty::Rent, now) else {
+            return;
+        };
         let mut sends = Vec::new();
         for rental in self.rentals.values_mut() {
-            if rental.recorded
-                && rental.is_open()
-                && !rental.in_flight
-                && io.now >= rental.retry_at
-                && io.cloud.take(1.0, RENT_RESERVE, io.now)
-            {
+            if due(rental) && io.cloud.take(1.0, RENT_RESERVE, io.now) {
                 rental.sent = true;
                 rental.in_flight = true;
                 sends.push(rental.request.clone());
@@ -259,13 +265,7 @@
         }
         for request in sends {
             let body = json(&request);
-            let call = io.call(
-                Destination::Cloud,
-                Method::Post,
-                paths::RENTALS.to_owned(),
-                body,
-                CLOUD_TIMEOUT_MS,
-            );
+            let call = io.cloud_call(permit, Method::Post, paths::RENTALS.to_owned(), body);
             self.calls.expect(
                 call,
                 TermCall::Rent {
@@ -436,7 +436,7 @@
             let useless =
                 machine.is_up() && machine.is_empty() && (faulty(machine) || machine.notice_until.is_some());
             let why = if machine.returning {
-                "it is being given back"
+                continue;
             } else if never_up {
                 "it never came up"
             } else if silent {
@@ -450,32 +450,62 @@
             };
             names.push((machine.id.clone(), why));
         }
-        if names.is_empty() || !io.cloud.take(1.0, 0.0, io.now) {
-            return;
-        }
         for (name, why) in &names {
             if let Some(machine) = self.machines.get_mut(name) {
                 machine.returning = true;
-                if machine.shard.is_some() {
-                    self.writer.record(machine);
-                }
-                machine.return_in_flight = true;
+                machine.return_recorded = false;
+                self.writer.record(machine);
                 if !std::mem::replace(&mut machine.return_told, true) {
                     log::info!("machine={name} is given back: {why}");
                 }
             }
         }
-        let names: Vec<MachineId> = names.into_iter().map(|(name, _)| name).collect();
+        self.send_returns(io);
+    }
+
+    /// Asks the cloud to take back what is recorded as to be returned.
+    ///
+    /// The record comes first: nobody at the cloud compares tokens, and a leader that was
+    /// replaced gave machines back on which its successor's tasks ran. A successor reads the
+    /// record, places nothing there and finishes the return.
+    fn send_returns(&mut self, io: &mut Io) {
+        let mut names: Vec<MachineId> = Vec::new();
+        for machine in self.machines.values_mut() {
+            if !machine.returning || machine.return_in_flight || names.len() >= RETURN_MAX {
+                continue;
+            }
+            // It has answered since, with work on it, and nobody was asked to take it.
+            let back = !machine.inspect_failed && machine.is_up() && !machine.is_empty();
+            if back && !machine.return_may_be_sent {
+                log::info!("machine={} is kept: it answers again", machine.id);
+                machine.returning = false;
+                machine.return_recorded = false;
+                machine.return_told = false;
+                self.writer.record(machine);
+                self.changed = true;
+            } else if machine.return_recorded {
+                names.push(machine.id.clone());
+            }
+        }
+        if names.is_empty() {
+            return;
+        }
+        let Ok(permit) = io.permits.ask(Duty::Return, io.now) else {
+            return;
+        };
+        if !io.cloud.take(1.0, 0.0, io.now) {
+            return;
+        }
+        for name in &names {
+            if let Some(machine) = self.machines.get_mut(name) {
+                machine.return_in_flight = true;
+                machine.return_may_be_sent = true;
+            }
+        }
         let body = json(&MachineNames {
             machines: names.iter().map(|name| name.to_string()).collect(),
         });
-        let call = io.call(
-            Destination::Cloud,
-            Method::Post,
-            paths::RETURN.to_owned(),
-            body,
-            CLOUD_TIMEOUT_MS,
-        );
+        let call = io.cloud_call(permit, Method::Post, paths::RETURN.to_owned(), body);
         self.calls.expect(
             call,
             TermCall::Return {
@@ -524,22 +554,28 @@
             // there again, and it is asked for until the cloud confirms.
             machine.return_unanswered |= !outcome.refused();
             machine.returning = machine.return_unanswered;
+            machine.return_may_be_sent = machine.return_unanswered;
+            if !machine.returning {
+                // What was refused may be used again, and a successor must not finish it.
+                machine.return_recorded = false;
+                self.writer.record(machine);
+            }
         }
     }
 
     pub(super) fn poll_listing(&mut self, io: &mut Io) {
-        if self.listing || io.now < self.list_at || !io.cloud.take(1.0, RENT_RESERVE, io.now) {
+        if self.listing || io.now < self.list_at || !io.permits.would_allow(io.now) {
             return;
         }
+        if !io.cloud.take(1.0, RENT_RESERVE, io.now) {
+            return;
+        }
+        let Ok(permit) = io.permits.ask(Duty::List, io.now) else {
+            return;
+        };
         self.listing = true;
         let path = paths::listing(self.listed.last().map(|machine| machine.id.as_str()));
-        let call = io.call(
-            Destination::Cloud,
-            Method::Get,
-            path,
-            Vec::new(),
-            CLOUD_TIMEOUT_MS,
-        );
+        let call = io.cloud_call(permit, Method::Get, path, Vec::new());
         self.calls.expect(call, TermCall::List);
     }
 
--- a/crates/core/src/leader/writing.rs
+++ b/crates/core/src/leader/writing.rs
@@ -126,8 +126,17 @@
                 leadership.renewed(revision);
                 self.writer.token = revision;
             }
-            Unit::Shards { numbers, planned } => {
+            Unit::Shards {
+                numbers,
+                planned,
+                returns,
+            } => {
                 self.writer.shards_written(&numbers, revision);
+                for id in returns {
+                    if let Some(machine) = self.machines.get_mut(&id) {
+                        machine.return_recorded = machine.returning;
+                    }
+                }
                 for start in planned {
                     if let Some(attempt) = self
                         .machines
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -7,6 +7,7 @@
 use crate::records::{LEADER, LeaderRecord, Record};
 use crate::settings::Deployment;
 use crate::wire::{self, Change, Condition, Event, Transaction, paths};
+use indigopath_duties::Hold;
 use rand::RngExt;
 
 #[derive(Debug)]
@@ -96,10 +97,19 @@
             .filter(|node| *node != self.node)
     }
 
+    /// What this node holds, and until when nobody else can: counted from when the last touch
+    /// that was answered was sent, less the clocks' drift.
+    pub fn hold(&self) -> Option<Hold> {
+        let life = LEADER_LEASE_MS - LEADER_LEASE_MS * CLOCK_DRIFT_PPM / 1_000_000;
+        self.lead.as_ref().map(|lead| Hold {
+            epoch: lead.token,
+            until: lead.touched + life,
+        })
+    }
+
     /// The lease has surely not run out yet.
     pub fn certain(&self, now: Millis) -> bool {
-        let life = LEADER_LEASE_MS - LEADER_LEASE_MS * CLOCK_DRIFT_PPM / 1_000_000;
-        self.lead.as_ref().is_some_and(|lead| now < lead.touched + life)
+        self.hold().is_some_and(|hold| now < hold.until)
     }
 
     fn record(&self) -> LeaderRecord {
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -7,6 +7,7 @@
 use crate::io::Effect;
 use crate::served::Whose;
 use indigopath_counts::status::CountStatus;
+use indigopath_duties::{Duty, Hold};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -51,6 +52,11 @@
     /// While it leads.
     pub census: Option<Census>,
     pub counts: Vec<CountStatus>,
+    /// Under which epoch this node may act on outside systems.
+    pub hold: Option<Hold>,
+    /// Acts that were not begun for want of a permit, and that were dropped as theirs ran out.
+    pub refused: Vec<(Duty, u64)>,
+    pub late: Vec<(Duty, u64)>,
     /// How much of what classes and teams ask for they have, from 0 to 1.
     pub shares: Vec<(Whose, f64)>,
 }
@@ -83,6 +89,12 @@
     name: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OfDuty {
+    duty: &'static str,
+    why: &'static str,
+}
+
 type Gauges = Family<OfCount, Gauge>;
 
 #[derive(Debug)]
@@ -107,6 +119,8 @@
     used: Family<OfTeam, Gauge>,
     oversubscribed: Gauges,
     served: Family<Of, Gauge<f64, AtomicU64>>,
+    epoch: Gauge,
+    acts: Family<OfDuty, Gauge>,
     registry: Registry,
 }
 
@@ -139,6 +153,8 @@
             used: Family::default(),
             oversubscribed: Family::default(),
             served: Family::default(),
+            epoch: Gauge::default(),
+            acts: Family::default(),
             registry: Registry::with_prefix("indigopath"),
         };
         metrics.register();
@@ -186,6 +202,16 @@
             "How much of what a class or team asks for it has",
             self.served.clone(),
         );
+        registry.register(
+            "duties_epoch",
+            "The epoch under which this node does the duties of one controller; 0 while it does not",
+            self.epoch.clone(),
+        );
+        registry.register(
+            "duties_not_done",
+            "Acts not begun for want of a permit, or dropped as theirs ran out",
+            self.acts.clone(),
+        );
         registry.register_with_unit(
             "count_wait",
             "Age of a job when a task of it got its units",
@@ -249,6 +275,20 @@
         }
         self.set_counts(&standing.counts);
         self.set_shares(&standing.shares);
+        let epoch = standing
+            .hold
+            .map_or(0, |hold| i64::try_from(hold.epoch).unwrap_or(i64::MAX));
+        self.epoch.set(epoch);
+        for (why, counts) in [("refused", &standing.refused), ("late", &standing.late)] {
+            for (duty, count) in counts {
+                let labels = OfDuty {
+                    duty: duty.name(),
+                    why,
+                };
+                let count = i64::try_from(*count).unwrap_or(i64::MAX);
+                self.acts.get_or_create(&labels).set(count);
+            }
+        }
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
@@ -351,12 +391,17 @@
                 ..Census::default()
             }),
             counts: vec![seat],
+            hold: Some(Hold { epoch: 7, until: 9 }),
+            refused: vec![(Duty::Return, 2)],
+            late: Vec::new(),
             shares: vec![(Whose::Class("batch".to_owned()), 0.5)],
         };
         let text = metrics.encode(&standing).unwrap();
         for line in [
             "indigopath_leads 1",
             "indigopath_machines{state=\"busy\"} 3",
+            "indigopath_duties_epoch 7",
+            "indigopath_duties_not_done{duty=\"return\",why=\"refused\"} 2",
             "indigopath_count_held{count=\"seat\"} 3",
             "indigopath_served_share{whose=\"class\",name=\"batch\"} 0.5",
             "indigopath_count_lingering{count=\"seat\"} 1",
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -4,7 +4,7 @@
 use crate::condor::{self, Context, Desk};
 use crate::constants::*;
 use crate::intake;
-use crate::io::{CallId, Calls, Content, Destination, Effect, Io, Method, Outcome, RequestId};
+use crate::io::{CallId, Calls, Content, Effect, Io, Method, Outcome, RequestId};
 use crate::leader::{Siblings, Term};
 use crate::leadership::{Leadership, News};
 use crate::metrics::{Metrics, Standing};
@@ -16,6 +16,7 @@
 use crate::users::{self, Counts, Done, Route, Users, Wish};
 use crate::wire::{self, MachineType, Redirect, Report, StoredItem, paths};
 use indigopath_counts::status::{CountList, HolderList};
+use indigopath_duties::Permit;
 use rand::RngExt;
 use std::collections::HashMap;
 
@@ -125,6 +126,16 @@
         self.leadership.token()
     }
 
+    /// An act's permit ran out before its bytes went out: it was dropped.
+    pub fn dropped(&mut self, permit: &Permit) {
+        log::warn!(
+            "duty={} epoch={} its permit ran out before it was sent",
+            permit.duty(),
+            permit.epoch()
+        );
+        self.io.permits.was_late(permit.duty());
+    }
+
     pub fn clock(&mut self, now: Millis, wall_ms: u64) {
         self.io.now = self.io.now.max(now);
         self.io.wall_ms = wall_ms;
@@ -157,6 +168,10 @@
         if let Some(news) = self.leadership.poll(&mut self.io) {
             self.news(news);
         }
+        match self.leadership.hold() {
+            Some(hold) => self.io.permits.hold(hold),
+            None => self.io.permits.release(),
+        }
         self.poll_types();
         self.probe_state();
         self.users
@@ -404,6 +419,9 @@
             siblings: self.fresh().count(),
             census,
             counts: counts.unwrap_or_default(),
+            hold: self.io.permits.held(),
+            refused: self.io.permits.refused().collect(),
+            late: self.io.permits.late().collect(),
             shares: self.term.as_ref().map_or_else(Vec::new, |term| {
                 let shares = term.shares();
                 shares
@@ -560,13 +578,7 @@
         }
         self.types_busy = true;
         self.io.cloud.force(1.0, self.io.now);
-        let call = self.io.call(
-            Destination::Cloud,
-            Method::Get,
-            paths::FLAVORS.to_owned(),
-            Vec::new(),
-            CLOUD_TIMEOUT_MS,
-        );
+        let call = self.io.types_call();
         self.calls.expect(call, Question::Types);
     }
 
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -4,7 +4,7 @@
 use crate::condor;
 use crate::constants::*;
 use crate::intake::{self, Refusal};
-use crate::io::{CallId, Calls, Destination, Io, Method, Outcome, RequestId, json};
+use crate::io::{CallId, Calls, Fenced, Io, Method, Outcome, RequestId, json};
 use crate::model::{JobId, JobSpec, Millis};
 use crate::records::{self, EndedRecord, Ending, Record};
 use crate::wire::{
@@ -167,7 +167,7 @@
                 changes: Vec::new(),
             };
             let call = io.call(
-                Destination::State,
+                Fenced::State,
                 Method::Post,
                 paths::TRANSACTION.to_owned(),
                 json(&body),
@@ -290,7 +290,7 @@
                 (Method::Post, paths::TRANSACTION.to_owned(), json(&body))
             }
         };
-        let sent = io.call(Destination::State, method, path, body, left);
+        let sent = io.call(Fenced::State, method, path, body, left);
         self.calls.expect(sent, Purpose::One(request, call));
     }
 
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -35,6 +35,8 @@
         /// With each, whether its key was deleted, as nothing is left to say.
         numbers: Vec<(u32, bool)>,
         planned: Vec<Planned>,
+        /// Machines that they say are to be returned.
+        returns: Vec<MachineId>,
     },
     Done {
         number: u32,
@@ -209,6 +211,7 @@
     /// Jobs met so far, and whether a start of theirs may be recorded.
     live: HashMap<JobId, bool>,
     planned: Vec<Planned>,
+    returns: Vec<MachineId>,
     /// The transaction had no conditions left for some start.
     left_out: bool,
 }
@@ -224,6 +227,9 @@
         let machines = shard.machines.iter().filter_map(|id| machines.get(id));
         machines
             .map(|machine| {
+                if machine.returning {
+                    self.returns.push(machine.id.clone());
+                }
                 machine.record(|attempt| {
                     let included = attempt.durable || self.may_start(&attempt.task.job, batch, jobs);
                     if included && !attempt.durable {
@@ -657,6 +663,7 @@
         let unit = Unit::Shards {
             numbers,
             planned: entries.planned,
+            returns: entries.returns,
         };
         if !batch.add(unit, entries.conditions, changes) {
             return false;
--- /dev/null
+++ b/crates/duties/src/permit.rs
@@ -0,0 +1,190 @@
+//! Permits: values that only this package makes, without which no call to the cloud can be
+//! built.
+
+use crate::Duty;
+use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// Milliseconds of the node's steady clock.
+pub type Millis = u64;
+
+/// What a controller holds: its epoch, and until when nobody else can.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hold {
+    /// The token under which it holds: it only rises, over all controllers.
+    pub epoch: u64,
+    /// The first moment at which its lease may be over, counted from when the last touch that was
+    /// answered was *sent*, less the clocks' drift.
+    pub until: Millis,
+}
+
+/// Leave for one act, for as long as its holder's lease surely lives.
+///
+/// It can only be had from [`Permits::ask`]. An act checks it again when its bytes go out: a call
+/// that stood in a queue, or in a process that stood still, while the lease ran out is
+/// dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Permit {
+    duty: Duty,
+    epoch: u64,
+    until: Millis,
+}
+
+impl Permit {
+    /// What it is for.
+    pub fn duty(&self) -> Duty {
+        self.duty
+    }
+
+    /// Under which epoch.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The moment from which on it allows nothing, in ms.
+    pub fn until(&self) -> Millis {
+        self.until
+    }
+
+    /// Whether the act may still be done.
+    pub fn allows(&self, now: Millis) -> bool {
+        now < self.until
+    }
+}
+
+/// Why there is no permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Refused {
+    /// This controller does not hold the duty.
+    #[error("this node does not hold the duty")]
+    NotHeld,
+    /// It may have been replaced.
+    #[error("its lease may be over")]
+    MayBeReplaced,
+}
+
+/// Makes permits, and counts what it refuses.
+#[derive(Debug, Default)]
+pub struct Permits {
+    hold: Option<Hold>,
+    /// Acts that were not begun for want of a permit.
+    refused: BTreeMap<Duty, u64>,
+    /// Acts whose permit ran out before their bytes went out.
+    late: BTreeMap<Duty, u64>,
+}
+
+impl Permits {
+    /// What this controller holds from now on. An earlier epoch, or an earlier end of the
+    /// same one, changes nothing.
+    pub fn hold(&mut self, hold: Hold) {
+        let newer = self
+            .hold
+            .is_none_or(|own| (own.epoch, own.until) < (hold.epoch, hold.until));
+        if newer {
+            let until = self.hold.map_or(0, |own| own.until);
+            self.hold = Some(Hold {
+                until: hold.until.max(until),
+                ..hold
+            });
+        }
+    }
+
+    /// It holds nothing any more.
+    pub fn release(&mut self) {
+        self.hold = None;
+    }
+
+    /// What it holds.
+    pub fn held(&self) -> Option<Hold> {
+        self.hold
+    }
+
+    /// Leave to act now.
+    ///
+    /// # Errors
+    /// Where this controller does not hold the duty, or may have been replaced; it is counted.
+    pub fn ask(&mut self, duty: Duty, now: Millis) -> Result<Permit, Refused> {
+        let refusal = match self.hold {
+            Some(Hold { epoch, until }) if now < until => {
+                return Ok(Permit { duty, epoch, until });
+            }
+            Some(_) => Refused::MayBeReplaced,
+            None => Refused::NotHeld,
+        };
+        *self.refused.entry(duty).or_default() += 1;
+        Err(refusal)
+    }
+
+    /// Whether there would be a permit now; counts nothing.
+    pub fn would_allow(&self, now: Millis) -> bool {
+        self.hold.is_some_and(|hold| now < hold.until)
+    }
+
+    /// An act's bytes did not go out in time.
+    pub fn was_late(&mut self, duty: Duty) {
+        *self.late.entry(duty).or_default() += 1;
+    }
+
+    /// Acts not begun for want of a permit, by duty.
+    pub fn refused(&self) -> impl Iterator<Item = (Duty, u64)> {
+        self.refused.iter().map(|(duty, count)| (*duty, *count))
+    }
+
+    /// Acts dropped as their permit ran out before their bytes went out, by duty.
+    pub fn late(&self) -> impl Iterator<Item = (Duty, u64)> {
+        self.late.iter().map(|(duty, count)| (*duty, *count))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn nothing_is_allowed_without_a_hold_or_after_it() {
+        let mut permits = Permits::default();
+        assert_eq!(permits.ask(Duty::Rent, 0), Err(Refused::NotHeld));
+        permits.hold(Hold { epoch: 1, until: 10 });
+        assert!(permits.ask(Duty::Rent, 9).is_ok());
+        assert_eq!(permits.ask(Duty::Rent, 10), Err(Refused::MayBeReplaced));
+        permits.release();
+        assert_eq!(permits.ask(Duty::Return, 0), Err(Refused::NotHeld));
+        assert_eq!(
+            permits.refused().collect::<Vec<_>>(),
+            [(Duty::Rent, 2), (Duty::Return, 1)]
+        );
+    }
+
+    #[test]
+    fn a_renewed_token_of_the_same_lease_keeps_its_end() {
+        let mut permits = Permits::default();
+        permits.hold(Hold { epoch: 5, until: 100 });
+        permits.hold(Hold { epoch: 6, until: 90 });
+        assert_eq!(permits.held(), Some(Hold { epoch: 6, until: 100 }));
+        permits.hold(Hold { epoch: 5, until: 200 });
+        assert_eq!(permits.held(), Some(Hold { epoch: 6, until: 100 }));
+    }
+
+    proptest! {
+        /// Two holders in a row: whatever the first is given ends before the second may begin,
+        /// whenever either asks.
+        #[test]
+        fn no_two_epochs_are_allowed_at_once(
+            touched in 0u64..10_000, life in 1u64..5_000, asked in 0u64..20_000, acts in 0u64..20_000,
+        ) {
+            let over = touched + life;
+            let mut old = Permits::default();
+            old.hold(Hold { epoch: 1, until: over });
+            let mut new = Permits::default();
+            // The second is elected once the first's lease is over, at the earliest.
+            if asked >= over {
+                new.hold(Hold { epoch: 2, until: asked + life });
+            }
+            if let Ok(permit) = old.ask(Duty::Return, asked.min(acts)) {
+                prop_assert!(!(permit.allows(acts) && acts >= over));
+            }
+            prop_assert!(!(old.would_allow(acts) && acts >= asked && new.would_allow(acts)));
+        }
+    }
+}
--- a/crates/indigopath/src/event_loop.rs
+++ b/crates/indigopath/src/event_loop.rs
@@ -7,6 +7,7 @@
 use indigopath_core::node::{Command, Node};
 use indigopath_core::peers::{Frame, MAX_FRAME};
 use indigopath_core::settings::Settings;
+use indigopath_duties::Permit;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use slab::Slab;
@@ -72,6 +73,8 @@
         call: Option<CallId>,
         deadline: u64,
         sent: bool,
+        /// Checked again when the first bytes go out.
+        permit: Option<Permit>,
     },
     /// A sibling sends frames.
     FromPeer,
@@ -258,6 +261,7 @@
                 path,
                 body,
                 timeout_ms,
+                permit,
             } => {
                 let Some(addr) = self.address(&to) else {
                     self.queue.push(Command::Answer {
@@ -277,6 +281,7 @@
                             call: Some(call),
                             deadline: now + timeout_ms,
                             sent: false,
+                            permit,
                         };
                         if connection.connected {
                             self.serve(key);
@@ -331,6 +336,7 @@
             call: None,
             deadline: now,
             sent: false,
+            permit: None,
         };
         self.register(stream, role, Interest::READABLE | Interest::WRITABLE, false)
     }
@@ -533,6 +539,19 @@
         if !connection.connected {
             return Fate::Keep;
         }
+        // Minutes may have passed since the core allowed it: in a queue, in a connection that took
+        // long, in a process that stood still. Another may hold the duty by now.
+        if let Role::Call {
+            sent: false,
+            permit: Some(permit),
+            ..
+        } = &connection.role
+            && !connection.output.is_empty()
+            && !permit.allows(now)
+        {
+            self.node.dropped(permit);
+            return Fate::Close;
+        }
         let mut written = 0;
         while written < connection.output.len() {
             match connection.stream.write(&connection.output[written..]) {
--- a/crates/sim/src/cloud.rs
+++ b/crates/sim/src/cloud.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Whether such a request was carried out before: again, it rents nothing.
+    pub fn knows(&self, request: &str) -> bool {
+        self.answers.contains_key(request)
+    }
+
     /// Machines given back since this was last asked.
     pub fn take_returned(&mut self) -> Vec<String> {
         std::mem::take(&mut self.returned)
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -358,6 +358,12 @@
                 world.nodes[node].frozen_until = world.now + for_ms.ok_or("for how long")?;
             }
         }
+        // It decides, and what it sends goes out only when it goes on.
+        "stall" => {
+            for node in nodes_named(world, arg(1)?)? {
+                world.nodes[node].stalls_until = world.now + for_ms.ok_or("for how long")?;
+            }
+        }
         "refuse" => {
             for node in nodes_named(world, arg(1)?)? {
                 world
@@ -515,6 +521,10 @@
             compare(in_time.count() as f64, sign, want)
         }
         // Tasks that waited for their image.
+        // Calls to the cloud that were dropped as their permits had run out.
+        ["late", "permits", sign, want] => compare(f64::from(world.late_permits), sign, want),
+        // Acts of replaced leaders at the cloud of which no record told.
+        ["unknown", "acts", sign, want] => compare(f64::from(world.unknown_acts), sign, want),
         ["fetches", sign, want] => compare(f64::from(world.fetches), sign, want),
         // The most calls of a kind (changes, requests, cloud, workers) in any second.
         ["most", kind, sign, want] => compare(world.calls.most(kind) as f64, sign, want),
--- a/crates/sim/src/state.rs
+++ b/crates/sim/src/state.rs
@@ -96,6 +96,12 @@
         self.keys.get(key).map(|(value, _, _)| value)
     }
 
+    /// Values of all keys with this prefix.
+    pub fn under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Value> {
+        let keys = self.keys.iter().filter(move |(key, _)| key.starts_with(prefix));
+        keys.map(|(_, (value, _, _))| value)
+    }
+
     pub fn count(&self, prefix: &str) -> usize {
         self.keys.keys().filter(|key| key.starts_with(prefix)).count()
     }
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -9,8 +9,9 @@
 use indigopath_core::io::{CallId, Destination, Effect, Outcome, RequestId};
 use indigopath_core::node::{Command, Node};
 use indigopath_core::peers::Frame;
+use indigopath_core::records::{Record, ShardRecord};
 use indigopath_core::settings::{Operator, Peer, Settings};
-use indigopath_core::wire::{Change, Flavors, TaskState, Transaction};
+use indigopath_core::wire::{Change, Flavors, MachineNames, RentalRequest, TaskState, Transaction};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -153,6 +154,9 @@
     pub(crate) asked: HashMap<RequestId, Asker>,
     pub(crate) next_request: u64,
     pub(crate) frozen_until: u64,
+    /// What it sends until then goes out only then.
+    pub(crate) stalls_until: u64,
+    pub(crate) outbox: Vec<Effect>,
     pub(crate) inbox: Vec<Command>,
 }
 
@@ -203,6 +207,11 @@
     pub(crate) most_refused: u32,
     /// Tasks that waited for their image.
     pub(crate) fetches: u32,
+    /// Calls dropped as their permits had run out.
+    pub(crate) late_permits: u32,
+    /// Acts of a replaced leader at the cloud that took effect, and of which no record told its
+    /// successor.
+    pub(crate) unknown_acts: u32,
     /// What operators were warned of.
     pub(crate) warnings: Vec<String>,
     /// GPUs that each team may use, in place of the settings'.
@@ -266,6 +275,8 @@
             broken: Vec::new(),
             most_refused: 0,
             fetches: 0,
+            late_permits: 0,
+            unknown_acts: 0,
             warnings: Vec::new(),
             gpus_max,
             licences: LicenceServer::default(),
@@ -290,6 +301,8 @@
                 asked: HashMap::new(),
                 next_request: 0,
                 frozen_until: 0,
+                stalls_until: 0,
+                outbox: Vec::new(),
                 inbox: Vec::new(),
             });
             world.boot(index);
@@ -320,6 +333,8 @@
         controller.life += 1;
         controller.asked.clear();
         controller.inbox.clear();
+        controller.outbox.clear();
+        controller.stalls_until = 0;
         let seed = index as u64 + 100 * u64::from(controller.life);
         controller.node = Some(Node::new(settings, seed, now, wall));
     }
@@ -426,6 +441,14 @@
         }
         node.settle();
         let effects = node.take_effects();
+        // It stands still after it has decided and before anything goes out.
+        if now < controller.stalls_until {
+            controller.outbox.extend(effects);
+            return;
+        }
+        let mut outbox = std::mem::take(&mut controller.outbox);
+        outbox.extend(effects);
+        let effects = outbox;
         let name = format!("n{index}");
         for effect in effects {
             match effect {
@@ -445,7 +468,24 @@
                     path,
                     body,
                     timeout_ms,
+                    permit,
                 } => {
+                    // As the event loop does when the bytes go out.
+                    if let Some(permit) = permit.filter(|permit| !permit.allows(now)) {
+                        if let Some(node) = &mut self.nodes[index].node {
+                            node.dropped(&permit);
+                        }
+                        self.late_permits += 1;
+                        let outcome = Outcome::NotSent;
+                        let answer = Event::Answer {
+                            node: index,
+                            life,
+                            call,
+                            outcome,
+                        };
+                        self.post(STEP_MS, answer);
+                        continue;
+                    }
                     let timeout = Event::Answer {
                         node: index,
                         life,
@@ -658,6 +698,7 @@
                 }
             }
             Destination::Cloud => {
+                self.check_holder(node, path, body);
                 let (status, value) = self.cloud.handle(method, path, body, self.now);
                 for id in self.cloud.take_returned() {
                     self.workers.remove(&id);
@@ -696,6 +737,55 @@
         }
     }
 
+    /// What a replaced leader does at the cloud must stand in the records that its successor reads:
+    /// nobody at the cloud compares tokens.
+    fn check_holder(&mut self, node: usize, path: &str, body: &[u8]) {
+        let holder = self
+            .state
+            .value("leader")
+            .and_then(|value| value["node"].as_str());
+        let replaced = holder.is_some_and(|holder| holder != format!("n{node}"));
+        if !replaced || self.cloud.outage {
+            return;
+        }
+        let unknown: Vec<String> = match path {
+            "/rentals/return" => {
+                let names: MachineNames = serde_json::from_slice(body).unwrap();
+                let known = self.returns_on_record();
+                let there = |id: &String| {
+                    let machine = self.cloud.machines.get(id);
+                    machine.is_some_and(|machine| machine.gone_at.is_none())
+                };
+                let names = names.machines.into_iter();
+                names.filter(|id| there(id) && !known.contains(id)).collect()
+            }
+            "/rentals" => {
+                let request: RentalRequest = serde_json::from_slice(body).unwrap();
+                let key = format!("h/{}", request.request);
+                let known = self.state.value(&key).is_some() || self.cloud.knows(&request.request);
+                if known { Vec::new() } else { vec![request.request] }
+            }
+            _ => Vec::new(),
+        };
+        for what in unknown {
+            self.unknown_acts += 1;
+            self.breach("replaced_holder", format!("n{node} {path} {what}"));
+        }
+    }
+
+    /// Machines whose return stands in the records.
+    fn returns_on_record(&self) -> BTreeSet<String> {
+        let shards = self.state.under("s/");
+        let records = shards
+            .filter_map(|value| ShardRecord::from_value(value).ok())
+            .filter_map(|shard| shard.machines().ok())
+            .flatten();
+        records
+            .filter(|record| record.returning)
+            .map(|record| record.name.to_string())
+            .collect()
+    }
+
     /// Whether a call to the state service is about clusters, and not the leader's own.
     fn of_clusters(&self, path: &str, body: &[u8]) -> bool {
         let keys = ["k/", "n/cluster", "c/0", "j/~", "wk-99"];
