--- a/crates/core/src/leader/zones.rs
+++ b/crates/core/src/leader/zones.rs
@@ -158,8 +158,9 @@
     pub(super) fn kept(&self, lease_ms: u64, now: Millis) -> HashSet<MachineId> {
         let mut kept = HashSet::new();
         for (zone, roll) in &self.zones.rolls {
-            let judging = now < roll.called + INSPECT_TIMEOUT_MS && !self.zone_answers(roll);
-            if roll.cut_since.is_none() && !judging {
+            let cut = roll.cut_since.is_some();
+            let judging = !cut && now < roll.called + INSPECT_TIMEOUT_MS && !self.zone_answers(roll);
+            if !cut && !judging {
                 continue;
             }
             for machine in self.machines.values() {
