A walk over what may become of each act of a leader, alone and in pairs

Need: what a return, a rental or a transaction meets on its way is tried one case at a time by scenarios; what two of them meet together is not.

Seeds no longer ask to end a leader that nobody is.

--- a/crates/core/tests/duties_seeds.rs
+++ b/crates/core/tests/duties_seeds.rs
@@ -47,7 +47,7 @@
         let node = rng.random_range(0..3);
         let late = rng.random_range(2..=25);
         match rng.random_range(0..13) {
-            0 => line(at, "crash leader".to_owned()),
+            0 => line(at, "crash leader?".to_owned()),
             1 => line(at, format!("crash n{node}")),
             2 => line(at, "crash all".to_owned()),
             3 => line(at, format!("freeze n{node} for={lasts}")),
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -11,7 +11,7 @@
 //! lines after it that begin with `|` are one, and `at SECONDS condor NAME` sends it, to one
 //! node after the other, until it is answered.
 
-use crate::world::{Cut, Event, JobFacts, Mishap, NODES, RESTART_MS, Sent, UserKind, World};
+use crate::world::{Cut, Deviation, Event, JobFacts, Mishap, NODES, RESTART_MS, Sent, UserKind, Walk, World};
 use indigopath_condor::{Bundle, CondorSettings, Declared};
 use indigopath_core::settings::Operator;
 use indigopath_core::wire::TaskState;
@@ -24,6 +24,26 @@
 const LEAST_SERVED: f64 = 0.5;
 
 pub fn run(text: &str) -> Result<(), String> {
+    play(text, None).0
+}
+
+/// Plays a scenario in which some acts of leaders go another way; returns as well how many acts
+/// there were.
+pub fn walk(text: &str, deviations: &BTreeMap<usize, Deviation>) -> (Result<(), String>, usize) {
+    let walk = Walk {
+        deviations: deviations.clone(),
+        acts: 0,
+    };
+    play(text, Some(walk))
+}
+
+fn play(text: &str, walk: Option<Walk>) -> (Result<(), String>, usize) {
+    let mut acts = 0;
+    let outcome = play_counted(text, walk, &mut acts);
+    (outcome, acts)
+}
+
+fn play_counted(text: &str, walk: Option<Walk>, acts: &mut usize) -> Result<(), String> {
     let mut actions: BTreeMap<(u64, usize), String> = BTreeMap::new();
     let mut expects = Vec::new();
     let mut until = 0;
@@ -65,6 +85,7 @@
     }
     let mut world = World::new(gpus_max, operator);
     world.condor_run_s = condor_run_s;
+    world.walk = walk;
     while world.now < until {
         while let Some(entry) = actions.first_entry().filter(|entry| entry.key().0 <= world.now) {
             let action = entry.remove();
@@ -73,6 +94,7 @@
         }
         world.step();
     }
+    *acts = world.walk.as_ref().map_or(0, |walk| walk.acts);
     let mut problems = std::mem::take(&mut world.broken);
     if world.end_at.is_some() && problems.is_empty() {
         // The call that was to be the last was never made.
@@ -203,6 +225,8 @@
 fn nodes_named(world: &World, name: &str) -> Result<Vec<usize>, String> {
     match name {
         "all" => Ok((0..NODES).collect()),
+        // Nobody, while nobody leads.
+        "leader?" => Ok(world.leader().into_iter().collect()),
         "leader" => world
             .leader()
             .map(|leader| vec![leader])
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -186,6 +186,48 @@
     Late { path: String, by_ms: u64 },
 }
 
+/// What becomes of one call in a walk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Deviation {
+    /// Carried out; the answer is lost.
+    LoseAnswer,
+    /// Never carried out, and nobody says so.
+    Lose,
+    /// Carried out 12 s later, when its sender has given up.
+    Late,
+    /// Its sender ends before it is carried out.
+    EndBefore,
+    /// Its sender ends once it is carried out.
+    EndAfter,
+    /// From now on the state service refuses its sender, for longer than a lease.
+    Lapse,
+}
+
+impl Deviation {
+    pub const ALL: [Deviation; 6] = [
+        Deviation::LoseAnswer,
+        Deviation::Lose,
+        Deviation::Late,
+        Deviation::EndBefore,
+        Deviation::EndAfter,
+        Deviation::Lapse,
+    ];
+}
+
+/// A walk: acts of leaders are counted, and some of them go another way.
+#[derive(Debug, Clone, Default)]
+pub struct Walk {
+    /// By the number of the act, counted from 0.
+    pub deviations: BTreeMap<usize, Deviation>,
+    /// Acts so far.
+    pub acts: usize,
+}
+
+/// How late a late call is carried out in a walk, in ms.
+const WALK_LATE_MS: u64 = 12_000;
+/// For how long the state service refuses a node in a walk, in ms.
+const WALK_LAPSE_MS: u64 = 8_000;
+
 pub(crate) struct World {
     pub(crate) now: u64,
     pub(crate) queue: BTreeMap<(u64, u64), Event>,
@@ -209,6 +251,7 @@
     pub(crate) fetches: u32,
     /// Calls dropped as their permits had run out.
     pub(crate) late_permits: u32,
+    pub(crate) walk: Option<Walk>,
     /// Acts of a replaced leader at the cloud that took effect, and of which no record told its
     /// successor.
     pub(crate) unknown_acts: u32,
@@ -276,6 +319,7 @@
             most_refused: 0,
             fetches: 0,
             late_permits: 0,
+            walk: None,
             unknown_acts: 0,
             warnings: Vec::new(),
             gpus_max,
@@ -654,6 +698,23 @@
                 }
             }
         }
+        match self.deviation(to, method, path, body) {
+            None => (),
+            Some(Deviation::LoseAnswer) => silent = true,
+            Some(Deviation::Lose) => return,
+            Some(Deviation::Late) => {
+                self.post(WALK_LATE_MS, Event::Call(Call { life: 0, ..asked }));
+                return;
+            }
+            Some(Deviation::EndBefore) => {
+                self.end(node);
+                return;
+            }
+            Some(Deviation::EndAfter) => self.end(node),
+            Some(Deviation::Lapse) => {
+                self.refused.insert(node, self.now + WALK_LAPSE_MS);
+            }
+        }
         if *to == Destination::State && self.of_clusters(path, body) {
             match &mut self.end_at {
                 Some((0, carried_out)) => {
@@ -737,6 +798,29 @@
         }
     }
 
+    fn end(&mut self, node: usize) {
+        self.nodes[node].node = None;
+        self.nodes[node].restart_at = self.now + RESTART_MS;
+    }
+
+    /// What becomes of this act of a leader in a walk: a transaction of its own, a direct command
+    /// with orders, a rental or a return.
+    fn deviation(&mut self, to: &Destination, method: &str, path: &str, body: &[u8]) -> Option<Deviation> {
+        let walk = self.walk.as_mut()?;
+        let text = String::from_utf8_lossy(body);
+        let act = match to {
+            Destination::State => path == "/multi" && text.contains("\"leader\""),
+            Destination::Cloud => method == "POST",
+            Destination::Worker(_) => path == "/do" && text.contains("\"Verb\""),
+            Destination::Licences(_) => false,
+        };
+        if !act {
+            return None;
+        }
+        walk.acts += 1;
+        walk.deviations.get(&(walk.acts - 1)).copied()
+    }
+
     /// What a replaced leader does at the cloud must stand in the records that its successor reads:
     /// nobody at the cloud compares tokens.
     fn check_holder(&mut self, node: usize, path: &str, body: &[u8]) {
