A rental that may still be carried out keeps its record, whatever a later call is told

Excluded: a lost record (it was deleted by its own leader), a permit that came too late.

Change: once a call went unanswered, or a former leader may have made one, trouble at the cloud ends nothing: the same request is repeated until the cloud names its machines or has no capacity.

--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -515,6 +515,7 @@
                 Rental {
                     recorded: true,
                     sent: true,
+                    doubtful: true,
                     ..Rental::new(request)
                 },
             );
--- a/crates/core/src/leader/renting.rs
+++ b/crates/core/src/leader/renting.rs
@@ -319,13 +319,21 @@
             } else {
                 self.cloud_at = io.now + CLOUD_RETRY_MS;
             }
-            // Nothing was rented, and the need may have changed: decide afresh.
-            self.end_rental(key);
+            match self.rentals.get_mut(key) {
+                // An earlier call of it may still be carried out: its record stays, or nobody
+                // would know of the machines, and as many would be rented again.
+                Some(rental) if rental.doubtful && !problem.contains("capacity") => {
+                    rental.retry_at = io.now + CLOUD_RETRY_MS;
+                }
+                // Nothing was rented, and the need may have changed: decide afresh.
+                _ => self.end_rental(key),
+            }
         } else if outcome.status() == Some(400) {
             log::error!("the cloud calls rental {key} malformed");
             self.end_rental(key);
         } else {
             // Perhaps rented: the same request tells, and rents nothing twice.
+            rental.doubtful |= !outcome.refused();
             rental.retry_at = io.now + CLOUD_RETRY_MS;
         }
     }
--- a/crates/core/src/rental.rs
+++ b/crates/core/src/rental.rs
@@ -11,6 +11,8 @@
     /// It may have been sent, by this leader or a former one.
     pub sent: bool,
     pub in_flight: bool,
+    /// A call of it went unanswered: it may be carried out at any time, minutes later.
+    pub doubtful: bool,
     pub retry_at: Millis,
     /// When the cloud named its machines. Its record stays until the list must show
     /// them: only it leads a new leader to machines that boot.
@@ -24,6 +26,7 @@
             recorded: false,
             sent: false,
             in_flight: false,
+            doubtful: false,
             retry_at: 0,
             answered: None,
         }
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -25,6 +25,8 @@
 
 /// Age of a job from which on it must be served: what a boot and a fetch take.
 const SERVED_AFTER_MS: u64 = 60_000;
+/// How long a user waits for the answer to a poll, in ms.
+const POLL_MS: u64 = 2_000;
 /// Interval at which replicas that are up are counted.
 const SERVED_STEP_MS: u64 = 200;
 
@@ -144,7 +146,7 @@
 #[derive(Debug, Clone)]
 pub(crate) enum Asker {
     Worker { id: String, session: u64, number: u64 },
-    User { job: String, kind: UserKind },
+    User { job: String, kind: UserKind, at: u64 },
 }
 
 pub(crate) struct Controller {
@@ -646,7 +648,8 @@
                         method, path, body, ..
                     } => (*method, path.clone(), body.clone()),
                 };
-                let request = self.ask(node, Asker::User { job, kind });
+                let at = self.now;
+                let request = self.ask(node, Asker::User { job, kind, at });
                 self.nodes[node].inbox.push(Command::Request {
                     request,
                     method: method.to_owned(),
@@ -1150,7 +1153,14 @@
                 };
                 self.send(&name, &id, event);
             }
-            Some(Asker::User { job, kind }) => self.user_told(&job, kind, status, &body),
+            // Whoever polls waits for 2 s and has gone by then; a frozen node's late word reaches
+            // nobody.
+            Some(Asker::User {
+                kind: UserKind::Poll,
+                at,
+                ..
+            }) if self.now > at + POLL_MS => (),
+            Some(Asker::User { job, kind, .. }) => self.user_told(&job, kind, status, &body),
         }
     }
 
