--- a/crates/experiments/src/corpus.rs
+++ b/crates/experiments/src/corpus.rs
@@ -2,9 +2,12 @@
 //! them costs by their size.
 #![forbid(unsafe_code)]
 
+mod plots;
+
 use clap::Parser;
 use indigopath_condor::{Files, Matching, Site, SiteFile, judge, notes, read};
 use minijinja::{Environment, Value, context};
+use plots::{PlotError, plot, svg};
 use plotters::prelude::*;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -37,16 +40,12 @@
     File { path: PathBuf, why: String },
     #[error("{} has no submit files", .0.display())]
     Empty(PathBuf),
-    #[error("a plot cannot be drawn: {0}")]
-    Plot(String),
+    #[error(transparent)]
+    Plot(#[from] PlotError),
     #[error("the page cannot be put together: {0}")]
     Page(#[from] minijinja::Error),
 }
 
-fn plot<E: std::error::Error + Send + Sync>(error: DrawingAreaErrorKind<E>) -> CorpusError {
-    CorpusError::Plot(error.to_string())
-}
-
 fn text_of(path: &Path) -> Result<String, CorpusError> {
     std::fs::read_to_string(path).map_err(|error| CorpusError::File {
         path: path.to_owned(),
@@ -171,15 +170,12 @@
     (reading, judging)
 }
 
-fn cost_plot(curves: &[(&'static str, &Curve)]) -> Result<String, CorpusError> {
+fn cost_plot(curves: &[(&'static str, &Curve)]) -> Result<String, PlotError> {
     let points = || curves.iter().flat_map(|(_, curve)| curve.iter());
     let widest = points().map(|point| point.0).fold(1.0, f64::max);
     let highest = points().map(|point| point.1).fold(1.0, f64::max);
-    let mut text = String::new();
-    {
-        let area = SVGBackend::with_string(&mut text, (900, 320)).into_drawing_area();
-        area.fill(&WHITE).map_err(plot)?;
-        let mut chart = ChartBuilder::on(&area)
+    svg((900, 320), |area| {
+        let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(30)
             .y_label_area_size(50)
@@ -205,9 +201,8 @@
             .background_style(WHITE.mix(0.8))
             .draw()
             .map_err(plot)?;
-        area.present().map_err(plot)?;
-    }
-    Ok(text)
+        Ok(())
+    })
 }
 
 fn report(cli: &Cli) -> Result<(), CorpusError> {
--- a/crates/experiments/src/day.rs
+++ b/crates/experiments/src/day.rs
@@ -3,8 +3,11 @@
 //! tasks were lost and by what, which requests were told to come back.
 #![forbid(unsafe_code)]
 
+mod plots;
+
 use clap::Parser;
 use minijinja::{Environment, Value, context};
+use plots::{PlotError, plot, svg};
 use plotters::prelude::*;
 use regex::Regex;
 use serde::{Deserialize, Serialize};
@@ -15,6 +18,9 @@
 
 const TEMPLATE: &str = include_str!("../templates/day.html");
 
+/// Longest day, in s, of which a page is written: it is drawn second by second.
+const LONGEST_S: f64 = 100_000.0;
+
 /// How far, in s, a fault may strike from the time that the site's file gives.
 const FAULT_OFF_S: f64 = 2.0;
 
@@ -38,18 +44,14 @@
 enum DayError {
     #[error("{}: {why}", path.display())]
     File { path: PathBuf, why: String },
-    #[error("a plot cannot be drawn: {0}")]
-    Plot(String),
+    #[error(transparent)]
+    Plot(#[from] PlotError),
     #[error("the page cannot be put together: {0}")]
     Page(#[from] minijinja::Error),
     #[error(transparent)]
     Pattern(#[from] regex::Error),
 }
 
-fn plot<E: std::error::Error + Send + Sync>(error: DrawingAreaErrorKind<E>) -> DayError {
-    DayError::Plot(error.to_string())
-}
-
 fn file<E: std::fmt::Display>(path: &Path) -> impl Fn(E) -> DayError {
     move |why| DayError::File {
         path: path.to_owned(),
@@ -330,18 +332,27 @@
         .collect()
 }
 
+/// Faults as bands, up to this height.
+fn bands(faults: &[Fault], until_s: f64, top: f64) -> impl Iterator<Item = Rectangle<(f64, f64)>> {
+    faults.iter().map(move |fault| {
+        // What lasts for a moment is to be seen all the same.
+        let to_s = fault.to_s.max(fault.from_s + until_s / 400.0);
+        Rectangle::new(
+            [(fault.from_s, 0.0), (to_s.min(until_s), top)],
+            RED.mix(0.12).filled(),
+        )
+    })
+}
+
 /// Curves over the day, with faults as bands behind them.
-fn curves(height: u32, until_s: f64, faults: &[Fault], curves: &[Curve]) -> Result<String, DayError> {
+fn curves(height: u32, until_s: f64, faults: &[Fault], curves: &[Curve]) -> Result<String, PlotError> {
     let most = curves
         .iter()
         .flat_map(|(_, _, points)| points)
         .map(|(_, value)| *value)
         .fold(1.0, f64::max);
-    let mut text = String::new();
-    {
-        let area = SVGBackend::with_string(&mut text, (1000, height)).into_drawing_area();
-        area.fill(&WHITE).map_err(plot)?;
-        let mut chart = ChartBuilder::on(&area)
+    svg((1000, height), |area| {
+        let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(28)
             .y_label_area_size(56)
@@ -353,14 +364,7 @@
             .light_line_style(TRANSPARENT)
             .draw()
             .map_err(plot)?;
-        let bands = faults.iter().map(|fault| {
-            // What lasts for a moment is to be seen all the same.
-            let to_s = fault.to_s.max(fault.from_s + until_s / 400.0);
-            Rectangle::new(
-                [(fault.from_s, 0.0), (to_s.min(until_s), most * 1.05)],
-                RED.mix(0.12).filled(),
-            )
-        });
+        let bands = bands(faults, until_s, most * 1.05);
         chart.draw_series(bands).map_err(plot)?;
         for (name, colour, points) in curves {
             let colour = *colour;
@@ -375,13 +379,12 @@
             .background_style(WHITE.mix(0.8))
             .draw()
             .map_err(plot)?;
-        area.present().map_err(plot)?;
-    }
-    Ok(text)
+        Ok(())
+    })
 }
 
 /// Who led when, a row a node.
-fn led(until_s: f64, faults: &[Fault], leaders: &[Leader]) -> Result<String, DayError> {
+fn led(until_s: f64, faults: &[Fault], leaders: &[Leader]) -> Result<String, PlotError> {
     let nodes: Vec<&str> = leaders
         .iter()
         .map(|leader| leader.node.as_str())
@@ -389,12 +392,9 @@
         .into_iter()
         .collect();
     let rows = nodes.len().max(1) as f64;
-    let mut text = String::new();
-    {
-        let height = 60 + 26 * nodes.len() as u32;
-        let area = SVGBackend::with_string(&mut text, (1000, height)).into_drawing_area();
-        area.fill(&WHITE).map_err(plot)?;
-        let mut chart = ChartBuilder::on(&area)
+    let height = 60 + 26 * nodes.len() as u32;
+    svg((1000, height), |area| {
+        let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(28)
             .y_label_area_size(56)
@@ -406,14 +406,7 @@
             .y_labels(0)
             .draw()
             .map_err(plot)?;
-        let bands = faults.iter().map(|fault| {
-            let to_s = fault.to_s.max(fault.from_s + until_s / 400.0);
-            Rectangle::new(
-                [(fault.from_s, 0.0), (to_s.min(until_s), rows)],
-                RED.mix(0.12).filled(),
-            )
-        });
-        chart.draw_series(bands).map_err(plot)?;
+        chart.draw_series(bands(faults, until_s, rows)).map_err(plot)?;
         let row = |leader: &Leader| nodes.iter().position(|node| *node == leader.node).unwrap_or(0) as f64;
         let terms = leaders.iter().map(|leader| {
             let row = row(leader);
@@ -431,9 +424,8 @@
             )
         });
         chart.draw_series(names).map_err(plot)?;
-        area.present().map_err(plot)?;
-    }
-    Ok(text)
+        Ok(())
+    })
 }
 
 fn page(cli: &Cli) -> Result<(), DayError> {
@@ -443,7 +435,11 @@
         Some(path) => Some(toml::from_str(&read(path)?).map_err(file(path))?),
         None => None,
     };
-    let until_s = report.duration_s.max(1.0);
+    let until_s = report.duration_s;
+    if !(1.0..=LONGEST_S).contains(&until_s) {
+        let why = format!("duration_s is {until_s}, not 1 to {LONGEST_S}");
+        return Err(file(&cli.report)(why));
+    }
     let story = Story::read(&read(&cli.log)?, &report.events, until_s)?;
     let faults = faults(&report, site.as_ref());
     let window = |of: fn(&Window) -> f64| -> Vec<(f64, f64)> {
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod play;
+mod plots;
 mod report;
 
 use clap::Parser;
--- a/crates/experiments/src/report.rs
+++ b/crates/experiments/src/report.rs
@@ -1,6 +1,7 @@
 //! The report: one HTML page with its plots in it.
 
 use crate::play::{Outcome, Waits};
+use crate::plots::{PlotError, plot, svg};
 use minijinja::{Environment, Value, context};
 use plotters::prelude::*;
 use serde::Serialize;
@@ -17,18 +18,14 @@
 
 #[derive(Debug, Error)]
 pub enum ReportError {
-    #[error("a plot cannot be drawn: {0}")]
-    Plot(String),
+    #[error(transparent)]
+    Plot(#[from] PlotError),
     #[error("the page cannot be put together: {0}")]
     Page(#[from] minijinja::Error),
     #[error("{0}")]
     Write(#[from] std::io::Error),
 }
 
-fn plot<E: std::error::Error + Send + Sync>(error: DrawingAreaErrorKind<E>) -> ReportError {
-    ReportError::Plot(error.to_string())
-}
-
 #[derive(Serialize)]
 struct Shown {
     name: &'static str,
@@ -107,24 +104,7 @@
     Ok(std::fs::write(path, text)?)
 }
 
-type Area<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
-
-/// A plot of this size as SVG text.
-fn svg(
-    size: (u32, u32),
-    draw: impl FnOnce(&Area<'_>) -> Result<(), ReportError>,
-) -> Result<String, ReportError> {
-    let mut text = String::new();
-    {
-        let area = SVGBackend::with_string(&mut text, size).into_drawing_area();
-        area.fill(&WHITE).map_err(plot)?;
-        draw(&area)?;
-        area.present().map_err(plot)?;
-    }
-    Ok(text)
-}
-
-fn use_plot(outcome: &Outcome, colour: RGBColor) -> Result<String, ReportError> {
+fn use_plot(outcome: &Outcome, colour: RGBColor) -> Result<String, PlotError> {
     svg(SIZE, |area| {
         let mut chart = ChartBuilder::on(area)
             .margin(8)
@@ -152,7 +132,7 @@
     })
 }
 
-fn waits_plot(outcomes: &[Outcome]) -> Result<String, ReportError> {
+fn waits_plot(outcomes: &[Outcome]) -> Result<String, PlotError> {
     let names: Vec<&str> = outcomes
         .first()
         .map_or(&[][..], |first| &first.waits)
@@ -206,7 +186,7 @@
     })
 }
 
-fn again_plot(outcomes: &[Outcome]) -> Result<String, ReportError> {
+fn again_plot(outcomes: &[Outcome]) -> Result<String, PlotError> {
     let most = outcomes
         .iter()
         .map(|outcome| outcome.again.most_s)
