A leader keeps workers alive only as far as it has seen which jobs are over

Cause: a leader answered reports for as long as its touches were answered, plus a grace. A touch proves that its lease lives, not that it knows any cancellation. While it read the records, in a new term or after a 410 amid one, it renewed workers' leases without orders. With the state service down right after that, tasks that another node had cancelled were on their machines beyond the bound.

Now there is one value for it, the horizon: it moves to the sending time of a reading or a watch that was answered and worked off. A report is answered 200 only while it and the lease rule allow; reports that come while the records are read are kept for 3 s at most. The watch on jobs is held for 1 s, not 4, so that a quiet site's horizon is at most so old: one request a second. A report overtaken by a direct command's answer is told stops. A machine answered before its first report under this token counts as kept alive from that answer. Where cancel_s is too near lease_s nothing can be proved: no grace, and check says so.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -46,6 +46,18 @@
 /// lost to a silent cut can hide changes.
 pub const WATCH_HOLD_MS: u64 = 4_000;
 
+/// The same of the leader's watch on jobs: an answer tells that no end was missed up to its sending,
+/// so a quiet site's leader knows that at most so old, and one request a second is its price.
+pub const JOBS_HOLD_MS: u64 = 1_000;
+
+/// Reports, with the tasks that they name, that a leader keeps while it reads the records: a
+/// fleet's worth of workers whose leader has just ended, of some 200 bytes a task.
+pub const HELD_REPORTS: usize = 20_000;
+
+/// How long, in ms, such a report is kept at most: its worker waits 4 s (protocol), and is better
+/// told to go on than left without an answer.
+pub const HELD_REPORT_MS: u64 = 3_000;
+
 /// Time beyond its hold, in ms, after which a watch counts as lost.
 pub const WATCH_SLACK_MS: u64 = 1_500;
 
--- /dev/null
+++ b/crates/core/src/horizon/tests.rs
@@ -0,0 +1,57 @@
+use super::*;
+
+fn workers(lease_s: f64, cancel_s: f64) -> Workers {
+    Workers {
+        report_s: 5.0,
+        lease_s,
+        gang_wait_s: 30.0,
+        gang_peer_s: 5.0,
+        cancel_s,
+    }
+}
+
+#[test]
+fn nobody_is_kept_alive_before_the_records_are_read() {
+    let mut horizon = Horizon::unread(&workers(30.0, 50.0), 1_000);
+    assert!(!horizon.allows(1_001));
+    horizon.advance(1_200);
+    assert!(horizon.allows(1_500));
+    horizon.lose();
+    assert!(!horizon.allows(1_600));
+    horizon.advance(1_700);
+    assert!(horizon.allows(1_800));
+}
+
+// A lease renewed at the last moment that is allowed is out before the earliest cancellation that
+// was missed must be carried out, by the clocks' worst drift.
+#[test]
+fn the_last_lease_it_renews_is_out_in_time() {
+    for (lease_s, cancel_s) in [(30.0, 50.0), (42.0, 62.0), (32.0, 62.0), (30.0, 33.0)] {
+        let workers = workers(lease_s, cancel_s);
+        assert!(proves_cancellations(&workers));
+        let mut horizon = Horizon::unread(&workers, 0);
+        horizon.advance(10_000);
+        let last = (10_000..200_000).rev().find(|now| horizon.allows(*now)).unwrap();
+        let drift = 1.0 + 2.0 * crate::constants::CLOCK_DRIFT_PPM as f64 / 1e6;
+        assert!((last - 10_000) as f64 * drift + lease_s * 1_000.0 * drift < cancel_s * 1_000.0);
+        assert!(horizon.is_out(last + 1));
+    }
+}
+
+// The answer to an older question says nothing newer.
+#[test]
+fn it_never_goes_back() {
+    let mut horizon = Horizon::unread(&workers(30.0, 50.0), 0);
+    horizon.advance(5_000);
+    horizon.advance(4_000);
+    assert_eq!(horizon.age_ms(6_000), 1_000);
+}
+
+#[test]
+fn without_spare_time_there_is_no_grace_and_that_is_said() {
+    for (lease_s, cancel_s) in [(30.0, 30.0), (30.0, 10.0), (30.0, 32.9)] {
+        let workers = workers(lease_s, cancel_s);
+        assert!(!proves_cancellations(&workers));
+        assert_eq!(grace_ms(&workers), LEADER_LEASE_MS);
+    }
+}
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -181,11 +181,12 @@
                 inspect.push((rank, Reverse(silent_ms), machine.id.clone()));
             }
             // The longest that anyone could have kept its lease alive: this leader
-            // until it last heard from it, a former one until it had to stop.
+            // until it last heard from it or answered it, a former one until it had to stop.
+            let answered = machine.answered.unwrap_or(0);
             let kept_until = if machine.synced {
-                last.max(machine.answered.unwrap_or(0))
+                last.max(answered)
             } else {
-                self.started + keep_alive_ms(&settings.deployment)
+                answered.max(self.started + horizon::grace_ms(&settings.deployment.workers))
             };
             if io.now > kept_until + lease_ms && machine.attempts.iter().any(|attempt| !attempt.never_sent())
             {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -4,6 +4,7 @@
 mod books;
 mod clusters;
 mod counts;
+mod held;
 mod machines;
 mod renting;
 mod reports;
@@ -18,8 +19,9 @@
 use crate::fleet::{self, Coming, Queue};
 use crate::forecast::Forecast;
 use crate::gangs::GangAttempt;
+use crate::horizon::{self, Horizon};
 use crate::io::{CallId, Calls, Fenced, Io, Method, Outcome, RequestId, json};
-use crate::leadership::{Leadership, News, keep_alive_ms};
+use crate::leadership::{Leadership, News};
 use crate::ledger::{Attempt, Change, Machine, Stop};
 use crate::metrics::Census;
 use crate::model::{Hosts, Job, JobId, JobSpec, MachineId, MachineKind, Millis, TaskId};
@@ -44,8 +46,12 @@
 /// A call made in a term; with the term, whoever waits for it is gone.
 #[derive(Debug)]
 enum TermCall {
-    Load,
-    Watch,
+    Load {
+        sent: Millis,
+    },
+    Watch {
+        sent: Millis,
+    },
     Write,
     Reread {
         key: String,
@@ -131,7 +137,9 @@
     busy: bool,
     retry_at: Millis,
     items: Vec<StoredItem>,
+    /// Of the first page of jobs, and when it was asked for: every end before that is in it.
     revision: Option<u64>,
+    began: Option<Millis>,
 }
 
 /// Shifts last: they are read only where there are some.
@@ -185,6 +193,10 @@
     /// Something was placed in this term.
     placed: bool,
     load: Option<Load>,
+    /// Which ends of jobs this leader knows, and so whom it may keep alive.
+    horizon: Horizon,
+    /// Reports that came while the records were being read, and when.
+    held: held::Reports,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) machines: BTreeMap<MachineId, Machine>,
     pub(crate) rentals: BTreeMap<String, Rental>,
@@ -256,6 +268,8 @@
             started: now,
             placed: false,
             load: Some(Load::default()),
+            horizon: Horizon::unread(&settings.deployment.workers, now),
+            held: held::Reports::default(),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             rentals: BTreeMap::new(),
@@ -340,6 +354,18 @@
         );
     }
 
+    /// The term is over: whoever waits here must ask elsewhere.
+    pub fn end(mut self, io: &mut Io) {
+        while let Some((request, _)) = self.held.next() {
+            held::turn_away(request, io);
+        }
+    }
+
+    /// For how long, in ms, this leader has had no word of which jobs are over.
+    pub fn horizon_age_ms(&self, now: Millis) -> u64 {
+        self.horizon.age_ms(now)
+    }
+
     /// Whether the records have been read: before, this leader knows nothing.
     pub fn has_read(&self) -> bool {
         self.load.is_none()
@@ -396,13 +422,14 @@
             path,
             Vec::new(),
             STATE_TIMEOUT_MS,
-            TermCall::Load,
+            TermCall::Load { sent: io.now },
             io,
         );
     }
 
     fn loaded(
         &mut self,
+        sent: Millis,
         outcome: &Outcome,
         leadership: &mut Leadership,
         settings: &Settings,
@@ -415,6 +442,7 @@
             return None;
         };
         load.revision.get_or_insert(page.revision);
+        load.began.get_or_insert(sent);
         load.after = page.items.last().map(|item| item.key.clone());
         let more = page.more && load.after.is_some();
         load.items.extend(page.items);
@@ -446,6 +474,7 @@
         io: &mut Io,
     ) -> Result<(), records::RecordError> {
         self.revision = load.revision.unwrap_or(0);
+        let began = load.began;
         for item in load.items {
             match self.adopt_record(&item, settings, io) {
                 Ok(()) => (),
@@ -478,6 +507,9 @@
                 }
             }
         }
+        if let Some(began) = began {
+            self.horizon.advance(began);
+        }
         Ok(())
     }
 
@@ -608,12 +640,13 @@
         }
     }
 
-    fn watched(&mut self, outcome: &Outcome, settings: &Settings, io: &mut Io) {
+    fn watched(&mut self, sent: Millis, outcome: &Outcome, settings: &Settings, io: &mut Io) {
         self.watching = false;
         let Some(changes) = outcome.read::<wire::Changes>(&[200]) else {
             if outcome.status() == Some(410) && self.load.is_none() {
                 // Too far behind: only a new reading tells which jobs are over.
                 self.load = Some(Load::default());
+                self.horizon.lose();
                 self.jobs.clear();
                 self.machines.clear();
                 self.hosts.clear();
@@ -648,6 +681,8 @@
                 }
             }
         }
+        // Not before all of it is followed.
+        self.horizon.advance(sent);
     }
 
     /// Does what is due. Returns `Deposed` where leadership is given up.
@@ -659,19 +694,35 @@
         siblings: Siblings,
         io: &mut Io,
     ) -> Option<News> {
+        if self.horizon.is_out(io.now) {
+            // Its own lease may live, but workers' do not with it: a sibling may see more.
+            let why = "no word of which jobs are over";
+            return if leadership.certain(io.now) {
+                leadership.hand_over(why, io)
+            } else {
+                leadership.deposed(why)
+            };
+        }
         if self.load.is_some() {
             self.poll_load(io);
+            self.held.give_up(io);
             return None;
         }
+        while let Some((request, report)) = self.held.next() {
+            if let Err(overtaken) = self.report(request, &report, leadership.certain(io.now), io) {
+                held::turn_away(request, io);
+                return leadership.deposed(&overtaken.to_string());
+            }
+        }
         if !self.watching && io.now >= self.watch_at {
             self.watching = true;
-            let path = paths::watch(records::JOBS, self.revision, WATCH_HOLD_MS);
+            let path = paths::watch(records::JOBS, self.revision, JOBS_HOLD_MS);
             self.state_call(
                 Method::Get,
                 path,
                 Vec::new(),
-                WATCH_HOLD_MS + WATCH_SLACK_MS,
-                TermCall::Watch,
+                JOBS_HOLD_MS + WATCH_SLACK_MS,
+                TermCall::Watch { sent: io.now },
                 io,
             );
         }
@@ -956,8 +1007,8 @@
         io: &mut Io,
     ) -> Option<News> {
         match kind {
-            TermCall::Load => return self.loaded(outcome, leadership, settings, io),
-            TermCall::Watch => self.watched(outcome, settings, io),
+            TermCall::Load { sent } => return self.loaded(sent, outcome, leadership, settings, io),
+            TermCall::Watch { sent } => self.watched(sent, outcome, settings, io),
             TermCall::Write => return self.written(outcome, leadership, io),
             TermCall::Reread { key } => return self.reread(key, outcome, leadership, io),
             TermCall::Direct(direct) => return self.direct_answered(direct, outcome, leadership, io),
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -32,14 +32,14 @@
             return Ok(());
         }
         if self.load.is_some() {
-            io.reply(
-                request,
-                200,
-                &ReportAnswer {
-                    token: self.token(),
-                    orders: Vec::new(),
-                },
-            );
+            self.held.keep(request, report, io);
+            return Ok(());
+        }
+        if !self.horizon.allows(io.now) {
+            // A cancellation that another node confirmed may be unknown here: the worker's lease must
+            // run out in time. Without this, an outage of the state service after this leader alone
+            // was refused, or amid its reading, kept cancelled tasks alive beyond their bound.
+            held::turn_away(request, io);
             return Ok(());
         }
         let newest = self.absorb(report, io);
@@ -47,11 +47,11 @@
         if let Some(machine) = self.machines.get_mut(&id) {
             machine.answered = Some(io.now);
             // A report overtaken by the answer to a direct command still renews
-            // the lease, but no order may follow from what it says.
+            // the lease, so it carries stops; nothing may follow from what it says.
             let orders = if newest {
                 machine.orders(Some((report.session, report.seq)), certain, token, io.now)
             } else {
-                Vec::new()
+                machine.orders(None, false, token, io.now)
             };
             io.reply(request, 200, &ReportAnswer { token, orders });
         }
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -2,6 +2,7 @@
 //! state service. The key's version is the token; it only ever rises.
 
 use crate::constants::*;
+use crate::horizon;
 use crate::io::{CallId, Calls, Io, Method, Outcome, json};
 use crate::model::Millis;
 use crate::records::{LEADER, LeaderRecord, Record};
@@ -65,7 +66,8 @@
     next: Next,
     at: Millis,
     abstain_until: Millis,
-    keep_alive_ms: u64,
+    /// How long after its last touch it may answer workers, in ms: see [`horizon::grace_ms`].
+    grace_ms: u64,
     calls: Calls<Step>,
 }
 
@@ -89,7 +91,7 @@
             next: Next::Read,
             at: 0,
             abstain_until: 0,
-            keep_alive_ms: keep_alive_ms(deployment),
+            grace_ms: horizon::grace_ms(&deployment.workers),
             calls: Calls::default(),
         }
     }
@@ -125,6 +127,13 @@
         self.hold().is_some_and(|hold| now < hold.until)
     }
 
+    /// No later leader counts on a worker's lease being out that is renewed now.
+    pub fn may_renew(&self, now: Millis) -> bool {
+        self.lead
+            .as_ref()
+            .is_some_and(|lead| now < lead.touched + self.grace_ms)
+    }
+
     fn record(&self) -> LeaderRecord {
         LeaderRecord {
             node: self.node.clone(),
@@ -160,8 +169,9 @@
         if let Some(lead) = &mut self.lead {
             // Without the state service a leader cannot tell an outage, in which
             // it still leads, from being alone refused. It goes on answering
-            // workers for as long as no cancellation can thereby be missed.
-            if io.now >= lead.touched + self.keep_alive_ms {
+            // workers for as long as its horizon allows, and never so long that
+            // the next leader could count their leases as out.
+            if io.now >= lead.touched + self.grace_ms {
                 return Some(self.step_down("no word from the state service"));
             }
             if io.now >= lead.next_touch {
@@ -430,12 +440,3 @@
         Some(self.step_down(why))
     }
 }
-
-/// How long after its last touch a leader may answer workers with its token. A
-/// worker's lease then runs out early enough for any cancellation that this
-/// leader may have missed; and the next leader counts on nothing longer.
-pub fn keep_alive_ms(deployment: &Deployment) -> u64 {
-    let workers = &deployment.workers;
-    let ms = ((workers.cancel_s - workers.lease_s) * SECOND_MS as f64) as i64 - CANCEL_MARGIN_MS as i64;
-    ms.max(LEADER_LEASE_MS as i64) as u64
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod forecast;
 pub mod gangs;
 pub mod gate;
+pub mod horizon;
 pub mod intake;
 pub mod io;
 pub mod leader;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -248,7 +248,9 @@
             }
             News::Deposed => {
                 self.io.set_leading(false);
-                self.term = None;
+                if let Some(term) = self.term.take() {
+                    term.end(&mut self.io);
+                }
                 self.sent.clear();
             }
         }
@@ -373,7 +375,9 @@
             }
         };
         self.workers.insert(report.machine.clone(), self.io.now);
-        if let Some(term) = &mut self.term {
+        // Asked here as well as when time passes: a process that stood still finds reports first.
+        let may_renew = self.leadership.may_renew(self.io.now);
+        if let Some(term) = self.term.as_mut().filter(|_| may_renew) {
             let certain = self.leadership.certain(self.io.now);
             match term.report(request, &report, certain, &mut self.io) {
                 Ok(()) => return,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,6 +1,7 @@
 //! The platform's settings file: parsed here, checked here, read by everyone.
 //! Fields that this version does not know are ignored, as the platform asks.
 
+use crate::horizon;
 use indigopath_books::constants::WEIGHT_MOST;
 use indigopath_condor::{CondorSettings, CondorSettingsError};
 use indigopath_counts::{DefinitionError, Definitions};
@@ -359,11 +360,18 @@
                 .filter_map(|objective| objective.class.as_deref())
                 .any(|known| known == class)
         };
-        indigopath_shifts::unknown_classes(&self.operator.shifts, named)
+        let mut doubts: Vec<String> = indigopath_shifts::unknown_classes(&self.operator.shifts, named)
             .map(|(shift, class)| {
                 format!("shift.{shift}.classes: no objective names class {class}: is it misspelt?")
             })
-            .collect()
+            .collect();
+        if !horizon::proves_cancellations(&self.deployment.workers) {
+            let why = "a leader cut off from the state service cannot prove that cancelled tasks end in time";
+            doubts.push(format!(
+                "deployment.workers.cancel_s: less than 3 s above lease_s: {why}"
+            ));
+        }
+        doubts
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/horizon.rs
@@ -0,0 +1,136 @@
+//! The meeting before all others: the state service refuses the leader alone, another node confirms
+//! cancellations, then the service is down for all, longer than a cancellation may take, while
+//! workers go on reporting to the old leader or to one that was elected in between. The stand-ins'
+//! rule `ran_cancelled` counts from the first telling, by any node on any route.
+//!
+//! The timings of a kind are a fraction of a second apart, so that the outage meets every step of the
+//! refusal, of the election and of the new leader's reading.
+
+use indigopath_sim::{play_all, run};
+
+/// When the leader is refused, in s.
+const REFUSED_S: f64 = 40.0;
+
+const WORK: &str = "\
+teams 200
+at 1 submit wk-1 tasks=12 run=400 gpus=1
+at 1 submit wk-2 shape=gang class=train tasks=3 run=400 gpus=2 checkpoint=20 save=4
+at 1 submit wk-3 shape=daemon class=live tasks=3 gpus=2
+at 1 submit wk-4 tasks=4 run=30 gpus=2
+";
+
+const JUDGED: &str = "\
+until 240
+expect wk-1 told cancelled
+expect wk-2 told cancelled
+expect wk-3 told cancelled
+expect wk-4 told done
+";
+
+fn cancelled_at(seconds: f64) -> String {
+    (1..4)
+        .map(|job| format!("at {seconds} withdraw wk-{job}\n"))
+        .collect()
+}
+
+/// Plays all; nothing may break.
+fn play(kind: &str, ways: &[String]) {
+    let scenario = |at: usize| format!("{WORK}{}{JUDGED}", ways[at]);
+    let failed = play_all(ways.len(), |at| run(&scenario(at)));
+    println!("{kind}: {} ways, {} failed", ways.len(), failed.len());
+    for (at, problem) in failed.iter().take(5) {
+        println!("{}{problem}", ways[*at]);
+    }
+    assert!(
+        failed.is_empty(),
+        "{kind}: {} of {} ways",
+        failed.len(),
+        ways.len()
+    );
+}
+
+fn steps(from: f64, to: f64, every: f64) -> impl Iterator<Item = f64> {
+    let count = ((to - from) / every).round() as u32;
+    (0..count).map(move |step| from + f64::from(step) * every)
+}
+
+// The leader is refused; the service is down from before its lease ends to after the next leader
+// has read everything.
+#[test]
+fn refused_then_down_for_all() {
+    let ways: Vec<String> = steps(1.0, 4.0, 0.05)
+        .flat_map(|outage_s| {
+            [0.05, 0.5, 1.5].map(|asked_s| {
+                format!(
+                    "at {REFUSED_S} refuse leader for=14\n{}at {} outage state for=74\n",
+                    cancelled_at(REFUSED_S + asked_s),
+                    REFUSED_S + outage_s
+                )
+            })
+        })
+        .collect();
+    play("refused, then down", &ways);
+}
+
+// The next leader's reading takes long, as answers to it get lost, and the outage falls into it:
+// its touches are answered all that time.
+#[test]
+fn down_while_the_next_leader_reads() {
+    let ways: Vec<String> = steps(3.0, 9.0, 0.15)
+        .flat_map(|outage_s| {
+            [1, 3].map(|lost| {
+                let page = format!("at {REFUSED_S} lose-answer /store?Under=j/&Limit=500\n");
+                format!(
+                    "at {REFUSED_S} refuse leader for=30\n{}{}at {} outage state for=74\n",
+                    cancelled_at(REFUSED_S + 0.05),
+                    page.repeat(lost),
+                    REFUSED_S + outage_s
+                )
+            })
+        })
+        .collect();
+    play("down while it reads", &ways);
+}
+
+// The service refuses the leader time and again, never for as long as its lease: its touches are
+// answered in between, while the watch that was open waits on.
+#[test]
+fn refused_in_turns_then_down() {
+    let ways: Vec<String> = steps(1.0, 5.0, 0.1)
+        .flat_map(|outage_s| {
+            [1.6, 2.0, 2.2].map(|for_s| {
+                let refused: String = [0.0, 2.4, 4.8]
+                    .map(|after| format!("at {} refuse leader? for={for_s}\n", REFUSED_S + after))
+                    .concat();
+                format!(
+                    "{refused}{}at {} outage state for=74\n",
+                    cancelled_at(REFUSED_S + 0.05),
+                    REFUSED_S + outage_s
+                )
+            })
+        })
+        .collect();
+    play("refused in turns, then down", &ways);
+}
+
+// The leader is too far behind and reads anew, amid its term; the answers to that are lost, while its
+// touches are answered and another node confirms cancellations. It falls behind where its watch is
+// refused just after one was answered, and the changes since are forgotten.
+#[test]
+fn read_anew_amid_a_term_then_down() {
+    let ways: Vec<String> = steps(39.0, 39.2, 0.01)
+        .flat_map(|refused_s| {
+            [44.0, 48.0, 52.0, 55.0].map(|outage_s| {
+                let page = "at 39.8 lose-answer /store?Under=j/&Limit=500\n";
+                format!(
+                    "at 39 submit wk-5 tasks=1 run=5\nat {refused_s} refuse leader for=1\n\
+                     at 39.5 submit wk-6 tasks=1 run=5\nat 39.9 forget-changes\n{}{}\
+                     at {outage_s} outage state for=74\n",
+                    page.repeat(12),
+                    cancelled_at(40.7),
+                )
+            })
+        })
+        .collect();
+    play("read anew, then down", &ways);
+}
