--- /dev/null
+++ b/crates/core/src/ledger/tests.rs
@@ -0,0 +1,289 @@
+use super::*;
+use std::sync::Arc;
+
+/// First token of the term under test.
+const TOKEN: u64 = 40;
+
+fn task() -> TaskId {
+    TaskId::parse("wk-1/0").unwrap()
+}
+
+fn machine(change: impl FnOnce(&mut Attempt)) -> Machine {
+    let mut machine = Machine::new(
+        MachineId(Arc::from("m-1")),
+        "small".into(),
+        "east".into(),
+        false,
+        0,
+    );
+    let mut attempt = Attempt::planned(
+        task(),
+        9,
+        Arc::from("red"),
+        Resources::default(),
+        Arc::from("img"),
+        0,
+    );
+    attempt.durable = true;
+    change(&mut attempt);
+    machine.attempts.push(attempt);
+    machine
+}
+
+fn report(session: u64, seq: u64, token: u64, state: Option<TaskState>) -> Report {
+    Report {
+        machine: "m-1".into(),
+        addr: "10.0.0.1:9000".into(),
+        machine_type: "small".into(),
+        zone: "east".into(),
+        spot: false,
+        session,
+        seq,
+        token,
+        notice_s: None,
+        tasks: state
+            .into_iter()
+            .map(|state| TaskReport {
+                task: task().to_string(),
+                attempt: 9,
+                state,
+                why: (state == TaskState::Exited).then_some(Cause::Done),
+                saved: None,
+            })
+            .collect(),
+    }
+}
+
+fn verbs(machine: &mut Machine, answering: Option<(u64, u64)>) -> Vec<Verb> {
+    machine
+        .orders(answering, true, TOKEN, 0)
+        .into_iter()
+        .map(|order| order.verb)
+        .collect()
+}
+
+#[test]
+fn a_start_is_sent_only_once_it_is_recorded() {
+    let mut machine = machine(|attempt| attempt.durable = false);
+    assert!(!machine.wants_direct(true, 0));
+    assert_eq!(verbs(&mut machine, Some((1, 1))), []);
+    machine.attempts[0].durable = true;
+    assert!(machine.wants_direct(true, 0));
+    assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Start]);
+}
+
+#[test]
+fn an_older_report_changes_nothing() {
+    let mut machine = machine(|_| ());
+    assert!(
+        machine
+            .absorb(&report(2, 5, TOKEN, Some(TaskState::Running)), TOKEN, 0)
+            .is_some()
+    );
+    for (session, seq) in [(2, 5), (2, 4), (1, 99)] {
+        assert!(
+            machine
+                .absorb(&report(session, seq, TOKEN, None), TOKEN, 0)
+                .is_none()
+        );
+    }
+    assert_eq!(machine.attempts.len(), 1);
+}
+
+// A former leader may still have the start under way: only a worker that has
+// seen this term's token drops it.
+#[test]
+fn only_a_fenced_worker_disproves_an_inherited_start() {
+    let mut machine = machine(|attempt| attempt.inherited = true);
+    machine.absorb(&report(1, 1, TOKEN - 1, None), TOKEN, 0);
+    assert_eq!(machine.attempts.len(), 1);
+    assert!(!machine.synced);
+    let changes = machine.absorb(&report(1, 2, TOKEN, None), TOKEN, 0);
+    assert!(matches!(changes.as_deref(), Some([Change::Vanished { .. }])));
+    assert!(machine.attempts.is_empty());
+}
+
+// An unanswered direct command may be carried out minutes later.
+#[test]
+fn an_unanswered_start_stays_until_session_or_token_refuse_it() {
+    for (session, token, stays) in [(1, TOKEN, true), (2, TOKEN, false), (1, TOKEN + 1, false)] {
+        let mut machine = machine(|attempt| {
+            attempt.in_flight = true;
+            attempt.seen = Some(TaskState::Running);
+        });
+        machine.direct_unanswered(TOKEN, 1);
+        machine.absorb(&report(session, 7, token, None), TOKEN, 0);
+        assert_eq!(
+            machine.attempts.len(),
+            usize::from(stays),
+            "session {session}, token {token}"
+        );
+    }
+}
+
+// A stop that is wanted says nothing of a start that is still on its way.
+#[test]
+fn a_start_on_its_way_stays_although_its_stop_is_wanted() {
+    let mut machine = machine(|attempt| {
+        attempt.in_flight = true;
+        attempt.stop = Some(Stop::asked(0.0, 0));
+    });
+    machine.absorb(&report(1, 1, TOKEN, None), TOKEN, 0);
+    assert_eq!(machine.attempts.len(), 1);
+}
+
+// After a `forget`, the late start would run the task once more.
+#[test]
+fn what_may_still_arrive_is_not_forgotten() {
+    let mut machine = machine(|attempt| attempt.in_flight = true);
+    machine.direct_unanswered(TOKEN, 1);
+    machine.absorb(&report(1, 1, TOKEN, Some(TaskState::Exited)), TOKEN, 0);
+    machine.attempts[0].closed = true;
+    assert_eq!(verbs(&mut machine, Some((1, 1))), []);
+    assert!(!machine.is_empty());
+    machine.absorb(&report(1, 2, TOKEN + 1, Some(TaskState::Exited)), TOKEN, 0);
+    assert_eq!(verbs(&mut machine, Some((1, 2))), [Verb::Forget]);
+}
+
+// A copy of the command would run it once more. Its machine may go back all the same.
+#[test]
+fn an_answered_direct_start_is_forgotten_only_under_a_higher_token() {
+    let mut machine = machine(|_| ());
+    machine.absorb(&report(1, 1, TOKEN, None), TOKEN, 0);
+    assert_eq!(verbs(&mut machine, None), [Verb::Start]);
+    machine.absorb(&report(1, 2, TOKEN, Some(TaskState::Exited)), TOKEN, 0);
+    machine.attempts[0].closed = true;
+    let forgets = |machine: &mut Machine, token| machine.orders(Some((1, 2)), true, token, 0).len();
+    assert_eq!(forgets(&mut machine, TOKEN + 1), 0, "its answer is under way");
+    machine.direct_settled(true, TOKEN, 1);
+    assert!(machine.attempts[0].forget_waits(TOKEN));
+    assert!(machine.is_empty());
+    assert_eq!(forgets(&mut machine, TOKEN), 0);
+    assert_eq!(forgets(&mut machine, TOKEN + 1), 1);
+    machine.absorb(&report(1, 3, TOKEN + 1, Some(TaskState::Exited)), TOKEN, 0);
+    assert_eq!(forgets(&mut machine, TOKEN + 1), 1, "seen already");
+}
+
+// No worker loses a task within a session; should one, a copy may still run it there.
+#[test]
+fn what_is_lost_after_an_answered_direct_start_stays_until_no_copy_can_run_it() {
+    for (session, token, stays) in [(1, TOKEN, true), (2, TOKEN, false), (1, TOKEN + 1, false)] {
+        let mut machine = machine(|attempt| attempt.in_flight = true);
+        machine.absorb(&report(1, 1, TOKEN, Some(TaskState::Running)), TOKEN, 0);
+        machine.direct_settled(true, TOKEN, 1);
+        machine.absorb(&report(session, 2, token, None), TOKEN, 0);
+        assert_eq!(
+            machine.tasks_there(),
+            usize::from(stays),
+            "session {session}, token {token}"
+        );
+        machine.absorb(&report(session, 3, TOKEN + 1, None), TOKEN, 0);
+        assert_eq!(machine.tasks_there(), 0);
+    }
+}
+
+// The result would be lost with a leader that has not recorded it.
+#[test]
+fn a_result_is_not_forgotten_before_it_is_recorded() {
+    let mut machine = machine(|_| ());
+    machine.absorb(&report(1, 1, TOKEN, Some(TaskState::Exited)), TOKEN, 0);
+    assert_eq!(verbs(&mut machine, Some((1, 1))), []);
+    machine.attempts[0].closed = true;
+    assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Forget]);
+    assert_eq!(
+        verbs(&mut machine, None),
+        [],
+        "never by a direct command, which may be late"
+    );
+}
+
+#[test]
+fn a_start_that_never_arrived_is_sent_again() {
+    let mut machine = machine(|_| ());
+    machine.absorb(&report(1, 1, TOKEN, None), TOKEN, 0);
+    assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Start]);
+    assert_eq!(verbs(&mut machine, None), [], "it is on its way");
+    machine.absorb(&report(1, 2, TOKEN, None), TOKEN, 0);
+    assert_eq!(verbs(&mut machine, Some((1, 2))), [Verb::Start]);
+}
+
+#[test]
+fn the_record_names_all_that_may_be_there() {
+    let mut machine = machine(|attempt| attempt.durable = false);
+    assert_eq!(machine.record(|_| true).starts.len(), 1);
+    machine.attempts[0].seen = Some(TaskState::Exited);
+    assert_eq!(machine.record(|_| true).starts.len(), 0);
+    machine.attempts[0].pin = Some(Pin {
+        session: 1,
+        token: TOKEN,
+    });
+    assert_eq!(machine.record(|_| true).starts.len(), 1);
+}
+
+#[test]
+fn strangers_are_stopped() {
+    let mut machine = machine(|_| ());
+    machine.attempts.clear();
+    machine.absorb(&report(1, 1, TOKEN, Some(TaskState::Running)), TOKEN, 0);
+    assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Stop]);
+}
+
+fn seat() -> Demand {
+    Demand::new(&[("seat".to_owned(), 1)].into()).unwrap()
+}
+
+/// What became of units in these changes: whether each linger.
+fn freed(changes: Vec<Change>) -> Vec<bool> {
+    let freed = changes.into_iter().filter_map(|change| match change {
+        Change::Freed { lingers, .. } => Some(lingers),
+        _ => None,
+    });
+    freed.collect()
+}
+
+#[test]
+fn units_come_back_at_once_only_from_what_says_it_is_done() {
+    let done = |why| {
+        let mut machine = machine(|attempt| attempt.counts = seat());
+        machine.orders(Some((1, 0)), true, TOKEN, 0);
+        let mut exit = report(1, 1, TOKEN, Some(TaskState::Exited));
+        exit.tasks[0].why = Some(why);
+        freed(machine.absorb(&exit, TOKEN, 0).unwrap())
+    };
+    assert_eq!(done(Cause::Done), [false]);
+    assert_eq!(done(Cause::NoRoom), [false], "it was never let in");
+    for why in [
+        Cause::Stopped,
+        Cause::Error,
+        Cause::Alone,
+        Cause::Peers,
+        Cause::Other,
+    ] {
+        assert_eq!(done(why), [true], "{why:?}");
+    }
+    let mut machine = machine(|attempt| attempt.counts = seat());
+    assert_eq!(freed(machine.clear()), [false], "nothing was ever sent");
+    let mut machine = self::machine(|attempt| {
+        attempt.counts = seat();
+        attempt.inherited = true;
+    });
+    assert_eq!(freed(machine.clear()), [true], "a former leader may have sent it");
+}
+
+// Nobody saw it run: its start went unanswered, and the session in which it may have
+// run ended. Its pin was gone by the time the ledger asked whether it had been sent.
+#[test]
+fn units_of_a_start_that_may_have_run_in_a_session_before_linger() {
+    let mut machine = machine(|attempt| attempt.counts = seat());
+    machine.absorb(&report(1, 1, TOKEN, None), TOKEN, 0);
+    assert_eq!(verbs(&mut machine, None), [Verb::Start]);
+    machine.direct_unanswered(TOKEN, 1);
+    let changes = machine.absorb(&report(2, 1, TOKEN, None), TOKEN, 0).unwrap();
+    assert_eq!(freed(changes), [true]);
+    assert_eq!(verbs(&mut machine, None), [Verb::Start], "and it is sent again");
+    // The answer of an earlier session arrives after a report of a later one.
+    machine.absorb(&report(3, 1, TOKEN, None), TOKEN, 0);
+    machine.direct_settled(true, TOKEN, 2);
+    let changes = machine.absorb(&report(3, 2, TOKEN, None), TOKEN, 0).unwrap();
+    assert_eq!(freed(changes), [true]);
+}
