A stop goes with every answer to a report until its task has heard it

Each answer renews the lease of all that is on its machine, but left a stop out that any message had carried within the last three seconds. Where direct commands to a machine are lost, the one sent every three seconds kept it out of every answer, and a cancelled task ran on for as long as that went on. Now only a task that saves, as it was told, is spared a second stop; direct commands are spaced as before. `Machine::stops` gives the same stops for the answer to a report that a newer message has overtaken.

Before: the second of two answers 10 ms apart had no stop (unit test); after: it has.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -202,6 +202,38 @@
         self.exited() && self.closed && self.pin.is_none() && !self.in_flight
     }
 
+    fn order(&self, verb: Verb, grace_s: Option<f64>) -> Order {
+        Order {
+            verb,
+            task: self.task.to_string(),
+            attempt: self.number,
+            grace_s,
+        }
+    }
+
+    /// Its stop, if it is to be sent now: directly at intervals, and with every answer to a report,
+    /// as each renews the lease of all that is there. Were one left out because a direct command has
+    /// just carried it, a machine to which those are lost would never hear it.
+    fn stop_order(&mut self, answers: bool, now: Millis) -> Option<Order> {
+        let state = self.seen.filter(|state| *state != TaskState::Exited)?;
+        let stop = self.stop.as_mut()?;
+        // A save that takes longer than was granted is ended.
+        let overdue = now >= stop.asked_at + (stop.grace_s * SECOND_MS as f64) as u64 + STOP_REPEAT_MS;
+        let grace_s = if stop.ordered_at.is_some() && overdue {
+            0.0
+        } else {
+            stop.grace_s
+        };
+        // A task that saves has heard it.
+        let heard = state == TaskState::Saving && grace_s > 0.0;
+        let repeated = stop.ordered_at.is_none_or(|at| now >= at + STOP_REPEAT_MS);
+        if !repeated && (!answers || heard) {
+            return None;
+        }
+        stop.ordered_at = Some(now);
+        Some(self.order(Verb::Stop, Some(grace_s)))
+    }
+
     fn matches(&self, task: &TaskId, number: u64) -> bool {
         self.number == number && self.task == *task
     }
@@ -641,30 +673,12 @@
     ) -> Vec<Order> {
         let mut orders = Vec::new();
         for attempt in &mut self.attempts {
-            let order = |verb, grace_s| Order {
-                verb,
-                task: attempt.task.to_string(),
-                attempt: attempt.number,
-                grace_s,
-            };
             if attempt.exited() {
                 if answering.is_some() && attempt.forgettable() && !attempt.forget_waits(token) {
-                    orders.push(order(Verb::Forget, None));
-                }
-            } else if let Some(stop) = &mut attempt.stop {
-                let due = stop.ordered_at.is_none_or(|at| now >= at + STOP_REPEAT_MS);
-                if attempt.seen.is_some() && due {
-                    // A save that takes longer than was granted is ended.
-                    let overdue =
-                        now >= stop.asked_at + (stop.grace_s * SECOND_MS as f64) as u64 + STOP_REPEAT_MS;
-                    let grace_s = if stop.ordered_at.is_some() && overdue {
-                        0.0
-                    } else {
-                        stop.grace_s
-                    };
-                    orders.push(order(Verb::Stop, Some(grace_s)));
-                    stop.ordered_at = Some(now);
+                    orders.push(attempt.order(Verb::Forget, None));
                 }
+            } else if attempt.stop.is_some() {
+                orders.extend(attempt.stop_order(answering.is_some(), now));
             } else if starts
                 && attempt.durable
                 && attempt.seen.is_none()
@@ -672,7 +686,7 @@
                 && !attempt.inherited
                 && attempt.sent.is_none()
             {
-                orders.push(order(Verb::Start, None));
+                orders.push(attempt.order(Verb::Start, None));
                 match answering {
                     Some(at) => attempt.sent = Some(at),
                     None => attempt.in_flight = true,
@@ -682,6 +696,15 @@
         orders
     }
 
+    /// The stops that go with every answer to a report, also to one that a newer message has
+    /// overtaken: nothing else may follow from what that one says, but its answer renews the lease.
+    pub fn stops(&mut self, now: Millis) -> Vec<Order> {
+        let stopped = self.attempts.iter_mut();
+        stopped
+            .filter_map(|attempt| attempt.stop_order(true, now))
+            .collect()
+    }
+
     /// Whether a direct command is due and could be carried out.
     pub fn direct_due(&self, starts: bool, now: Millis) -> bool {
         self.can_be_told() && self.synced && self.wants_direct(starts, now)
--- a/crates/core/src/ledger/tests.rs
+++ b/crates/core/src/ledger/tests.rs
@@ -228,6 +228,34 @@
     assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Stop]);
 }
 
+// Each answer renews the lease of what it leaves running.
+#[test]
+fn a_stop_is_in_every_answer_until_the_task_has_heard_it() {
+    let mut machine = machine(|attempt| attempt.stop = Some(Stop::asked(4.0, 0)));
+    let stops = |machine: &mut Machine, answering, now| -> Vec<f64> {
+        let orders = machine.orders(answering, true, TOKEN, now);
+        let stops = orders.into_iter().filter(|order| order.verb == Verb::Stop);
+        stops.filter_map(|order| order.grace_s).collect()
+    };
+    machine.absorb(&report(1, 1, TOKEN, Some(TaskState::Running)), TOKEN, 0);
+    assert_eq!(stops(&mut machine, None, 0), [4.0]);
+    assert_eq!(
+        stops(&mut machine, None, 10),
+        [0.0; 0],
+        "directly at intervals only"
+    );
+    assert_eq!(stops(&mut machine, Some((1, 1)), 20), [4.0]);
+    machine.absorb(&report(1, 2, TOKEN, Some(TaskState::Running)), TOKEN, 0);
+    assert_eq!(stops(&mut machine, Some((1, 2)), 30), [4.0]);
+    machine.absorb(&report(1, 3, TOKEN, Some(TaskState::Saving)), TOKEN, 0);
+    assert_eq!(stops(&mut machine, Some((1, 3)), 40), [0.0; 0], "it saves");
+    // Its job is over: what it saves is of no use.
+    machine.attempts[0].stop = Some(Stop::asked(0.0, 50));
+    assert_eq!(stops(&mut machine, Some((1, 3)), 50), [0.0]);
+    assert_eq!(stops(&mut machine, Some((1, 3)), 60), [0.0]);
+    assert_eq!(machine.stops(70).len(), 1, "also to a report that was overtaken");
+}
+
 fn seat() -> Demand {
     Demand::new(&[("seat".to_owned(), 1)].into()).unwrap()
 }
