Users of ended jobs hear of them from a slow state service, and a cut node sends its users away

A poll has 1.5 s for its calls. Of a job that is over and that the node does not remember, two are needed, one after the other: where the state service took 0.8 s for each, every such poll failed for as long as that lasted, while those of live jobs, which need one, were answered. Now a node remembers which ends it could not read in time, and reads those first. That a job is absent is still said only once it was found not live and, after that, not ended. Submissions and withdrawals, whose users wait for 5 s, have 4 s for their later calls instead of 1.5 s in all.

A node that lost the state service and its siblings stayed healthy, as in an outage: it could not hear that its siblings were served. The load balancer prefers the node with the fewest connections, so users went to it and none of their polls was answered. It hears its siblings in an outage, so now a node that neither reaches is not healthy.

The tests of users.rs move to a file of their own, unchanged.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -58,6 +58,10 @@
 /// user gives up after 2 s (poll) or 5 s (submission): a refusal must come sooner.
 pub const USER_STATE_TIMEOUT_MS: u64 = 1_500;
 
+/// Time, in ms since its request came, that a submission or withdrawal has for its second call to
+/// the state service and those after it. Its user waits for 5 s.
+pub const USER_ACT_TIMEOUT_MS: u64 = 4_000;
+
 /// Timeout, in ms, of the leader's own transactions and reads.
 pub const STATE_TIMEOUT_MS: u64 = 2_000;
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -347,14 +347,17 @@
         }
     }
 
-    /// Not healthy while the state service fails this node but not its siblings:
-    /// they can serve the users that it can only send away.
+    /// Not healthy while the state service fails this node but not its siblings: they can serve
+    /// the users that it can only send away. A node that hears none of them either may be cut
+    /// off, where they are served; in an outage it would hear that they are not. Its users would
+    /// get no answer for as long as that lasts, and those of the others would.
     fn health(&mut self, request: RequestId) {
         let failing = self
             .state_failed_at
             .is_some_and(|since| self.io.now >= since + STATE_BAD_MS);
         let others_fine = self.fresh().any(|beat| beat.state_ok);
-        if failing && others_fine {
+        let cut_off = self.fresh().next().is_none() && !self.siblings.is_empty();
+        if failing && (others_fine || cut_off) {
             self.io.reply_error(request, 503, "no state service here");
         } else if self.type_list.is_empty() {
             self.io.reply_error(request, 503, "starting");
@@ -765,3 +768,6 @@
     ];
     amounts.iter().all(|amount| amount.is_finite() && *amount >= 0.0)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -104,6 +104,10 @@
     since: Millis,
     /// Rounds of reading again because another node changed the job meanwhile.
     rounds: u32,
+    /// Calls made for it so far.
+    calls: u32,
+    /// Its job was not live when its record was last asked for.
+    not_live: bool,
     /// What is to be recorded of its end.
     end: Option<EndedRecord>,
 }
@@ -126,6 +130,10 @@
     ended_order: VecDeque<JobId>,
     /// Versions of live jobs' records as last seen, and whose the jobs are.
     live: HashMap<JobId, (u64, Team)>,
+    /// Jobs that were live no longer when the answer about their end came too late. Their ends are
+    /// read first the next time: where the state service answers slowly, there is time for one call
+    /// and not for two, and such a job's user would hear nothing while users of live jobs do.
+    perhaps_over: HashSet<JobId>,
     /// Submissions and withdrawals, in the teams' turns.
     acts: FairQueue<Queued>,
     /// Polls of jobs that this node does not know to be live.
@@ -158,6 +166,7 @@
             ended: HashMap::new(),
             ended_order: VecDeque::new(),
             live: HashMap::new(),
+            perhaps_over: HashSet::new(),
             acts: FairQueue::new(MAX_WAITING_REQUESTS),
             looks: FairQueue::new(MAX_WAITING_REQUESTS),
             polls: FairQueue::new(MAX_WAITING_REQUESTS),
@@ -256,7 +265,7 @@
             let first = if matches!(queued.wish, Wish::Submit(_)) {
                 UserCall::Create
             } else {
-                UserCall::ReadLive
+                self.first_read(&queued.job)
             };
             self.go(queued, first, io);
         }
@@ -267,7 +276,16 @@
             let Some((_, queued)) = self.looks.pop() else {
                 break;
             };
-            self.go(queued, UserCall::ReadLive, io);
+            let first = self.first_read(&queued.job);
+            self.go(queued, first, io);
+        }
+    }
+
+    fn first_read(&self, job: &JobId) -> UserCall {
+        if self.perhaps_over.contains(job) {
+            UserCall::ReadEnded
+        } else {
+            UserCall::ReadLive
         }
     }
 
@@ -285,6 +303,8 @@
                 wish,
                 since,
                 rounds: 0,
+                calls: 0,
+                not_live: false,
                 end: None,
             },
         );
@@ -454,13 +474,18 @@
 
     /// Sends the next call for a request.
     fn step(&mut self, request: RequestId, call: UserCall, version: u64, io: &mut Io) {
-        let Some(waiting) = self.waiting.get(&request) else {
+        let Some(waiting) = self.waiting.get_mut(&request) else {
             return;
         };
+        waiting.calls += 1;
+        // Whoever polls waits for 2 s; others wait longer, and need more than one call.
+        let within = match waiting.wish {
+            Wish::Poll => USER_STATE_TIMEOUT_MS,
+            _ if waiting.calls == 1 => USER_STATE_TIMEOUT_MS,
+            _ => USER_ACT_TIMEOUT_MS,
+        };
+        let left = (waiting.since + within).saturating_sub(io.now).max(1);
         let job = &waiting.job.0;
-        let left = (waiting.since + USER_STATE_TIMEOUT_MS)
-            .saturating_sub(io.now)
-            .max(1);
         let (method, path, body) = match call {
             UserCall::ReadLive => (Method::Get, paths::key(&records::job_key(job)), Vec::new()),
             UserCall::ReadEnded => (Method::Get, paths::key(&records::ended_key(job)), Vec::new()),
@@ -547,6 +572,9 @@
     ) -> Option<Done> {
         let waiting = self.waiting.get_mut(&request)?;
         let job = waiting.job.clone();
+        if call == UserCall::ReadLive {
+            waiting.not_live = outcome.status() == Some(404);
+        }
         match (call, outcome.status()) {
             (UserCall::Create, Some(200)) => {
                 let version = outcome
@@ -608,7 +636,13 @@
                     None => self.give_up(request, io),
                 }
             }
+            // Its end was read first: that it has none says nothing of when its record is read.
+            (UserCall::ReadEnded, Some(404)) if !waiting.not_live => {
+                self.perhaps_over.remove(&job);
+                self.next(request, UserCall::ReadLive, 0, io);
+            }
             (UserCall::ReadEnded, Some(404)) => {
+                self.perhaps_over.remove(&job);
                 // Neither live nor ended: never accepted, unless it was accepted
                 // between the two readings, which only its submitter could tell.
                 match &waiting.wish {
@@ -634,7 +668,15 @@
                 waiting.rounds += 1;
                 self.next(request, UserCall::ReadLive, 0, io);
             }
-            _ => self.give_up(request, io),
+            (call, _) => {
+                if call == UserCall::ReadEnded {
+                    if self.perhaps_over.len() >= LIVE_CACHE {
+                        self.perhaps_over.clear();
+                    }
+                    self.perhaps_over.insert(job);
+                }
+                self.give_up(request, io);
+            }
         }
         None
     }
@@ -648,6 +690,7 @@
     /// Final states never change, so they may be kept.
     pub fn remember(&mut self, job: JobId, ended: Over) {
         self.live.remove(&job);
+        self.perhaps_over.remove(&job);
         if self.ended.insert(job.clone(), ended).is_none() {
             self.ended_order.push_back(job);
         }
@@ -774,123 +817,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::io::Effect;
-    use crate::settings::Settings;
-
-    const JOB: &str = "wk-1";
-
-    fn settings() -> Settings {
-        Settings::parse(include_str!("../tests/support/settings.json")).unwrap()
-    }
-
-    fn io() -> Io {
-        Io::new(&settings(), 1, 1_000, 0)
-    }
-
-    fn answer(status: u16, body: serde_json::Value) -> Outcome {
-        Outcome::Answer {
-            status,
-            body: body.to_string().into_bytes(),
-        }
-    }
-
-    /// The last reply's body.
-    fn told(io: &mut Io) -> serde_json::Value {
-        let replies = std::mem::take(&mut io.effects);
-        let body = replies.into_iter().rev().find_map(|effect| match effect {
-            Effect::Reply { body, .. } => Some(body),
-            _ => None,
-        });
-        serde_json::from_slice(&body.expect("a reply")).unwrap()
-    }
-
-    /// The body of the one call made, and its number.
-    fn comparison(io: &mut Io) -> (serde_json::Value, CallId) {
-        let mut calls = std::mem::take(&mut io.effects)
-            .into_iter()
-            .filter_map(|effect| match effect {
-                Effect::Call { call, body, .. } => Some((call, body)),
-                _ => None,
-            });
-        let (call, body) = calls.next().expect("a call");
-        assert!(calls.next().is_none());
-        let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
-        (body, call)
-    }
-
-    /// A node that has seen the job live and has a poll for it gathered.
-    fn polled(io: &mut Io) -> Users {
-        let mut users = Users::new(&settings(), 0);
-        let job = JobId(std::sync::Arc::from(JOB));
-        users.saw_live(&job, 7, Team::named("red"));
-        users.begin(RequestId(1), job, Wish::Poll, io);
-        assert!(io.effects.is_empty());
-        users
-    }
-
-    fn cancel(users: &mut Users) {
-        let ended = Over {
-            end: Ending::Cancelled,
-            tasks: 0,
-            team: None,
-        };
-        users.remember(JobId(std::sync::Arc::from(JOB)), ended);
-    }
-
-    #[test]
-    fn gathered_polls_are_answered_by_one_comparison() {
-        let mut io = io();
-        let mut users = polled(&mut io);
-        users.begin(
-            RequestId(2),
-            JobId(std::sync::Arc::from(JOB)),
-            Wish::Poll,
-            &mut io,
-        );
-        io.now += POLL_GATHER_MS;
-        users.settle(48, &mut io);
-        let (body, comparison) = comparison(&mut io);
-        assert_eq!(
-            body,
-            serde_json::json!({ "If": [{ "Path": "j/wk-1", "Stamp": 7 }] })
-        );
-        let same = answer(200, serde_json::json!({ "Ledger": 9 }));
-        users.answered(comparison, &same, &Counts::new(), &mut io);
-        assert_eq!(io.effects.len(), 2);
-        assert_eq!(told(&mut io)["Status"], "pending");
-    }
-
-    // Its user was told "cancelled", then "running" by the poll that had gathered: the
-    // comparison went out without the job, which was live no longer.
-    #[test]
-    fn a_cancellation_between_poll_and_comparison_is_not_taken_back() {
-        let mut io = io();
-        let mut users = polled(&mut io);
-        cancel(&mut users);
-        io.now += POLL_GATHER_MS;
-        users.settle(48, &mut io);
-        let (body, comparison) = comparison(&mut io);
-        assert_eq!(body["If"][0]["Stamp"], 7, "the job is compared all the same");
-        let same = answer(200, serde_json::json!({ "Ledger": 9 }));
-        users.answered(comparison, &same, &Counts::new(), &mut io);
-        assert_eq!(told(&mut io)["Status"], "cancelled");
-    }
-
-    #[test]
-    fn a_job_that_is_over_elsewhere_is_read_again() {
-        let mut io = io();
-        let mut users = polled(&mut io);
-        io.now += POLL_GATHER_MS;
-        users.settle(48, &mut io);
-        let (_, comparison) = comparison(&mut io);
-        let failed = answer(409, serde_json::json!({ "failed": ["j/wk-1"], "Ledger": 9 }));
-        users.answered(comparison, &failed, &Counts::new(), &mut io);
-        let path = io.effects.iter().find_map(|effect| match effect {
-            Effect::Call { path, .. } => Some(path.clone()),
-            _ => None,
-        });
-        assert_eq!(path.as_deref(), Some("/store/j/wk-1"));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/core/src/users/tests.rs
@@ -0,0 +1,219 @@
+use super::*;
+use crate::io::Effect;
+use crate::settings::Settings;
+
+const JOB: &str = "wk-1";
+
+fn settings() -> Settings {
+    Settings::parse(include_str!("../../tests/support/settings.json")).unwrap()
+}
+
+fn io() -> Io {
+    Io::new(&settings(), 1, 1_000, 0)
+}
+
+fn answer(status: u16, body: serde_json::Value) -> Outcome {
+    Outcome::Answer {
+        status,
+        body: body.to_string().into_bytes(),
+    }
+}
+
+/// The last reply's body.
+fn told(io: &mut Io) -> serde_json::Value {
+    let replies = std::mem::take(&mut io.effects);
+    let body = replies.into_iter().rev().find_map(|effect| match effect {
+        Effect::Reply { body, .. } => Some(body),
+        _ => None,
+    });
+    serde_json::from_slice(&body.expect("a reply")).unwrap()
+}
+
+/// The body of the one call made, and its number.
+fn comparison(io: &mut Io) -> (serde_json::Value, CallId) {
+    let mut calls = std::mem::take(&mut io.effects)
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::Call { call, body, .. } => Some((call, body)),
+            _ => None,
+        });
+    let (call, body) = calls.next().expect("a call");
+    assert!(calls.next().is_none());
+    let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    (body, call)
+}
+
+/// A node that has seen the job live and has a poll for it gathered.
+fn polled(io: &mut Io) -> Users {
+    let mut users = Users::new(&settings(), 0);
+    let job = JobId(std::sync::Arc::from(JOB));
+    users.saw_live(&job, 7, Team::named("red"));
+    users.begin(RequestId(1), job, Wish::Poll, io);
+    assert!(io.effects.is_empty());
+    users
+}
+
+fn cancel(users: &mut Users) {
+    let ended = Over {
+        end: Ending::Cancelled,
+        tasks: 0,
+        team: None,
+    };
+    users.remember(JobId(std::sync::Arc::from(JOB)), ended);
+}
+
+#[test]
+fn gathered_polls_are_answered_by_one_comparison() {
+    let mut io = io();
+    let mut users = polled(&mut io);
+    users.begin(
+        RequestId(2),
+        JobId(std::sync::Arc::from(JOB)),
+        Wish::Poll,
+        &mut io,
+    );
+    io.now += POLL_GATHER_MS;
+    users.settle(48, &mut io);
+    let (body, comparison) = comparison(&mut io);
+    assert_eq!(
+        body,
+        serde_json::json!({ "If": [{ "Path": "j/wk-1", "Stamp": 7 }] })
+    );
+    let same = answer(200, serde_json::json!({ "Ledger": 9 }));
+    users.answered(comparison, &same, &Counts::new(), &mut io);
+    assert_eq!(io.effects.len(), 2);
+    assert_eq!(told(&mut io)["Status"], "pending");
+}
+
+// Its user was told "cancelled", then "running" by the poll that had gathered: the
+// comparison went out without the job, which was live no longer.
+#[test]
+fn a_cancellation_between_poll_and_comparison_is_not_taken_back() {
+    let mut io = io();
+    let mut users = polled(&mut io);
+    cancel(&mut users);
+    io.now += POLL_GATHER_MS;
+    users.settle(48, &mut io);
+    let (body, comparison) = comparison(&mut io);
+    assert_eq!(body["If"][0]["Stamp"], 7, "the job is compared all the same");
+    let same = answer(200, serde_json::json!({ "Ledger": 9 }));
+    users.answered(comparison, &same, &Counts::new(), &mut io);
+    assert_eq!(told(&mut io)["Status"], "cancelled");
+}
+
+#[test]
+fn a_job_that_is_over_elsewhere_is_read_again() {
+    let mut io = io();
+    let mut users = polled(&mut io);
+    io.now += POLL_GATHER_MS;
+    users.settle(48, &mut io);
+    let (_, comparison) = comparison(&mut io);
+    let failed = answer(409, serde_json::json!({ "failed": ["j/wk-1"], "Ledger": 9 }));
+    users.answered(comparison, &failed, &Counts::new(), &mut io);
+    let path = io.effects.iter().find_map(|effect| match effect {
+        Effect::Call { path, .. } => Some(path.clone()),
+        _ => None,
+    });
+    assert_eq!(path.as_deref(), Some("/store/j/wk-1"));
+}
+
+/// Where the one call made went, its number, and how long it may take, in ms.
+fn call(io: &mut Io) -> (String, CallId, u64) {
+    let mut calls = std::mem::take(&mut io.effects)
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::Call {
+                call,
+                path,
+                timeout_ms,
+                ..
+            } => Some((path, call, timeout_ms)),
+            _ => None,
+        });
+    let one = calls.next().expect("a call");
+    assert!(calls.next().is_none());
+    one
+}
+
+fn poll(users: &mut Users, request: u64, io: &mut Io) {
+    // Which jobs there are is read beside it, and is not looked at here.
+    users.reading = Reading::Over;
+    let job = JobId(std::sync::Arc::from(JOB));
+    users.begin(RequestId(request), job, Wish::Poll, io);
+}
+
+fn status(io: &mut Io) -> u16 {
+    let effects = std::mem::take(&mut io.effects);
+    let mut statuses = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Reply { status, .. } => Some(status),
+        _ => None,
+    });
+    let status = statuses.next().expect("a reply");
+    assert!(statuses.next().is_none());
+    status
+}
+
+fn absent() -> Outcome {
+    answer(404, serde_json::json!({ "Ledger": 9 }))
+}
+
+/// A node that knows nothing of the job, and whose reading of its end took too long.
+fn asked_too_slowly(io: &mut Io) -> Users {
+    let mut users = Users::new(&settings(), 0);
+    poll(&mut users, 1, io);
+    let (path, live, _) = call(io);
+    assert_eq!(path, "/store/j/wk-1");
+    io.now += 900;
+    users.answered(live, &absent(), &Counts::new(), io);
+    let (path, ended, left) = call(io);
+    assert_eq!((&*path, left), ("/store/e/wk-1", USER_STATE_TIMEOUT_MS - 900));
+    users.answered(ended, &Outcome::NoAnswer, &Counts::new(), io);
+    assert_eq!(status(io), 503);
+    users
+}
+
+// The state service took 0.9 s for each answer: there was time for one reading and not for two, and
+// every poll of a job that was over failed, while those of live jobs were answered.
+#[test]
+fn an_end_that_was_read_too_slowly_is_read_first_the_next_time() {
+    let mut io = io();
+    let mut users = asked_too_slowly(&mut io);
+    poll(&mut users, 2, &mut io);
+    let (path, ended, left) = call(&mut io);
+    assert_eq!((&*path, left), ("/store/e/wk-1", USER_STATE_TIMEOUT_MS));
+    let record = serde_json::json!({ "Path": "e/wk-1", "V": { "end": "done", "tasks": 2 }, "Stamp": 8 });
+    users.answered(ended, &answer(200, record), &Counts::new(), &mut io);
+    assert_eq!(told(&mut io)["Status"], "done");
+}
+
+// It may have ended between the two readings: only live and then ended tell that it was never there.
+#[test]
+fn a_job_is_absent_only_if_its_end_is_read_last() {
+    let mut io = io();
+    let mut users = asked_too_slowly(&mut io);
+    poll(&mut users, 2, &mut io);
+    for expected in ["/store/e/wk-1", "/store/j/wk-1", "/store/e/wk-1"] {
+        let (path, call, _) = call(&mut io);
+        assert_eq!(path, expected);
+        users.answered(call, &absent(), &Counts::new(), &mut io);
+    }
+    assert_eq!(status(&mut io), 404);
+    // That it was thought to be over is forgotten.
+    poll(&mut users, 3, &mut io);
+    assert_eq!(call(&mut io).0, "/store/j/wk-1");
+}
+
+#[test]
+fn a_withdrawal_has_time_for_its_second_call() {
+    let mut io = io();
+    let mut users = Users::new(&settings(), 0);
+    let job = JobId(std::sync::Arc::from(JOB));
+    users.begin(RequestId(1), job, Wish::Cancel, &mut io);
+    let (path, live, left) = call(&mut io);
+    assert_eq!((&*path, left), ("/store/j/wk-1", USER_STATE_TIMEOUT_MS));
+    io.now += 1_400;
+    let record = serde_json::json!({ "Path": "j/wk-1", "V": {}, "Stamp": 7 });
+    users.answered(live, &answer(200, record), &Counts::new(), &mut io);
+    let (path, _, left) = call(&mut io);
+    assert_eq!((&*path, left), ("/multi", USER_ACT_TIMEOUT_MS - 1_400));
+}
