--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -26,7 +26,7 @@
         sent: Millis,
     },
     Release,
-    /// The lease of a former life of this node, which is over.
+    /// A lease of this node under which nobody acts.
     ReleaseFormer,
 }
 
@@ -262,7 +262,7 @@
             self.revision = item.version;
             self.learn(&item.value, item.version);
             let first = !std::mem::replace(&mut self.has_read, true);
-            match item.lease.filter(|_| first && self.was_former_life(&item.value)) {
+            match item.lease.filter(|_| self.nobody_acts_on(&item.value, first)) {
                 Some(lease) => self.release_former(lease, io),
                 None => {
                     self.next = Next::Watch;
@@ -294,20 +294,22 @@
         }
     }
 
-    /// The key, as read, is that of this node in a life before. That life is over: a node is
-    /// one process, and this is it.
-    fn was_former_life(&self, value: &serde_json::Value) -> bool {
+    /// The key, as read by a node that does not lead, is its own. Either a life before claimed it: that
+    /// one is over, as a node is one process, and this is it. Or this life did, and nobody told it:
+    /// the answer was lost, or the claim carried out after it was given up. Only the first reading
+    /// judges another life: two processes that bear one name, against the rules, would else depose
+    /// each other for ever.
+    fn nobody_acts_on(&self, value: &serde_json::Value, first: bool) -> bool {
         LeaderRecord::from_value(value)
-            .is_ok_and(|record| record.node == self.node && record.incarnation != self.incarnation)
+            .is_ok_and(|record| record.node == self.node && (first || record.incarnation == self.incarnation))
     }
 
-    /// Nobody needs to wait for the lease of a life that is over. Whatever of it is still under
-    /// way is refused as after any other take-over: its transactions and its claim by the key's
-    /// version and the lease, its commands by the next token, its calls to the cloud by their
-    /// records. Only the first reading does so: two processes that bear one name, against the
-    /// rules, would else depose each other for ever.
+    /// Nobody needs to wait for a lease under which nobody acts any more. Whatever of its term is
+    /// still under way is refused as after any other take-over: its transactions and its claim by the
+    /// key's version and the lease, its commands by the next token, its calls to the cloud by their
+    /// records.
     fn release_former(&mut self, lease: u64, io: &mut Io) {
-        log::info!("this node led in a life before: that lease is released");
+        log::info!("this node holds the leader's key and does not lead: its lease is released");
         self.busy = true;
         let call = io.state_call(Method::Delete, paths::lease(lease), Vec::new(), STATE_TIMEOUT_MS);
         self.calls.expect(call, Step::ReleaseFormer);
