--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -42,6 +42,11 @@
 /// How long a node that handed leadership over leaves it to others, in ms.
 pub const ABSTAIN_MS: u64 = 20_000;
 
+/// How long, in ms, nobody may have led before a node that abstains claims all the same: whoever
+/// else can claim does so within a few ways through the network and [`CLAIM_JITTER_MS`], or comes
+/// back within a second. A leader that hears few workers is better than none, which hears nobody.
+pub const ABSTAIN_VACANT_MS: u64 = 3_000;
+
 /// Longest hold, in ms, of a watch on the state service; bounds how long a watch
 /// lost to a silent cut can hide changes.
 pub const WATCH_HOLD_MS: u64 = 4_000;
@@ -65,6 +70,10 @@
 /// user gives up after 2 s (poll) or 5 s (submission): a refusal must come sooner.
 pub const USER_STATE_TIMEOUT_MS: u64 = 1_500;
 
+/// Time, in ms since its request came, that a submission or withdrawal has for its second call to
+/// the state service and those after it. Its user waits for 5 s.
+pub const USER_ACT_TIMEOUT_MS: u64 = 4_000;
+
 /// Timeout, in ms, of the leader's own transactions and reads.
 pub const STATE_TIMEOUT_MS: u64 = 2_000;
 
