The scenario world knows late writes, late reports, deaf machines, cut-off nodes and a slow state service

Scenarios could delay single transactions and copy all messages of a kind, but not befall a share of them for a while; a node could be cut from siblings only with a heal of all cuts; and what a repeated submission or an operator's probe said of a job was not held against what its user was told before.

The first word "cancelled" counts from any node and on any route, probes included.

--- a/crates/sim/src/oracles.rs
+++ b/crates/sim/src/oracles.rs
@@ -38,6 +38,7 @@
             controller.node.is_none() || now < controller.frozen_until.max(controller.stalls_until)
         };
         self.state.outage
+            || self.nodes_troubled()
             || self.refused.values().any(|until| now < *until)
             || self.cuts.iter().any(cut)
             || (0..NODES).any(away)
@@ -83,6 +84,7 @@
         self.heal();
         self.refused.clear();
         self.mishaps.clear();
+        self.troubles.clear();
         self.walk = None;
         for controller in &mut self.nodes {
             controller.frozen_until = controller.frozen_until.min(self.now);
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -18,6 +18,22 @@
 //! service, before or after it is carried out: a lease is asked for, the leader's key claimed, the lease
 //! extended, a page of the records read. Several of them happen one after the other, and each must.
 //!
+//! Troubles that last `for=60` seconds, each with a share of all messages where it says so:
+//!
+//! - `late-writes share=0.3 for=60`: transactions get no answer and are carried out 2 to 12 s later,
+//!   after newer ones of the same controller.
+//! - `late-reports share=0.3 for=60`: a copy of a worker's report arrives at the same node again, 2 s
+//!   to a lease and a half later, whatever the worker's session and whoever that node then is.
+//! - `deaf MACHINE|share=0.3|zone=east for=60`: nothing reaches these machines, neither answers to
+//!   their reports nor direct commands; their reports arrive. A share is of the machines there are.
+//! - `cut-off NODE for=20`: the node has neither the state service, which refuses it (with `silent`, is
+//!   silent), nor its siblings; workers and users reach it.
+//! - `slow-state times=25 share=0.02 for=60`: calls to the state service are carried out, or answered,
+//!   that many times slower, or up to twice as much.
+//!
+//! `withdraw JOB node=n1` asks that node for a job's end, at once; its user repeats it as any other, at
+//! one node after the other, and goes on asking. `ask JOB node=n1` asks a node about a job.
+//!
 //! `weights off` chooses places without the measure of models' weights.
 //!
 //! With `shared-fetches`, images that a machine fetches at one time share its rate.
@@ -27,15 +43,15 @@
 //! node after the other, until it is answered.
 
 use crate::world::{
-    Copies, Cut, Deviation, EndOn, Event, JobFacts, Mishap, NODES, RESTART_MS, Sent, Stage, UserKind, Walk,
-    World,
+    Copies, Cut, Deviation, EndOn, Event, JobFacts, Mishap, NODES, RESTART_MS, Sent, Stage, Trouble,
+    UserKind, Walk, World,
 };
 use indigopath_condor::{Bundle, CondorSettings, Declared};
 use indigopath_core::settings::Operator;
 use indigopath_core::wire::TaskState;
 use indigopath_counts::Definition;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -458,6 +474,58 @@
             let facts = world.jobs.get_mut(arg(1)?).ok_or("no such job")?;
             facts.wants_cancel = true;
             facts.withdrawn_at.get_or_insert(now);
+            if let Some(node) = keyed.get("node") {
+                let job = arg(1)?.to_owned();
+                for node in nodes_named(world, node)? {
+                    let kind = UserKind::Cancel;
+                    let event = Event::User {
+                        node,
+                        job: job.clone(),
+                        kind,
+                    };
+                    world.send("users", &format!("n{node}"), event);
+                }
+            }
+        }
+        "ask" => {
+            let job = arg(1)?.to_owned();
+            for node in nodes_named(world, keyed.get("node").copied().unwrap_or("all"))? {
+                let kind = UserKind::Poll;
+                let event = Event::User {
+                    node,
+                    job: job.clone(),
+                    kind,
+                };
+                world.send("users", &format!("n{node}"), event);
+            }
+        }
+        "late-writes" | "late-reports" | "slow-state" | "deaf" | "cut-off" => {
+            let until = world.now + for_ms.ok_or("for how long")?;
+            let share = keyed.get("share").map_or(Ok(0.0), |share| number(share))?;
+            if arg(0)? == "cut-off" {
+                for node in nodes_named(world, arg(1)?)? {
+                    let silent = plain.contains(&"silent");
+                    world.troubles.push((until, Trouble::CutOff { node, silent }));
+                }
+                return Ok(());
+            }
+            let trouble = match arg(0)? {
+                "late-writes" => Trouble::LateWrites { share },
+                "late-reports" => Trouble::LateReports { share },
+                "slow-state" => Trouble::SlowState {
+                    share,
+                    times: number(keyed.get("times").ok_or("how many times")?)?,
+                },
+                _ => {
+                    let named = plain.get(1).map(|name| machine_named(world, name)).transpose()?;
+                    let mut machines: BTreeSet<String> = named.into_iter().collect();
+                    let ids: Vec<String> = world.workers.keys().cloned().collect();
+                    machines.extend(ids.into_iter().filter(|_| world.draw() < share));
+                    let zone = keyed.get("zone").map(|zone| (*zone).to_owned());
+                    Trouble::Deaf { machines, zone }
+                }
+            };
+            world.troubles.push((until, trouble));
         }
         // Submissions of one team, so many a second, whose users neither come again nor ask.
         "flood" => {
@@ -772,6 +840,8 @@
         ["late", "permits", sign, want] => compare(f64::from(world.late_permits), sign, want),
         // Messages that were delivered once more.
         ["copies", sign, want] => compare(f64::from(world.copied), sign, want),
+        // Messages that troubles befell.
+        ["troubled", sign, want] => compare(f64::from(world.troubled), sign, want),
         // Acts of replaced leaders at the cloud of which no record told.
         ["unknown", "acts", sign, want] => compare(f64::from(world.unknown_acts), sign, want),
         // Fetches that machines began.
@@ -933,7 +1003,7 @@
             compare(on.count() as f64, sign, want)
         }
         [id, "zones", sign, want] => {
-            let zones: std::collections::BTreeSet<&str> = world
+            let zones: BTreeSet<&str> = world
                 .on_machines()
                 .filter(|(_, task)| task.job == *id)
                 .map(|(worker, _)| worker.zone.as_str())
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -213,6 +213,29 @@
     Hold,
 }
 
+/// A trouble that lasts for a while, and befalls a share of all messages of its kind.
+#[derive(Debug, Clone)]
+pub(crate) enum Trouble {
+    /// That share of transactions is carried out late, after newer ones, and nobody hears the answer.
+    LateWrites { share: f64 },
+    /// Of that share of the workers' reports a copy arrives late.
+    LateReports { share: f64 },
+    /// That share of calls to the state service is answered so many times slower.
+    SlowState { share: f64, times: f64 },
+    /// Nothing reaches these machines; what they send arrives.
+    Deaf {
+        machines: BTreeSet<String>,
+        zone: Option<String>,
+    },
+    /// A node has neither the state service nor its siblings. The service refuses it, or is silent.
+    CutOff { node: usize, silent: bool },
+}
+
+/// How late late transactions are carried out and late reports arrive, in ms: the platform's own
+/// bounds, "well over a lease" being one and a half.
+const LATE_WRITE_MS: (f64, f64) = (2_000.0, 12_000.0);
+const LATE_REPORT_MS: (f64, f64) = (2_000.0, 45_000.0);
+
 /// What the next matching messages suffer.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum Mishap {
@@ -318,6 +341,12 @@
     pub(crate) held: Vec<Event>,
     pub(crate) mishaps: Vec<Mishap>,
     pub(crate) copies: Vec<Copies>,
+    /// Troubles, and until when they last.
+    pub(crate) troubles: Vec<(u64, Trouble)>,
+    /// Messages that troubles befell.
+    pub(crate) troubled: u32,
+    /// Draws so far.
+    draws: u64,
     /// Copies that arrived.
     pub(crate) copied: u32,
     pub(crate) user_at: BTreeMap<String, u64>,
@@ -411,6 +440,9 @@
             held: Vec::new(),
             mishaps: Vec::new(),
             copies: Vec::new(),
+            troubles: Vec::new(),
+            troubled: 0,
+            draws: 0,
             copied: 0,
             user_at: BTreeMap::new(),
             user_turn: 0,
@@ -526,6 +558,85 @@
         }
     }
 
+    // ---- troubles that last ---------------------------------------------------
+
+    /// The next number of at least 0 and less than 1, the same in each playing (splitmix64).
+    pub(crate) fn draw(&mut self) -> f64 {
+        self.draws += 1;
+        let mut bits = self.draws.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((bits ^ (bits >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    pub(crate) fn draw_ms(&mut self, (least, most): (f64, f64)) -> u64 {
+        (least + (most - least) * self.draw()) as u64
+    }
+
+    fn lasting(&self) -> impl Iterator<Item = &Trouble> {
+        let now = self.now;
+        let lasting = self.troubles.iter().filter(move |(until, _)| now < *until);
+        lasting.map(|(_, trouble)| trouble)
+    }
+
+    /// Whether this message is one of the share that some trouble befalls.
+    fn befalls(&mut self, share: impl Fn(&Trouble) -> Option<f64>) -> bool {
+        let Some(share) = self.lasting().find_map(share) else {
+            return false;
+        };
+        let befalls = self.draw() < share;
+        self.troubled += u32::from(befalls);
+        befalls
+    }
+
+    /// By how much this call to the state service is slower, in ms.
+    fn slower(&mut self) -> u64 {
+        let slow = |trouble: &Trouble| match trouble {
+            Trouble::SlowState { share, times } => Some((*share, *times)),
+            _ => None,
+        };
+        let Some((_, times)) = self.lasting().find_map(slow) else {
+            return 0;
+        };
+        if !self.befalls(|trouble| slow(trouble).map(|(share, _)| share)) {
+            return 0;
+        }
+        let usual_ms = 2.0 * LATENCY_MS as f64;
+        self.draw_ms((usual_ms * times, 2.0 * usual_ms * times))
+    }
+
+    /// Whether a trouble swallows what one host sends another.
+    fn swallowed(&self, from: &str, to: &str) -> bool {
+        self.lasting().any(|trouble| match trouble {
+            Trouble::Deaf { machines, zone } => {
+                let of = self
+                    .workers
+                    .get(to)
+                    .is_some_and(|worker| Some(&worker.zone) == zone.as_ref());
+                of || machines.contains(to)
+            }
+            Trouble::CutOff { node, silent } => {
+                let name = format!("n{node}");
+                let other = if from == name { to } else { from };
+                (from == name || to == name) && (other.starts_with('n') || *silent && other == "state")
+            }
+            _ => false,
+        })
+    }
+
+    /// Whether the state service refuses this node alone.
+    pub(crate) fn refuses(&self, node: usize) -> bool {
+        let cut = |trouble: &Trouble| matches!(trouble, Trouble::CutOff { node: cut, .. } if *cut == node);
+        self.refused.get(&node).is_some_and(|until| self.now < *until) || self.lasting().any(cut)
+    }
+
+    /// Whether a trouble keeps nodes from the state service or from each other.
+    pub(crate) fn nodes_troubled(&self) -> bool {
+        let of_machines =
+            |trouble: &Trouble| matches!(trouble, Trouble::Deaf { .. } | Trouble::LateReports { .. });
+        self.lasting().any(|trouble| !of_machines(trouble))
+    }
+
     // ---- the network ---------------------------------------------------------
 
     fn post(&mut self, after: u64, event: Event) {
@@ -535,6 +646,10 @@
 
     /// Sends an event between two hosts, through whatever cuts there are.
     pub(crate) fn send(&mut self, from: &str, to: &str, event: Event) {
+        if self.swallowed(from, to) {
+            self.troubled += 1;
+            return;
+        }
         let matches = |pattern: &str, host: &str| {
             let in_zone = |zone: &str| self.workers.get(host).is_some_and(|worker| worker.zone == zone);
             pattern == "*"
@@ -731,6 +846,13 @@
                         body,
                     };
                     self.copy_command(node, "/v1/report", &command);
+                    if self.befalls(|trouble| match trouble {
+                        Trouble::LateReports { share } => Some(*share),
+                        _ => None,
+                    }) {
+                        let (later_ms, command) = (self.draw_ms(LATE_REPORT_MS), command.clone());
+                        self.post(later_ms, Event::Again { to: node, command });
+                    }
                     self.nodes[node].inbox.push(command);
                 } else {
                     let event = Event::ReportAnswer {
@@ -860,6 +982,7 @@
         };
         self.calls.note(kind, 1, self.now);
         let mut silent = false;
+        let mut answer_ms = 0;
         let mishap = self.mishaps.iter().position(|mishap| {
             let (Mishap::LoseAnswer { path: wanted } | Mishap::Late { path: wanted, .. }) = mishap;
             // `/multi:b/~`: only with these words in its body.
@@ -879,6 +1002,31 @@
                 }
             }
         }
+        if *to == Destination::State && !again {
+            let late = path == "/multi"
+                && self.befalls(|trouble| match trouble {
+                    Trouble::LateWrites { share } => Some(*share),
+                    _ => None,
+                });
+            let slower_ms = self.slower();
+            // A slow call may be carried out late, or answered late.
+            if late || slower_ms > 0 && self.draw() < 0.5 {
+                let after_ms = if late {
+                    self.draw_ms(LATE_WRITE_MS)
+                } else {
+                    slower_ms
+                };
+                let life = if late { 0 } else { life };
+                let call = Call {
+                    life,
+                    again: true,
+                    ..asked
+                };
+                self.post(after_ms, Event::Call(call));
+                return;
+            }
+            answer_ms = slower_ms;
+        }
         match self.deviation(to, method, path, body) {
             None => (),
             Some(Deviation::LoseAnswer) => silent = true,
@@ -918,7 +1066,7 @@
                 Some((429, json_bytes(&Value::Null)))
             }
             Destination::State => {
-                if self.state.outage || self.refused.get(&node).is_some_and(|until| self.now < *until) {
+                if self.state.outage || self.refuses(node) {
                     Some((503, json_bytes(&Value::Null)))
                 } else {
                     let (changes, now) = (self.state.changes, self.now);
@@ -998,7 +1146,11 @@
                 call,
                 outcome: Outcome::Answer { status, body },
             };
-            self.send(&from, &format!("n{node}"), answer);
+            if answer_ms > 0 {
+                self.post(answer_ms, answer);
+            } else {
+                self.send(&from, &format!("n{node}"), answer);
+            }
         }
     }
 
@@ -1129,11 +1281,7 @@
         }
         let watches = std::mem::take(&mut self.watches);
         for watch in watches {
-            if self
-                .refused
-                .get(&watch.node)
-                .is_some_and(|until| self.now < *until)
-            {
+            if self.refuses(watch.node) {
                 self.watches.push(watch);
                 continue;
             }
@@ -1431,6 +1579,12 @@
             if status != 421 {
                 self.probes.push((path, status));
             }
+            // Whatever the route, and whichever the node: the first word counts.
+            let answer: Value = serde_json::from_slice(body).unwrap_or_default();
+            let about = answer["Id"].as_str().filter(|id| self.jobs.contains_key(*id));
+            if let (200 | 201, Some(id), Some(told)) = (status, about, answer["Status"].as_str()) {
+                self.told(id, told);
+            }
             return;
         }
         if kind == UserKind::Cluster {
@@ -1459,9 +1613,15 @@
         }
         let answer: Value = serde_json::from_slice(body).unwrap();
         let told = answer["Status"].as_str().unwrap().to_owned();
+        self.jobs.get_mut(job).unwrap().known_at = Some(now);
+        self.told(job, &told);
+    }
+
+    /// A user was told of a job, by any node and on any route.
+    fn told(&mut self, job: &str, told: &str) {
+        let now = self.now;
         let facts = self.jobs.get_mut(job).unwrap();
-        facts.known_at = Some(now);
-        let before = facts.told.replace(told.clone());
+        let before = facts.told.replace(told.to_owned());
         let complete = facts.done.len() as u32 == facts.tasks && facts.shape != "daemon";
         // A submit file's jobs are taken back under their cluster's number.
         let (wanted, of_file) = (facts.wants_cancel, facts.cluster.is_some());
