--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -34,6 +34,8 @@
 //! `withdraw JOB node=n1` asks that node for a job's end, at once; its user repeats it as any other, at
 //! one node after the other, and goes on asking. `ask JOB node=n1` asks a node about a job.
 //!
+//! `of:wk-1/0` is the machine of a task; with a `?` behind it nothing happens while the task is nowhere.
+//!
 //! `weights off` chooses places without the measure of models' weights.
 //!
 //! With `shared-fetches`, images that a machine fetches at one time share its rate.
@@ -379,6 +381,7 @@
 }
 
 fn machine_named(world: &World, name: &str) -> Result<String, String> {
+    let name = name.strip_suffix('?').unwrap_or(name);
     if let Some(task) = name.strip_prefix("of:") {
         return world.machine_of(task).ok_or(format!("{task} is nowhere"));
     }
@@ -407,6 +410,12 @@
             actions.insert((world.now + ms, 100_000 + actions.len()), text.to_owned());
         }
     };
+    let nowhere = |name: &&str| name.ends_with('?') && name.starts_with("of:");
+    if let Some(name) = plain.iter().find(|name| nowhere(name))
+        && machine_named(world, name).is_err()
+    {
+        return Ok(());
+    }
     match arg(0)? {
         "submit" => {
             let id = arg(1)?;
@@ -738,7 +747,7 @@
         }
         // The task's process dies; its machine is sound.
         "kill" => {
-            let task = arg(1)?;
+            let task = arg(1)?.trim_start_matches("of:").trim_end_matches('?');
             let id = world.machine_of(task).ok_or("it is nowhere")?;
             let worker = world.workers.get_mut(&id).ok_or("no machine")?;
             let killed = worker
