A task that a former leader's record calls done is recorded once more

Its worker reports the result until there is a higher token, so a leader that ends in between leaves it to the next, which knows the task as done from the records: nothing was written, its end was never dealt with, and its machine was held, empty, until the job's other tasks were done.

--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -213,7 +213,10 @@
         };
         for index in finished {
             job.waiting.remove(&index);
-            if job.done.insert(index) {
+            // One that was done before, as a former leader's record says, is recorded once more:
+            // only that lets its worker forget it. Else its machine was never empty, and could not
+            // go back while its job's other tasks ran.
+            if job.done.insert(index) || index == task.index && !job.complete() {
                 self.writer.done(job, index, now);
             }
         }
