What an old message may prove: starts in answers, repeated attempts, leases

Found by reading, each with a test that fails without its guard:

- A start that went with a report's answer counted as never arrived once any newer message lacked it, also the answer to a question that overtook that answer.
Had the start been stopped, its task ran elsewhere while the held answer started it.
Now only the worker's own next report, or a later session, proves it: a worker has one report under way (`Machine::absorb_answer`).
- Who waited in vain for its gang joins the same attempt again, so an end under that number may be older than the record that names it.
A copy of such a report, the first that a new leader heard of the machine, let the task start elsewhere.
Now a report under a token of before this term proves neither end nor absence of a gang's recorded task, results excepted (`Attempt::repeats`).
- Each late copy of a report counted as a new lease.

--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -136,7 +136,7 @@
         } else if greeting {
             machine.greeted_at = None;
         }
-        self.absorb(&report, io);
+        self.absorb_answer(&report, io);
         None
     }
 
@@ -246,9 +246,7 @@
             Some(report) if report.token > current => {
                 return leadership.deposed("a worker has seen a newer leader");
             }
-            Some(report) => {
-                self.absorb(&report, io);
-            }
+            Some(report) => self.absorb_answer(&report, io),
             None => self.found_silent(id, io.now),
         }
         None
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -465,6 +465,7 @@
                         attempt.image_gb = job.spec.image_gb;
                         attempt.estimate_s = job.spec.estimate_s;
                         if job.spec.shape == Shape::Gang {
+                            attempt.repeats = true;
                             // Whether it has started is not recorded: the reports
                             // tell, and until then nothing joins it.
                             let gang = job.gang.get_or_insert(GangAttempt {
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -45,7 +45,7 @@
         let newest = self.absorb(report, io);
         let token = self.token();
         if let Some(machine) = self.machines.get_mut(&id) {
-            machine.answered = Some(io.now);
+            machine.note_answered(report, io.now);
             // A report overtaken by the answer to a direct command still renews
             // the lease, but no order may follow from what it says.
             let orders = if newest {
@@ -60,6 +60,20 @@
 
     /// Takes a report into the ledger; false if it is not the newest.
     pub(super) fn absorb(&mut self, report: &Report, io: &mut Io) -> bool {
+        self.take(report, Machine::absorb, io)
+    }
+
+    /// Takes what a machine answered to a command or a question.
+    pub(super) fn absorb_answer(&mut self, report: &Report, io: &mut Io) {
+        self.take(report, Machine::absorb_answer, io);
+    }
+
+    fn take(
+        &mut self,
+        report: &Report,
+        absorb: fn(&mut Machine, &Report, u64, Millis) -> Option<Vec<Change>>,
+        io: &mut Io,
+    ) -> bool {
         let id = MachineId(Arc::from(report.machine.as_str()));
         let machine = self.machines.entry(id.clone()).or_insert_with(|| {
             log::info!("machine={id} adopted from its report");
@@ -73,7 +87,7 @@
         });
         let rented_at = machine.rented_at.filter(|_| machine.heard.is_none());
         let before = machine.usability();
-        let Some(changes) = machine.absorb(report, self.first_token, io.now) else {
+        let Some(changes) = absorb(machine, report, self.first_token, io.now) else {
             return false;
         };
         // Most reports say nothing new, and call for no pass.
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -66,6 +66,9 @@
     pub inherited: bool,
     /// The report in whose answer the start was sent.
     pub sent: Option<(u64, u64)>,
+    /// A task of a gang from a former leader's record: who waited in vain joins the same attempt
+    /// again, so that an end under this number may be older than the record.
+    pub repeats: bool,
     /// A direct command with its start is under way.
     pub in_flight: bool,
     pub pin: Option<Pin>,
@@ -104,6 +107,7 @@
             durable: false,
             inherited: false,
             sent: None,
+            repeats: false,
             in_flight: false,
             pin: None,
             carried: None,
@@ -291,8 +295,10 @@
     pub synced: bool,
     /// Last message from it.
     pub heard: Option<Millis>,
-    /// Last 200 to one of its reports.
+    /// Last 200 that may have renewed its lease.
     pub answered: Option<Millis>,
+    /// Session and sequence of the newest report of its own that was answered.
+    answered_to: (u64, u64),
     pub first_known: Millis,
     /// How long before `first_known` it had been rented, in ms.
     pub age_at_first_known: u64,
@@ -345,6 +351,7 @@
             synced: false,
             heard: None,
             answered: None,
+            answered_to: (0, 0),
             first_known: now,
             age_at_first_known: 0,
             rented_at: None,
@@ -544,10 +551,31 @@
         }
     }
 
+    /// A report of its own is answered with 200. A worker has one under way at a time: the answer to
+    /// one that is no newer than another which was answered reaches nobody. So copies of a dead
+    /// machine's reports do not put off the proof that its lease is over.
+    pub fn note_answered(&mut self, report: &Report, now: Millis) {
+        let at = (report.session, report.seq);
+        if at > self.answered_to {
+            self.answered_to = at;
+            self.answered = Some(now);
+        }
+    }
+
     /// Takes a worker's report, unless an earlier or the same one. `first_token`
     /// is the first token of this leader's term: from it on, the worker drops
     /// whatever a former leader still has under way to it.
     pub fn absorb(&mut self, report: &Report, first_token: u64, now: Millis) -> Option<Vec<Change>> {
+        self.take(report, true, first_token, now)
+    }
+
+    /// Takes a report that answers a direct command or a question. Unlike those that the worker
+    /// sends by itself, it says nothing of an answer to its last one that is under way still.
+    pub fn absorb_answer(&mut self, report: &Report, first_token: u64, now: Millis) -> Option<Vec<Change>> {
+        self.take(report, false, first_token, now)
+    }
+
+    fn take(&mut self, report: &Report, own: bool, first_token: u64, now: Millis) -> Option<Vec<Change>> {
         if (report.session, report.seq) <= (self.session, self.seq) {
             return None;
         }
@@ -606,6 +634,11 @@
             let stays = match at {
                 Some(at) => {
                     let (_, reported) = listed.swap_remove(at);
+                    let ended = reported.state == TaskState::Exited && reported.why != Some(Cause::Done);
+                    if ended && attempt.repeats && !fenced {
+                        // It may run there again by now.
+                        return true;
+                    }
                     if attempt.observe_image(reported, images, now)
                         && let Some(image) = &attempt.image
                     {
@@ -617,7 +650,7 @@
                     attempt.observe(reported, now, &mut changes);
                     true
                 }
-                None => attempt.missing(session, seq, fenced, &mut changes),
+                None => attempt.missing((session, seq), own, fenced, &mut changes),
             };
             if held && (!stays || !attempt.may_be_there()) {
                 changes.push(attempt.freed(sent, pinned));
@@ -843,8 +876,9 @@
 
     /// A newer report lacks this attempt: may it still be there? Returns whether
     /// it stays in the ledger.
-    fn missing(&mut self, session: u64, seq: u64, fenced: bool, changes: &mut Vec<Change>) -> bool {
-        if self.in_flight || self.pin.is_some() || (self.inherited && !fenced) {
+    fn missing(&mut self, now: (u64, u64), own: bool, fenced: bool, changes: &mut Vec<Change>) -> bool {
+        let unproven = (self.inherited || self.repeats) && !fenced;
+        if self.in_flight || self.pin.is_some() || unproven {
             return true;
         }
         if self.exited() {
@@ -853,8 +887,10 @@
         if self.seen.is_none() && !self.inherited {
             match self.sent {
                 // Sent in the answer to an earlier report, and the worker is done
-                // with that answer: it never got there. It may be sent again.
-                Some(at) if at < (session, seq) => self.sent = None,
+                // with that answer, as it sent another or began a session: it never got
+                // there. It may be sent again. Had a question's answer counted, a stopped
+                // task would be gone here and start from the report's answer, held up.
+                Some(at) if at < now && own || at.0 < now.0 => self.sent = None,
                 _ => (),
             }
             if self.stop.is_none() || self.sent.is_some() {
--- a/crates/core/src/ledger/tests.rs
+++ b/crates/core/src/ledger/tests.rs
@@ -256,6 +256,55 @@
     assert_eq!(machine.stops(70).len(), 1, "also to a report that was overtaken");
 }
 
+// The answer to its last report may still be under way when it answers a question: the start in it,
+// thought gone, would run while the task runs elsewhere.
+#[test]
+fn only_its_own_next_report_disproves_a_start_that_answered_one() {
+    let mut machine = machine(|_| ());
+    machine.absorb(&report(1, 1, TOKEN, None), TOKEN, 0);
+    assert_eq!(verbs(&mut machine, Some((1, 1))), [Verb::Start]);
+    machine.attempts[0].stop = Some(Stop::asked(0.0, 0));
+    machine.absorb_answer(&report(1, 2, TOKEN, None), TOKEN, 0);
+    assert_eq!(machine.tasks_there(), 1);
+    assert!(!machine.attempts[0].never_sent());
+    machine.absorb(&report(1, 3, TOKEN, None), TOKEN, 0);
+    assert_eq!(machine.tasks_there(), 0);
+}
+
+// A copy of a report from before it joined its attempt again is the first that a new leader hears.
+#[test]
+fn an_old_end_of_a_repeated_attempt_proves_nothing() {
+    let mut machine = machine(|attempt| {
+        attempt.inherited = true;
+        attempt.repeats = true;
+    });
+    let alone = |seq, token| {
+        let mut report = report(1, seq, token, Some(TaskState::Exited));
+        report.tasks[0].why = Some(Cause::Alone);
+        report
+    };
+    machine.absorb(&report(1, 1, TOKEN - 1, Some(TaskState::Waiting)), TOKEN, 0);
+    machine.absorb(&alone(2, TOKEN - 1), TOKEN, 0);
+    assert_eq!(machine.tasks_there(), 1, "its end");
+    machine.absorb(&report(1, 3, TOKEN - 1, None), TOKEN, 0);
+    assert_eq!(machine.tasks_there(), 1, "its absence");
+    machine.absorb(&alone(4, TOKEN), TOKEN, 0);
+    assert_eq!(machine.tasks_there(), 0);
+}
+
+// Copies of a dead machine's reports must not put off the proof that its lease is over.
+#[test]
+fn a_copy_of_an_answered_report_renews_no_lease() {
+    let mut machine = machine(|_| ());
+    let at = |seq| report(1, seq, TOKEN, None);
+    machine.note_answered(&at(7), 100);
+    machine.note_answered(&at(7), 200);
+    machine.note_answered(&at(5), 300);
+    assert_eq!(machine.answered, Some(100));
+    machine.note_answered(&at(8), 400);
+    assert_eq!(machine.answered, Some(400));
+}
+
 fn seat() -> Demand {
     Demand::new(&[("seat".to_owned(), 1)].into()).unwrap()
 }
