--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -3,7 +3,7 @@
 //! What accumulates is kept here; what stands is set anew for every scrape. Only the
 //! leader knows machines, jobs and counts: the others say nothing of them.
 
-use crate::constants::SERVED_SHOWN;
+use crate::constants::{SECOND_MS, SERVED_SHOWN};
 use crate::io::Effect;
 use crate::served::Whose;
 use indigopath_books::{Queue, Tally as BookTally, Team, Waits};
@@ -59,6 +59,8 @@
     pub siblings: usize,
     /// While it leads.
     pub census: Option<Census>,
+    /// While it leads: for how long, in ms, it has had no word of which jobs are over.
+    pub horizon_age_ms: Option<u64>,
     pub counts: Vec<CountStatus>,
     /// Under which epoch this node may act on outside systems.
     pub hold: Option<Hold>,
@@ -162,6 +164,7 @@
     leads: Gauge,
     state_ok: Gauge,
     siblings: Gauge,
+    horizon_age: Gauge<f64, AtomicU64>,
     jobs: Gauge,
     tasks: Family<InState, Gauge>,
     machines: Family<InState, Gauge>,
@@ -209,6 +212,7 @@
             leads: Gauge::default(),
             state_ok: Gauge::default(),
             siblings: Gauge::default(),
+            horizon_age: Gauge::default(),
             jobs: Gauge::default(),
             tasks: Family::default(),
             machines: Family::default(),
@@ -255,6 +259,11 @@
             self.state_ok.clone(),
         );
         registry.register("siblings_heard", "Siblings heard lately", self.siblings.clone());
+        registry.register(
+            "horizon_age_seconds",
+            "While it leads: for how long it has had no word of which jobs are over",
+            self.horizon_age.clone(),
+        );
         registry.register("jobs_live", "Jobs that are not over", self.jobs.clone());
         registry.register("tasks", "Tasks, by state", self.tasks.clone());
         registry.register("machines", "Machines, by state", self.machines.clone());
@@ -400,6 +409,8 @@
         self.leads.set(i64::from(standing.token.is_some()));
         self.state_ok.set(i64::from(standing.state_ok));
         self.siblings.set(amount(standing.siblings));
+        let age_ms = standing.horizon_age_ms.unwrap_or(0);
+        self.horizon_age.set(age_ms as f64 / SECOND_MS as f64);
         let census = standing.census.unwrap_or_default();
         self.jobs.set(amount(census.jobs));
         self.rentals.set(amount(census.rentals));
@@ -648,6 +659,7 @@
                 ..Census::default()
             }),
             counts: vec![seat],
+            horizon_age_ms: Some(1_500),
             hold: Some(Hold { epoch: 7, until: 9 }),
             refused: vec![(Duty::Return, 2)],
             late: Vec::new(),
@@ -676,6 +688,7 @@
             "indigopath_connections_closed_total{class=\"worker\",how=\"answer\"} 9",
             "indigopath_machines{state=\"busy\"} 3",
             "indigopath_duties_epoch 7",
+            "indigopath_horizon_age_seconds 1.5",
             "indigopath_duties_not_done{duty=\"return\",why=\"refused\"} 2",
             "indigopath_count_held{count=\"seat\"} 3",
             "indigopath_served_share{whose=\"class\",name=\"batch\"} 0.5",
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -447,6 +447,7 @@
             state_ok: self.state_failed_at.is_none(),
             siblings: self.fresh().count(),
             census,
+            horizon_age_ms: self.term.as_ref().map(|term| term.horizon_age_ms(now)),
             counts: counts.unwrap_or_default(),
             hold: self.io.permits.held(),
             refused: self.io.permits.refused().collect(),
--- a/crates/core/tests/horizon.rs
+++ b/crates/core/tests/horizon.rs
@@ -134,3 +134,60 @@
         .collect();
     play("read anew, then down", &ways);
 }
+
+// Each node as the one that confirms, and the first word of it on each route: the withdrawal itself, a
+// question after a withdrawal whose answer was lost, and after one that was carried out late. Meanwhile
+// machines hear no answers, stand still, or are fine.
+#[test]
+fn whoever_tells_first_and_on_whatever_route() {
+    let ways: Vec<String> = (0..3)
+        .flat_map(|node| {
+            let lost = "at 40 lose-answer /multi:\"Put\":\"e/wk-1\"\n";
+            let late = "at 40 late /multi:\"Put\":\"e/wk-1\" 0.6\n";
+            ["", lost, late].into_iter().flat_map(move |told| {
+                let deaf = "at 41 deaf share=0.5 for=60\n";
+                let hung = "at 41 hang of:wk-1/0 for=25\nat 41 hang of:wk-3/0 for=25\n";
+                ["", deaf, hung].into_iter().flat_map(move |machines| {
+                    [1.5, 2.7, 3.1].into_iter().map(move |outage_s| {
+                        let asked: String = steps(40.2, 40.0 + outage_s, 0.2)
+                            .map(|at| format!("at {at} ask wk-1 node=n{}\n", (node + 1) % 3))
+                            .collect();
+                        let withdrawn: String = (1..4)
+                            .map(|job| format!("at 40.1 withdraw wk-{job} node=n{node}\n"))
+                            .collect();
+                        format!(
+                            "at {REFUSED_S} refuse leader for=14\n{told}{withdrawn}{asked}{machines}\
+                             at {} outage state for=74\n",
+                            REFUSED_S + outage_s
+                        )
+                    })
+                })
+            })
+        })
+        .collect();
+    play("whoever tells first", &ways);
+}
+
+// Twice in a day, and a leader that is refused as an outage ends, after which the next one comes.
+#[test]
+fn twice_and_around_the_end_of_an_outage() {
+    let ways: Vec<String> = steps(0.0, 3.0, 0.25)
+        .flat_map(|after| {
+            let twice = format!(
+                "at {REFUSED_S} refuse leader for=14\n{}at {} outage state for=74\n\
+                 at 160 submit wk-5 tasks=6 run=400 gpus=1\nat 185 refuse leader? for=14\n\
+                 at 185.3 withdraw wk-5\nat {} outage state for=40\n",
+                cancelled_at(REFUSED_S + 0.3),
+                REFUSED_S + 1.5 + after,
+                186.5 + after,
+            );
+            let ends = format!(
+                "at 30 outage state for=10\nat 39.5 refuse leader? for=20\n{}at {} outage state for=74\n",
+                cancelled_at(REFUSED_S + 0.1),
+                REFUSED_S + 0.7 + after,
+            );
+            [twice, ends]
+        })
+        .collect();
+    play("twice, and around the end", &ways);
+}
