A slow state service keeps its leader; what stops each meeting of transactions, leadership and users

Where every call to the state service took more than a second, a touch of the leader's lease was given up after 1 s though it was carried out, and so was each claim after it: for two and a half minutes nobody led (132.7 s), the machines' leases ran out and their tasks ran again. Now a touch is waited for as long as the lease lives; the next one never waited for it. Once a call of an election went unanswered, the next ones have as long, and their lease is three times as long, as lease and claim come one after the other; its holder still counts on 2.5 s only. A lost call still costs 1 s, as before.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -10,12 +10,18 @@
 /// between a leader's end and the lease's; long enough for three touches.
 pub const LEADER_LEASE_MS: u64 = 2_500;
 
+/// Life, in ms, of a lease that is asked for after a call of an election went unanswered: lease and
+/// claim, one after the other, must be answered within it, by a service that takes 2 s for each. Its
+/// holder still counts on [`LEADER_LEASE_MS`] only.
+pub const LEADER_SLOW_LEASE_MS: u64 = 3 * LEADER_LEASE_MS;
+
 /// Interval between touches of the leader's lease, in ms: a third of its life.
 pub const LEADER_TOUCH_MS: u64 = 700;
 
-/// How long one touch may stay unanswered, in ms. The state service now and then
-/// takes a few hundred ms; beyond this another touch is the better bet.
-pub const LEADER_TOUCH_TIMEOUT_MS: u64 = 1_000;
+/// How long one call of an election may stay unanswered, in ms. The state service now and then
+/// takes a few hundred ms; beyond this another try is the better bet. If that is not answered
+/// either, the service is slow, and the next ones have [`LEADER_LEASE_MS`].
+pub const CLAIM_TIMEOUT_MS: u64 = 1_000;
 
 /// Worst drift between two steady clocks, in parts per million (protocol: 0.05 %).
 pub const CLOCK_DRIFT_PPM: u64 = 500;
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -70,6 +70,8 @@
     vacant_since: Option<Millis>,
     /// How long after its last touch it may answer workers, in ms: see [`horizon::grace_ms`].
     grace_ms: u64,
+    /// A call of the last election was given up: the state service may be slow.
+    unanswered: bool,
     calls: Calls<Step>,
 }
 
@@ -95,6 +97,7 @@
             abstain_until: 0,
             vacant_since: None,
             grace_ms: horizon::grace_ms(&deployment.workers),
+            unanswered: false,
             calls: Calls::default(),
         }
     }
@@ -194,7 +197,9 @@
                     json(&wire::LeaseRequest {
                         ttl_ms: LEADER_LEASE_MS,
                     }),
-                    LEADER_TOUCH_TIMEOUT_MS,
+                    // The next one does not wait for it, and an answer proves the lease from when
+                    // it was asked for.
+                    LEADER_LEASE_MS,
                 );
                 self.calls.expect(call, step);
             }
@@ -218,13 +223,17 @@
             }
             Next::Lease => {
                 let body = json(&wire::LeaseRequest {
-                    ttl_ms: LEADER_LEASE_MS,
+                    ttl_ms: if self.unanswered {
+                        LEADER_SLOW_LEASE_MS
+                    } else {
+                        LEADER_LEASE_MS
+                    },
                 });
                 let call = io.state_call(
                     Method::Post,
                     paths::LEASES.to_owned(),
                     body,
-                    LEADER_TOUCH_TIMEOUT_MS,
+                    self.claim_timeout_ms(),
                 );
                 self.calls.expect(call, Step::Lease { sent: io.now });
             }
@@ -244,6 +253,12 @@
             Step::Release => return None,
             _ => self.busy = false,
         }
+        // Whether a service is slow, an answered claim tells: it is the second call.
+        match step {
+            Step::Lease { .. } => self.unanswered |= *outcome == Outcome::NoAnswer,
+            Step::Claim { .. } => self.unanswered = *outcome == Outcome::NoAnswer,
+            _ => (),
+        }
         match step {
             Step::Read => self.read(outcome, io),
             Step::Watch => self.watched(outcome, io),
@@ -262,6 +277,15 @@
         None
     }
 
+    /// How long a call of an election may stay unanswered, in ms.
+    fn claim_timeout_ms(&self) -> u64 {
+        if self.unanswered {
+            LEADER_LEASE_MS
+        } else {
+            CLAIM_TIMEOUT_MS
+        }
+    }
+
     fn retry(&mut self, io: &mut Io) {
         self.next = Next::Read;
         self.at = io.now + FOLLOW_RETRY_MS + io.rng.random_range(0..FOLLOW_RETRY_MS);
@@ -386,7 +410,7 @@
             Method::Post,
             paths::TRANSACTION.to_owned(),
             json(&body),
-            LEADER_TOUCH_TIMEOUT_MS,
+            self.claim_timeout_ms(),
         );
         self.calls.expect(call, Step::Claim { lease, sent });
     }
