A node that starts follows the leader also where its key was written long ago

A node reads the leader's key and watches it from the key's own version. Where more changes came since than the state service tells, each watch was refused and the key read again, at once, for as long as the leader did not renew its key: the node used up its share of the state service's requests, called itself healthy and answered 503 to users, by turns with two others who were well. The key is now read as a page, which tells its revision.

Overtaken reports are answered with `Machine::stops`. The oracle of the largest jobs bears a job that begins before its user has heard of its acceptance.

--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -51,7 +51,7 @@
             let orders = if newest {
                 machine.orders(Some((report.session, report.seq)), certain, token, io.now)
             } else {
-                machine.orders(None, false, token, io.now)
+                machine.stops(io.now)
             };
             io.reply(request, 200, &ReportAnswer { token, orders });
         }
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -198,7 +198,8 @@
         self.busy = true;
         match self.next {
             Next::Read => {
-                let call = io.state_call(Method::Get, paths::key(LEADER), Vec::new(), STATE_TIMEOUT_MS);
+                let path = paths::page(LEADER, None, 1);
+                let call = io.state_call(Method::Get, path, Vec::new(), STATE_TIMEOUT_MS);
                 self.calls.expect(call, Step::Read);
             }
             Next::Watch => {
@@ -257,24 +258,27 @@
         self.at = io.now + FOLLOW_RETRY_MS + io.rng.random_range(0..FOLLOW_RETRY_MS);
     }
 
+    /// A page tells up to which revision it goes. The key's own version does not: where the state
+    /// service no longer tells changes since then, each watch after it was refused and the key read
+    /// again, without pause, for as long as the leader did not change its key.
     fn read(&mut self, outcome: &Outcome, io: &mut Io) {
-        if let Some(item) = outcome.read::<wire::StoredItem>(&[200]) {
-            self.revision = item.version;
-            self.learn(&item.value, item.version);
-            let first = !std::mem::replace(&mut self.has_read, true);
-            match item.lease.filter(|_| first && self.was_former_life(&item.value)) {
-                Some(lease) => self.release_former(lease, io),
-                None => {
-                    self.next = Next::Watch;
-                    self.at = io.now;
-                }
-            }
-        } else if let Some(absent) = outcome.read::<wire::TransactionAnswer>(&[404]) {
-            self.has_read = true;
-            self.revision = absent.revision;
-            self.vacant(io);
-        } else {
+        let Some(page) = outcome.read::<wire::StoredPage>(&[200]) else {
             self.retry(io);
+            return;
+        };
+        self.revision = page.revision;
+        let first = !std::mem::replace(&mut self.has_read, true);
+        let Some(item) = page.items.into_iter().find(|item| item.key == LEADER) else {
+            self.vacant(io);
+            return;
+        };
+        self.learn(&item.value, item.version);
+        match item.lease.filter(|_| first && self.was_former_life(&item.value)) {
+            Some(lease) => self.release_former(lease, io),
+            None => {
+                self.next = Next::Watch;
+                self.at = io.now;
+            }
         }
     }
 
--- a/crates/sim/src/oracles.rs
+++ b/crates/sim/src/oracles.rs
@@ -123,7 +123,7 @@
                 largest.asked += asked;
                 let waited = facts
                     .accepted_at
-                    .map(|at| facts.begun_at.unwrap_or(self.now) - at);
+                    .map(|at| facts.begun_at.unwrap_or(self.now).saturating_sub(at));
                 if let Some(waited) = waited.filter(|waited| *waited > BEGUN_MS) {
                     largest.late.push(((*id).clone(), waited));
                 }
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -269,7 +269,8 @@
         match self {
             Stage::Lease => method == "POST" && path == "/holds",
             Stage::Touch => path.ends_with("/touch"),
-            Stage::Page => path.starts_with("/store?"),
+            // Followers read the leader's key as a page, too.
+            Stage::Page => path.starts_with("/store?") && !path.starts_with("/store?Under=leader"),
             Stage::Claim => {
                 let transaction = serde_json::from_slice::<Transaction>(body);
                 path == "/multi"
