--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -63,6 +63,8 @@
     busy: bool,
     /// Whether the key was read in this life.
     has_read: bool,
+    /// The state service no longer tells the changes since `revision`.
+    behind: bool,
     next: Next,
     at: Millis,
     abstain_until: Millis,
@@ -92,6 +94,7 @@
             revision: 0,
             busy: false,
             has_read: false,
+            behind: false,
             next: Next::Read,
             at: 0,
             abstain_until: 0,
@@ -211,7 +214,12 @@
         self.busy = true;
         match self.next {
             Next::Read => {
-                let call = io.state_call(Method::Get, paths::key(LEADER), Vec::new(), STATE_TIMEOUT_MS);
+                let path = if self.behind {
+                    paths::page(LEADER, None, 1)
+                } else {
+                    paths::key(LEADER)
+                };
+                let call = io.state_call(Method::Get, path, Vec::new(), STATE_TIMEOUT_MS);
                 self.calls.expect(call, Step::Read);
             }
             Next::Watch => {
@@ -291,24 +299,44 @@
         self.at = io.now + FOLLOW_RETRY_MS + io.rng.random_range(0..FOLLOW_RETRY_MS);
     }
 
+    /// The key's own version says nothing of the changes since. Where the state service no longer
+    /// tells those, each watch from it is refused, and the key read again without pause for as long as
+    /// the leader did not change it. So who is behind reads a page, which tells its revision.
     fn read(&mut self, outcome: &Outcome, io: &mut Io) {
-        if let Some(item) = outcome.read::<wire::StoredItem>(&[200]) {
-            self.revision = item.version;
-            self.learn(&item.value, item.version);
-            let first = !std::mem::replace(&mut self.has_read, true);
-            match item.lease.filter(|_| self.nobody_acts_on(&item.value, first)) {
-                Some(lease) => self.release_former(lease, io),
-                None => {
-                    self.next = Next::Watch;
-                    self.at = io.now;
-                }
-            }
-        } else if let Some(absent) = outcome.read::<wire::TransactionAnswer>(&[404]) {
-            self.has_read = true;
-            self.revision = absent.revision;
-            self.vacant(io);
+        let behind = std::mem::take(&mut self.behind);
+        let read = if behind {
+            let page = outcome.read::<wire::StoredPage>(&[200]);
+            page.map(|page| {
+                let item = page.items.into_iter().find(|item| item.key == LEADER);
+                (item, page.revision)
+            })
+        } else if let Some(item) = outcome.read::<wire::StoredItem>(&[200]) {
+            let version = item.version;
+            Some((Some(item), version))
         } else {
+            let absent = outcome.read::<wire::TransactionAnswer>(&[404]);
+            absent.map(|absent| (None, absent.revision))
+        };
+        let Some((item, revision)) = read else {
+            self.behind = behind;
             self.retry(io);
+            return;
+        };
+        self.revision = revision;
+        let first = !std::mem::replace(&mut self.has_read, true);
+        let Some(item) = item else {
+            self.vacant(io);
+            return;
+        };
+        self.learn(&item.value, item.version);
+        let left = self.nobody_acts_on(&item.value, first);
+        match item.lease.filter(|_| left) {
+            Some(lease) => self.release_former(lease, io),
+            None => {
+                // A page does not tell the lease: the key does.
+                self.next = if left && behind { Next::Read } else { Next::Watch };
+                self.at = io.now;
+            }
         }
     }
 
@@ -367,6 +395,7 @@
         let Some(changes) = outcome.read::<wire::Changes>(&[200]) else {
             self.retry(io);
             if outcome.status() == Some(410) {
+                self.behind = true;
                 self.at = io.now;
             }
             return;
