--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -42,10 +42,27 @@
 /// How long a node that handed leadership over leaves it to others, in ms.
 pub const ABSTAIN_MS: u64 = 20_000;
 
+/// How long, in ms, nobody may have led before a node that abstains claims all the same: whoever
+/// else can claim does so within a few ways through the network and [`CLAIM_JITTER_MS`], or comes
+/// back within a second. A leader that hears few workers is better than none, which hears nobody.
+pub const ABSTAIN_VACANT_MS: u64 = 3_000;
+
 /// Longest hold, in ms, of a watch on the state service; bounds how long a watch
 /// lost to a silent cut can hide changes.
 pub const WATCH_HOLD_MS: u64 = 4_000;
 
+/// The same of the leader's watch on jobs: an answer tells that no end was missed up to its sending,
+/// so a quiet site's leader knows that at most so old, and one request a second is its price.
+pub const JOBS_HOLD_MS: u64 = 1_000;
+
+/// Reports, with the tasks that they name, that a leader keeps while it reads the records: a
+/// fleet's worth of workers whose leader has just ended, of some 200 bytes a task.
+pub const HELD_REPORTS: usize = 20_000;
+
+/// How long, in ms, such a report is kept at most: its worker waits 4 s (protocol), and is better
+/// told to go on than left without an answer.
+pub const HELD_REPORT_MS: u64 = 3_000;
+
 /// Time beyond its hold, in ms, after which a watch counts as lost.
 pub const WATCH_SLACK_MS: u64 = 1_500;
 
@@ -53,6 +70,10 @@
 /// user gives up after 2 s (poll) or 5 s (submission): a refusal must come sooner.
 pub const USER_STATE_TIMEOUT_MS: u64 = 1_500;
 
+/// Time, in ms since its request came, that a submission or withdrawal has for its second call to
+/// the state service and those after it. Its user waits for 5 s.
+pub const USER_ACT_TIMEOUT_MS: u64 = 4_000;
+
 /// Timeout, in ms, of the leader's own transactions and reads.
 pub const STATE_TIMEOUT_MS: u64 = 2_000;
 
--- a/crates/core/src/leader/machines.rs
+++ b/crates/core/src/leader/machines.rs
@@ -136,7 +136,7 @@
         } else if greeting {
             machine.greeted_at = None;
         }
-        self.absorb(&report, io);
+        self.absorb_answer(&report, io);
         None
     }
 
@@ -181,11 +181,12 @@
                 inspect.push((rank, Reverse(silent_ms), machine.id.clone()));
             }
             // The longest that anyone could have kept its lease alive: this leader
-            // until it last heard from it, a former one until it had to stop.
+            // until it last heard from it or answered it, a former one until it had to stop.
+            let answered = machine.answered.unwrap_or(0);
             let kept_until = if machine.synced {
-                last.max(machine.answered.unwrap_or(0))
+                last.max(answered)
             } else {
-                self.started + keep_alive_ms(&settings.deployment)
+                answered.max(self.started + horizon::grace_ms(&settings.deployment.workers))
             };
             if io.now > kept_until + lease_ms && machine.attempts.iter().any(|attempt| !attempt.never_sent())
             {
@@ -246,9 +247,7 @@
             Some(report) if report.token > current => {
                 return leadership.deposed("a worker has seen a newer leader");
             }
-            Some(report) => {
-                self.absorb(&report, io);
-            }
+            Some(report) => self.absorb_answer(&report, io),
             None => self.found_silent(id, io.now),
         }
         None
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -2,6 +2,7 @@
 //! state service. The key's version is the token; it only ever rises.
 
 use crate::constants::*;
+use crate::horizon;
 use crate::io::{CallId, Calls, Io, Method, Outcome, json};
 use crate::model::Millis;
 use crate::records::{LEADER, LeaderRecord, Record};
@@ -26,7 +27,7 @@
         sent: Millis,
     },
     Release,
-    /// The lease of a former life of this node, which is over.
+    /// A lease of this node under which nobody acts.
     ReleaseFormer,
 }
 
@@ -65,7 +66,10 @@
     next: Next,
     at: Millis,
     abstain_until: Millis,
-    keep_alive_ms: u64,
+    /// How long after its last touch it may answer workers, in ms: see [`horizon::grace_ms`].
+    grace_ms: u64,
+    /// While it abstains: since when nobody has led, as far as it knows.
+    vacant_since: Option<Millis>,
     calls: Calls<Step>,
 }
 
@@ -89,7 +93,8 @@
             next: Next::Read,
             at: 0,
             abstain_until: 0,
-            keep_alive_ms: keep_alive_ms(deployment),
+            grace_ms: horizon::grace_ms(&deployment.workers),
+            vacant_since: None,
             calls: Calls::default(),
         }
     }
@@ -125,6 +130,13 @@
         self.hold().is_some_and(|hold| now < hold.until)
     }
 
+    /// No later leader counts on a worker's lease being out that is renewed now.
+    pub fn may_renew(&self, now: Millis) -> bool {
+        self.lead
+            .as_ref()
+            .is_some_and(|lead| now < lead.touched + self.grace_ms)
+    }
+
     fn record(&self) -> LeaderRecord {
         LeaderRecord {
             node: self.node.clone(),
@@ -141,11 +153,16 @@
         })
     }
 
-    /// Whether the key, as read, is this leader's own.
+    /// Whether the key, as read, is this leader's own: of this life, and under the lease that it
+    /// leads by. A key goes only with its lease, so nobody else led since its claim. The name alone
+    /// does not tell that: a claim of this node that was carried out late, under a lease that an
+    /// outage kept alive, bears it too, and others may have led before it.
     pub fn is_mine(&self, item: Option<&wire::StoredItem>) -> bool {
-        self.lead.is_some()
+        let lease = self.lease();
+        lease.is_some()
             && item.is_some_and(|item| {
-                LeaderRecord::from_value(&item.value).is_ok_and(|record| record == self.record())
+                item.lease == lease
+                    && LeaderRecord::from_value(&item.value).is_ok_and(|record| record == self.record())
             })
     }
 
@@ -160,8 +177,9 @@
         if let Some(lead) = &mut self.lead {
             // Without the state service a leader cannot tell an outage, in which
             // it still leads, from being alone refused. It goes on answering
-            // workers for as long as no cancellation can thereby be missed.
-            if io.now >= lead.touched + self.keep_alive_ms {
+            // workers for as long as its horizon allows, and never so long that
+            // the next leader could count their leases as out.
+            if io.now >= lead.touched + self.grace_ms {
                 return Some(self.step_down("no word from the state service"));
             }
             if io.now >= lead.next_touch {
@@ -192,8 +210,10 @@
                 self.calls.expect(call, Step::Read);
             }
             Next::Watch => {
-                let path = paths::watch(LEADER, self.revision, WATCH_HOLD_MS);
-                let call = io.state_call(Method::Get, path, Vec::new(), WATCH_HOLD_MS + WATCH_SLACK_MS);
+                let left = |since: Millis| (since + ABSTAIN_VACANT_MS).saturating_sub(io.now);
+                let hold = self.vacant_since.map_or(WATCH_HOLD_MS, left).min(WATCH_HOLD_MS);
+                let path = paths::watch(LEADER, self.revision, hold);
+                let call = io.state_call(Method::Get, path, Vec::new(), hold + WATCH_SLACK_MS);
                 self.calls.expect(call, Step::Watch);
             }
             Next::Lease => {
@@ -252,7 +272,7 @@
             self.revision = item.version;
             self.learn(&item.value, item.version);
             let first = !std::mem::replace(&mut self.has_read, true);
-            match item.lease.filter(|_| first && self.was_former_life(&item.value)) {
+            match item.lease.filter(|_| self.nobody_acts_on(&item.value, first)) {
                 Some(lease) => self.release_former(lease, io),
                 None => {
                     self.next = Next::Watch;
@@ -269,6 +289,7 @@
     }
 
     fn learn(&mut self, value: &serde_json::Value, token: u64) {
+        self.vacant_since = None;
         match LeaderRecord::from_value(value) {
             // A claim of this node that was carried out without an answer, or of
             // its former life: nobody acts on it, so it is released or runs out.
@@ -283,32 +304,36 @@
         }
     }
 
-    /// The key, as read, is that of this node in a life before. That life is over: a node is
-    /// one process, and this is it.
-    fn was_former_life(&self, value: &serde_json::Value) -> bool {
+    /// The key, as read by a node that does not lead, is its own. Either a life before claimed it: that
+    /// one is over, as a node is one process, and this is it. Or this life did, and nobody told it:
+    /// the answer was lost, or the claim carried out after it was given up. Only the first reading
+    /// judges another life: two processes that bear one name, against the rules, would else depose
+    /// each other for ever.
+    fn nobody_acts_on(&self, value: &serde_json::Value, first: bool) -> bool {
         LeaderRecord::from_value(value)
-            .is_ok_and(|record| record.node == self.node && record.incarnation != self.incarnation)
+            .is_ok_and(|record| record.node == self.node && (first || record.incarnation == self.incarnation))
     }
 
-    /// Nobody needs to wait for the lease of a life that is over. Whatever of it is still under
-    /// way is refused as after any other take-over: its transactions and its claim by the key's
-    /// version and the lease, its commands by the next token, its calls to the cloud by their
-    /// records. Only the first reading does so: two processes that bear one name, against the
-    /// rules, would else depose each other for ever.
+    /// Nobody needs to wait for a lease under which nobody acts any more. Whatever of its term is
+    /// still under way is refused as after any other take-over: its transactions and its claim by the
+    /// key's version and the lease, its commands by the next token, its calls to the cloud by their
+    /// records.
     fn release_former(&mut self, lease: u64, io: &mut Io) {
-        log::info!("this node led in a life before: that lease is released");
+        log::info!("this node holds the leader's key and does not lead: its lease is released");
         self.busy = true;
         let call = io.state_call(Method::Delete, paths::lease(lease), Vec::new(), STATE_TIMEOUT_MS);
         self.calls.expect(call, Step::ReleaseFormer);
     }
 
-    /// Nobody leads.
+    /// Nobody leads. Whoever abstains leaves it to others, unless there are none.
     fn vacant(&mut self, io: &mut Io) {
         self.known = None;
-        if io.now < self.abstain_until {
+        let abstains = io.now < self.abstain_until;
+        if abstains && io.now < *self.vacant_since.get_or_insert(io.now) + ABSTAIN_VACANT_MS {
             self.next = Next::Watch;
             self.at = io.now;
         } else {
+            self.vacant_since = None;
             self.next = Next::Lease;
             self.at = io.now + io.rng.random_range(0..=CLAIM_JITTER_MS);
         }
@@ -431,11 +456,5 @@
     }
 }
 
-/// How long after its last touch a leader may answer workers with its token. A
-/// worker's lease then runs out early enough for any cancellation that this
-/// leader may have missed; and the next leader counts on nothing longer.
-pub fn keep_alive_ms(deployment: &Deployment) -> u64 {
-    let workers = &deployment.workers;
-    let ms = ((workers.cancel_s - workers.lease_s) * SECOND_MS as f64) as i64 - CANCEL_MARGIN_MS as i64;
-    ms.max(LEADER_LEASE_MS as i64) as u64
-}
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -248,7 +248,9 @@
             }
             News::Deposed => {
                 self.io.set_leading(false);
-                self.term = None;
+                if let Some(term) = self.term.take() {
+                    term.end(&mut self.io);
+                }
                 self.sent.clear();
             }
         }
@@ -347,14 +349,17 @@
         }
     }
 
-    /// Not healthy while the state service fails this node but not its siblings:
-    /// they can serve the users that it can only send away.
+    /// Not healthy while the state service fails this node but not its siblings: they can serve
+    /// the users that it can only send away. A node that hears none of them either may be cut
+    /// off, where they are served; in an outage it would hear that they are not. Its users would
+    /// get no answer for as long as that lasts, and those of the others would.
     fn health(&mut self, request: RequestId) {
         let failing = self
             .state_failed_at
             .is_some_and(|since| self.io.now >= since + STATE_BAD_MS);
         let others_fine = self.fresh().any(|beat| beat.state_ok);
-        if failing && others_fine {
+        let cut_off = self.fresh().next().is_none() && !self.siblings.is_empty();
+        if failing && (others_fine || cut_off) {
             self.io.reply_error(request, 503, "no state service here");
         } else if self.type_list.is_empty() {
             self.io.reply_error(request, 503, "starting");
@@ -373,7 +378,9 @@
             }
         };
         self.workers.insert(report.machine.clone(), self.io.now);
-        if let Some(term) = &mut self.term {
+        // Asked here as well as when time passes: a process that stood still finds reports first.
+        let may_renew = self.leadership.may_renew(self.io.now);
+        if let Some(term) = self.term.as_mut().filter(|_| may_renew) {
             let certain = self.leadership.certain(self.io.now);
             match term.report(request, &report, certain, &mut self.io) {
                 Ok(()) => return,
@@ -765,3 +772,6 @@
     ];
     amounts.iter().all(|amount| amount.is_finite() && *amount >= 0.0)
 }
+
+#[cfg(test)]
+mod tests;
