--- a/crates/core/src/horizon.rs
+++ b/crates/core/src/horizon.rs
@@ -18,8 +18,8 @@
 pub struct Horizon {
     /// Every end before that is known and followed. In ms of this node's clock.
     seen: Millis,
-    /// There is nothing to know by: the records are being read.
-    blind: bool,
+    /// The records are being read: nothing is known yet.
+    unread: bool,
     grace_ms: u64,
 }
 
@@ -28,26 +28,21 @@
     pub fn unread(workers: &Workers, now: Millis) -> Horizon {
         Horizon {
             seen: now,
-            blind: true,
+            unread: true,
             grace_ms: grace_ms(workers),
         }
     }
 
     /// A reading or a watch that was sent then is answered and worked off.
     pub fn advance(&mut self, sent: Millis) {
-        self.blind = false;
+        self.unread = false;
         self.seen = self.seen.max(sent);
     }
 
-    /// What was known is given up, to be read anew.
-    pub fn lose(&mut self) {
-        self.blind = true;
-    }
-
     /// Whether an answer that renews a worker's lease can keep alive nothing that was cancelled
     /// for too long.
     pub fn allows(&self, now: Millis) -> bool {
-        !self.blind && !self.is_out(now)
+        !self.unread && !self.is_out(now)
     }
 
     /// Whether nothing was learned for so long that this leader can keep nobody alive.
--- a/crates/core/src/leader/clusters.rs
+++ b/crates/core/src/leader/clusters.rs
@@ -24,11 +24,6 @@
         let part = spec.condor.as_ref();
         part.is_some_and(|part| !part.holds.is_empty() || self.open.contains_key(&part.cluster))
     }
-
-    /// What the records say must be read again.
-    pub(super) fn forget(&mut self) {
-        self.open.clear();
-    }
 }
 
 impl Term {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -641,24 +641,23 @@
         }
     }
 
-    fn watched(&mut self, sent: Millis, outcome: &Outcome, settings: &Settings, io: &mut Io) {
+    fn watched(
+        &mut self,
+        sent: Millis,
+        outcome: &Outcome,
+        leadership: &mut Leadership,
+        io: &mut Io,
+    ) -> Option<News> {
         self.watching = false;
         let Some(changes) = outcome.read::<wire::Changes>(&[200]) else {
-            if outcome.status() == Some(410) && self.load.is_none() {
-                // Too far behind: only a new reading tells which jobs are over.
-                self.load = Some(Load::default());
-                self.horizon.lose();
-                self.jobs.clear();
-                self.machines.clear();
-                self.hosts.clear();
-                self.attention.machines.clear();
-                self.rentals.clear();
-                self.clusters.forget();
-                self.writer = Writer::new(self.writer.token, settings);
-                self.shifts = shifts::Shifts::new(settings);
+            if outcome.status() == Some(410) {
+                // Only a new reading tells which jobs are over, and only a new token fences off
+                // what this term has under way: read anew within it, the records would seem to
+                // disprove a start that is on its way.
+                return leadership.hand_over("it is too far behind", io);
             }
             self.watch_at = io.now + WRITE_RETRY_MS;
-            return;
+            return None;
         };
         self.watch_at = io.now;
         self.revision = self.revision.max(changes.revision);
@@ -684,6 +683,7 @@
         }
         // Not before all of it is followed.
         self.horizon.advance(sent);
+        None
     }
 
     /// Does what is due. Returns `Deposed` where leadership is given up.
@@ -1009,7 +1009,7 @@
     ) -> Option<News> {
         match kind {
             TermCall::Load { sent } => return self.loaded(sent, outcome, leadership, settings, io),
-            TermCall::Watch { sent } => self.watched(sent, outcome, settings, io),
+            TermCall::Watch { sent } => return self.watched(sent, outcome, leadership, io),
             TermCall::Write => return self.written(outcome, leadership, io),
             TermCall::Reread { key } => return self.reread(key, outcome, leadership, io),
             TermCall::Direct(direct) => return self.direct_answered(direct, outcome, leadership, io),
--- a/crates/core/tests/horizon.rs
+++ b/crates/core/tests/horizon.rs
@@ -113,9 +113,9 @@
     play("refused in turns, then down", &ways);
 }
 
-// The leader is too far behind and reads anew, amid its term; the answers to that are lost, while its
-// touches are answered and another node confirms cancellations. It falls behind where its watch is
-// refused just after one was answered, and the changes since are forgotten.
+// The leader is too far behind; when it still read the records anew amid its term, the answers to that
+// were lost, while its touches were answered and another node confirmed cancellations. It falls behind
+// where its watch is refused just after one was answered, and the changes since are forgotten.
 #[test]
 fn read_anew_amid_a_term_then_down() {
     let ways: Vec<String> = steps(39.0, 39.2, 0.01)
