Pairs of troubles: outages beyond a cancellation's bound, slow readings, more is taken back

The drawn outages were mostly shorter than cancel_s and few jobs were taken back just before them. Now half last 52 to 65 s, with a cancellation in the last 2 s before; pages of the next leader's reading get lost in some elections, and mostly long jobs and services are taken back.

Not shown: that it finds the gap of before the horizon's mend.

--- a/crates/core/tests/pairs_seeds.rs
+++ b/crates/core/tests/pairs_seeds.rs
@@ -66,6 +66,13 @@
         of[self.rng.random_range(0..of.len())]
     }
 
+    /// Answers to the next leader's reading get lost: it reads for longer.
+    fn read_slowly(&mut self, at: f64) {
+        for _ in 0..[0, 0, 1, 3][self.rng.random_range(0..4)] {
+            self.at(at, "lose-answer /store?Under=j/&Limit=500");
+        }
+    }
+
     /// A leader ends, and another is elected.
     fn end(&mut self, at: f64, who: &str) {
         let back = if self.rng.random_range(0..2) == 0 {
@@ -75,11 +82,13 @@
         };
         self.lasts(at, &format!("crash {who}"), back);
         self.turns.push(at + LEASE_S);
+        self.read_slowly(at);
     }
 
     /// A user takes one of the jobs back, at one node, and asks another soon after.
     fn take_back(&mut self, at: f64) {
-        let job = JOBS[self.rng.random_range(0..JOBS.len())];
+        // Mostly one that runs for long.
+        let job = [2, 3, 2, 3, JOBS[self.rng.random_range(0..JOBS.len())]][self.rng.random_range(0..5)];
         let (node, other) = (self.node(), self.node());
         // Once it was submitted.
         let at = at.max(24.5);
@@ -189,12 +198,26 @@
                     let back = at + self.span(0.0, lasts);
                     self.take_back(back);
                 } else {
-                    let alone = self.span(0.1, 8.0);
-                    self.lasts(at, "refuse leader?", alone + 2.0);
-                    self.turns.push(at + LEASE_S);
-                    let (all, lasts) = (at + alone, self.span(3.0, 65.0));
+                    let mut alone = self.span(0.1, 9.0);
+                    if self.rng.random_range(0..2) == 0 {
+                        self.lasts(at, "refuse leader?", alone + 2.0);
+                        self.read_slowly(at);
+                        self.turns.push(at + LEASE_S);
+                    } else {
+                        alone = 0.0;
+                    }
+                    let long = self.rng.random_range(0..2) == 0;
+                    let lasts = if long {
+                        self.span(52.0, 65.0)
+                    } else {
+                        self.span(3.0, 52.0)
+                    };
+                    let all = at + alone;
                     self.lasts(all, "outage state", lasts);
                     self.turns.push(all + HORIZON_S);
+                    // One in time for the last word, and one at any time.
+                    let last = all - self.span(0.05, 2.0);
+                    self.take_back(last);
                     let back = at + self.span(0.0, alone + lasts);
                     self.take_back(back);
                 }
@@ -273,9 +296,12 @@
     let (tasks, run) = (plan.rng.random_range(2..=8), plan.span(5.0, 30.0));
     let at = plan.span(1.0, 25.0);
     plan.at(at, format!("submit wk-1 tasks={tasks} run={run:.1} gpus=2"));
-    let replicas = plan.rng.random_range(1..=4);
-    plan.at(1.1, format!("submit wk-2 shape=daemon tasks={replicas} gpus=1"));
-    let (tasks, run) = (plan.rng.random_range(2..=4), plan.span(60.0, 150.0));
+    let (replicas, gpus) = (plan.rng.random_range(2..=6), plan.one(&["1", "4"]));
+    plan.at(
+        1.1,
+        format!("submit wk-2 shape=daemon tasks={replicas} gpus={gpus}"),
+    );
+    let (tasks, run) = (plan.rng.random_range(2..=6), plan.span(60.0, 150.0));
     plan.at(1.2, format!("submit wk-3 tasks={tasks} run={run:.1} gpus=4"));
     let (tasks, run) = (plan.rng.random_range(2..=3), plan.span(15.0, 60.0));
     let saves = plan.one(&["", " checkpoint=10 save=2"]);
@@ -307,9 +333,9 @@
             }
     };
     plan.meet(second, at);
-    for _ in 0..plan.rng.random_range(0..=2) {
+    for _ in 0..plan.rng.random_range(1..=3) {
         let turn = plan.turns[plan.rng.random_range(0..plan.turns.len())];
-        let at = turn + plan.span(-1.0, 3.0);
+        let at = turn + plan.span(-2.0, 3.0);
         plan.take_back(at);
     }
 
