--- a/crates/core/src/leader/held.rs
+++ b/crates/core/src/leader/held.rs
@@ -67,3 +67,6 @@
 pub(super) fn turn_away(request: RequestId, io: &mut Io) {
     io.reply_error(request, 503, "which jobs are over is not known here");
 }
+
+#[cfg(test)]
+mod tests;
