--- a/crates/core/tests/horizon.rs
+++ b/crates/core/tests/horizon.rs
@@ -191,3 +191,24 @@
         .collect();
     play("twice, and around the end", &ways);
 }
+
+// The leader loses the state service and its siblings, and half of the workers reach nobody but it: two
+// leaders answer workers, each its own. Those of the cut one go back and forth as it ceases to answer and
+// finds the others again. Jobs are cancelled through the new leader's side at any time meanwhile.
+#[test]
+fn workers_that_only_a_cut_leader_hears() {
+    let ways: Vec<String> = [[1, 2], [0, 2], [0, 1]]
+        .into_iter()
+        .flat_map(|others| {
+            [0.1, 2.8, 6.0, 12.0, 17.9, 19.0].map(|asked_s| {
+                let cuts = others.map(|node| format!("at {REFUSED_S} cut zone:west n{node} for=70\n"));
+                format!(
+                    "at 30 submit wk-5 tasks=4 run=200 gpus=1\nat {REFUSED_S} cut-off leader for=65\n{}{}",
+                    cuts.concat(),
+                    cancelled_at(REFUSED_S + asked_s)
+                )
+            })
+        })
+        .collect();
+    play("heard by the cut leader alone", &ways);
+}
