Workers of one zone hear the cut leader alone, those of the other its successor

As first written the cut leader heard of its successor from a worker of the other zone and stepped down, so that the test passed without any bound.

--- a/crates/core/tests/horizon.rs
+++ b/crates/core/tests/horizon.rs
@@ -192,22 +192,28 @@
     play("twice, and around the end", &ways);
 }
 
-// The leader loses the state service and its siblings, and half of the workers reach nobody but it: two
-// leaders answer workers, each its own. Those of the cut one go back and forth as it ceases to answer and
-// finds the others again. Jobs are cancelled through the new leader's side at any time meanwhile.
+// The leader loses the state service and its siblings; it alone hears the workers of one zone, and the next
+// leader alone those of the other, so that two leaders answer workers. Those of the cut one go back and
+// forth once it ceases to answer. Jobs are cancelled through the new leader's side at any time meanwhile;
+// the cloud is away, or their machines would be returned.
 #[test]
 fn workers_that_only_a_cut_leader_hears() {
-    let ways: Vec<String> = [[1, 2], [0, 2], [0, 1]]
+    let ways: Vec<String> = [[0, 1, 2], [1, 0, 2], [2, 0, 1]]
         .into_iter()
-        .flat_map(|others| {
-            [0.1, 2.8, 6.0, 12.0, 17.9, 19.0].map(|asked_s| {
-                let cuts = others.map(|node| format!("at {REFUSED_S} cut zone:west n{node} for=70\n"));
-                format!(
-                    "at 30 submit wk-5 tasks=4 run=200 gpus=1\nat {REFUSED_S} cut-off leader for=65\n{}{}",
-                    cuts.concat(),
-                    cancelled_at(REFUSED_S + asked_s)
-                )
-            })
+        .flat_map(|[cut, one, other]| {
+            [0.1, 2.8, 6.0, 12.0, 17.9, 19.0]
+                .into_iter()
+                .flat_map(move |asked_s| {
+                    [("east", "west"), ("west", "east")].map(|(own, theirs)| {
+                        format!(
+                            "at 39 outage cloud for=72\nat {REFUSED_S} cut-off leader for=65\n\
+                         at {REFUSED_S} cut zone:{own} n{one} for=70\n\
+                         at {REFUSED_S} cut zone:{own} n{other} for=70\n\
+                         at {REFUSED_S} cut zone:{theirs} n{cut} for=70\n{}",
+                            cancelled_at(REFUSED_S + asked_s)
+                        )
+                    })
+                })
         })
         .collect();
     play("heard by the cut leader alone", &ways);
