A poll that a sibling's word has overtaken is asked again

A node that ended the job itself knew; now siblings hear of it by the frame that there is, from leaders too, and have such polls come again. Excluded: refusing whatever was read too long ago, which would refuse all polls of a slow service.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -201,6 +201,10 @@
 /// Largest amount of a resource that a task may ask for.
 pub const MAX_AMOUNT: f64 = 1e7;
 
+/// Jobs of which siblings told users lately that a node remembers, for as long as a request of its own
+/// may last: some seconds' worth of a crowd's submissions.
+pub const TOLD_ELSEWHERE: usize = 5_000;
+
 /// Ended jobs whose final state a node remembers without asking again.
 pub const ENDED_CACHE: usize = 20_000;
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -584,9 +584,10 @@
                 }
             }
             Some(Done::Cancelled(job)) => match &mut self.term {
+                // Siblings may have polls of it under way.
                 Some(term) => {
                     term.job_over(&job, self.io.now);
-                    return;
+                    job
                 }
                 None => job,
             },
@@ -744,8 +745,8 @@
                 }
                 self.told.insert(job, (done, running));
             }
-            // The watch tells the leader as well, only later.
-            Frame::Changed { .. } => (),
+            // What follows from the change, the watch tells.
+            Frame::Changed { job } => self.users.told_elsewhere(job, self.io.now),
         }
     }
 }
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -134,6 +134,8 @@
     /// read first the next time: where the state service answers slowly, there is time for one call
     /// and not for two, and such a job's user would hear nothing while users of live jobs do.
     perhaps_over: HashSet<JobId>,
+    /// Jobs of which a sibling said lately that it told a user of their acceptance or end, and when.
+    told_elsewhere: HashMap<JobId, Millis>,
     /// Submissions and withdrawals, in the teams' turns.
     acts: FairQueue<Queued>,
     /// Polls of jobs that this node does not know to be live.
@@ -155,6 +157,8 @@
 /// Most rounds of reading a job again before its user is asked to come back.
 const MAX_ROUNDS: u32 = 4;
 
+const OVERTAKEN: &str = "another node has told of this job meanwhile, ask again";
+
 const TOO_MANY: &str = "too many requests, come back later";
 
 impl Users {
@@ -164,6 +168,7 @@
         Users {
             waiting: HashMap::new(),
             ended: HashMap::new(),
+            told_elsewhere: HashMap::new(),
             ended_order: VecDeque::new(),
             live: HashMap::new(),
             perhaps_over: HashSet::new(),
@@ -406,7 +411,11 @@
             }
             if all {
                 self.waiting.remove(&request);
-                self.tell_live(request, &Glimpse::by_protocol(&job.0), counts, io);
+                if self.overtaken(job, poll.since) {
+                    io.reply_later(request, RETRY_AFTER_S, OVERTAKEN);
+                } else {
+                    self.tell_live(request, &Glimpse::by_protocol(&job.0), counts, io);
+                }
             } else if over || failed.is_empty() {
                 self.next(request, UserCall::ReadLive, 0, io);
             } else {
@@ -417,6 +426,24 @@
         }
     }
 
+    /// A sibling told a user of this job's acceptance or end.
+    pub fn told_elsewhere(&mut self, job: JobId, now: Millis) {
+        if self.told_elsewhere.len() >= TOLD_ELSEWHERE {
+            self.told_elsewhere
+                .retain(|_, at| now < *at + USER_ACT_TIMEOUT_MS);
+        }
+        if self.told_elsewhere.len() < TOLD_ELSEWHERE {
+            self.told_elsewhere.insert(job, now);
+        }
+    }
+
+    /// A sibling told of this job since then: what was read meanwhile may be older than that. Where the
+    /// state service is slow, a poll was answered "running" more than a second after its user heard
+    /// "cancelled". A frame proves nothing, and where it is late or lost the two still overlap.
+    fn overtaken(&self, job: &JobId, since: Millis) -> bool {
+        self.told_elsewhere.get(job).is_some_and(|at| *at >= since)
+    }
+
     /// The job was live when the state service was asked. If this node has told
     /// somebody meanwhile that it is over, that answer stands.
     fn tell_live(&self, request: RequestId, leave: &Glimpse, counts: &Counts, io: &mut Io) {
@@ -615,7 +642,13 @@
                 } else {
                     let team = spec.map(|spec| Team::named(&spec.team));
                     let leave = leave(&job, &waiting.wish, team.as_ref());
+                    let since = waiting.since;
+                    let polls = matches!(waiting.wish, Wish::Poll);
                     self.waiting.remove(&request);
+                    if polls && self.overtaken(&job, since) {
+                        io.reply_later(request, RETRY_AFTER_S, OVERTAKEN);
+                        return None;
+                    }
                     self.saw_live(&job, item.version, team.unwrap_or_else(|| Team::named("")));
                     self.tell_live(request, &leave, counts, io);
                 }
