--- a/crates/core/src/placement/large.rs
+++ b/crates/core/src/placement/large.rs
@@ -143,10 +143,7 @@
             parted.push(visit);
             continue;
         }
-        let tasks = match visit.job.spec.shape {
-            Shape::Gang => visit.most,
-            Shape::Array | Shape::Service => visit.most.min(LARGE_TURN),
-        };
+        let tasks = visit.part(LARGE_TURN);
         parted.push(Visit {
             first: true,
             most: tasks,
--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -47,6 +47,14 @@
         (self.job.spec.priority, !before, self.rank, shift.is_none(), shift)
     }
 
+    /// How many of its tasks go first where so many may: a gang goes whole, as half of it is no use.
+    pub(super) fn part(&self, most: u32) -> u32 {
+        match self.job.spec.shape {
+            Shape::Gang => self.most,
+            Shape::Array | Shape::Service => self.most.min(most),
+        }
+    }
+
     /// What is left of the turn once so many of its tasks are dealt with.
     pub(super) fn after(self, tasks: u32) -> Option<Self> {
         (tasks < self.most).then(|| Visit {
@@ -159,10 +167,7 @@
         if turns == 0 || !starved.first(&visit.job.spec) {
             continue;
         }
-        let tasks = match visit.job.spec.shape {
-            Shape::Gang => visit.most,
-            Shape::Array | Shape::Service => visit.most.min(turns),
-        };
+        let tasks = visit.part(turns);
         first.push(Visit {
             most: tasks,
             ..*visit
