--- /dev/null
+++ b/crates/core/src/metrics/tests.rs
@@ -0,0 +1,78 @@
+use super::*;
+
+#[test]
+fn what_is_gone_is_not_told_any_more() {
+    let metrics = Metrics::new();
+    metrics.waited("seat", 4.0);
+    let seat = CountStatus {
+        name: "seat".to_owned(),
+        units: Some(4),
+        usable: 4,
+        held: 3,
+        leaving: 0,
+        lingering: 1,
+        others: 0,
+        free: 0,
+        kept: 0,
+        waiting: 2,
+        oversubscribed: 0,
+        closed: None,
+        teams: Vec::new(),
+        server: None,
+    };
+    let mut standing = Standing {
+        token: Some(7),
+        state_ok: true,
+        siblings: 2,
+        census: Some(Census {
+            busy: 3,
+            ..Census::default()
+        }),
+        counts: vec![seat],
+        horizon_age_ms: Some(1_500),
+        hold: Some(Hold { epoch: 7, until: 9 }),
+        refused: vec![(Duty::Return, 2)],
+        late: Vec::new(),
+        open: [0, 3, 40, 4, 2, 1],
+        tally: Tally {
+            refused: [2, 0, 0, 0, 0, 0],
+            answered: [0, 0, 9, 0, 0, 0],
+            ..Tally::default()
+        },
+        put_off: Vec::new(),
+        books: None,
+        shares: vec![(Whose::Class("batch".to_owned()), 0.5)],
+        shifts: vec![ShiftStatus {
+            shift: "trading".into(),
+            open: true,
+            until_ms: Some(1_796_104_800_000),
+            services: 3,
+        }],
+        spare: (4, 2),
+    };
+    let text = metrics.encode(&standing).unwrap();
+    for line in [
+        "indigopath_leads 1",
+        "indigopath_connections{class=\"worker\"} 40",
+        "indigopath_connections_refused_total{class=\"newcomer\"} 2",
+        "indigopath_connections_closed_total{class=\"worker\",how=\"answer\"} 9",
+        "indigopath_machines{state=\"busy\"} 3",
+        "indigopath_duties_epoch 7",
+        "indigopath_horizon_age_seconds 1.5",
+        "indigopath_duties_not_done{duty=\"return\",why=\"refused\"} 2",
+        "indigopath_count_held{count=\"seat\"} 3",
+        "indigopath_served_share{whose=\"class\",name=\"batch\"} 0.5",
+        "indigopath_count_lingering{count=\"seat\"} 1",
+        "indigopath_shift_open{shift=\"trading\"} 1",
+        "indigopath_shift_until{shift=\"trading\"} 1796104800",
+        "indigopath_shift_services{shift=\"trading\"} 3",
+        "indigopath_shift_spare{state=\"kept\"} 2",
+        "indigopath_count_wait_seconds_bucket{le=\"5.0\",count=\"seat\"} 1",
+    ] {
+        assert!(text.lines().any(|other| other == line), "{line} in\n{text}");
+    }
+    standing.token = None;
+    standing.counts.clear();
+    let text = metrics.encode(&standing).unwrap();
+    assert!(!text.contains("count_held{") && text.contains("indigopath_leads 0"));
+}
--- /dev/null
+++ b/crates/sim/src/oracles/tests.rs
@@ -0,0 +1,51 @@
+use super::*;
+use crate::script::run;
+use indigopath_core::settings::Operator;
+
+const NO_MACHINES: &str = "at 0 capacity 0\nat 1 submit wk-1 tasks=4\nuntil 260\n\
+    unserved class=batch\nunserved team=blue\nexpect wk-1 starts = 0\n";
+
+#[test]
+fn a_large_job_that_waits_needs_its_lines() {
+    let lines = "largest late sweep/batch because there are no machines\n\
+        largest unserved sweep/batch because there are no machines\n";
+    assert_eq!(run(&format!("{NO_MACHINES}{lines}")), Ok(()));
+    let problem = run(NO_MACHINES).unwrap_err();
+    assert!(
+        problem.contains("largest late sweep/batch: [(\"wk-1\""),
+        "{problem}"
+    );
+    assert!(
+        problem.contains("largest unserved sweep/batch: 0.0 of 4"),
+        "{problem}"
+    );
+}
+
+#[test]
+fn an_exception_that_is_none_fails() {
+    let text = "at 1 submit wk-1\nuntil 60\nexpect all done\n";
+    assert_eq!(run(text), Ok(()));
+    let problem = run(&format!("{text}largest late sweep/batch because of nothing\n")).unwrap_err();
+    assert_eq!(problem, "largest late sweep/batch: it is not so");
+}
+
+#[test]
+fn a_job_without_an_answer_is_forgotten_once_troubles_are_over() {
+    let mut world = World::new(None, Operator::default());
+    let facts = JobFacts {
+        accepted: true,
+        accepted_at: Some(0),
+        ..JobFacts::default()
+    };
+    world.jobs.insert("wk-1".to_owned(), facts);
+    // Its user's questions never arrive.
+    world.user_at.insert("wk-1".to_owned(), u64::MAX);
+    world.state.start_outage(0);
+    while world.now < FORGOTTEN_MS + 5_000 {
+        world.step();
+    }
+    assert_eq!(world.broken, [""; 0], "in trouble still");
+    world.run_on();
+    let expected = "forgotten at 156.00 s: wk-1 is asked about in vain";
+    assert_eq!(world.broken, [expected]);
+}
