One place says that a job is live, one how long a leader may go on

Two callers asked whether a poll was overtaken; now tell_live does, and an end that this node knows itself goes first. The condition on the last touch stood twice; the first page's revision and time were two values set together. The release of a lease under which nobody acts no longer bears the name of former lives only.

--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -137,9 +137,9 @@
     busy: bool,
     retry_at: Millis,
     items: Vec<StoredItem>,
-    /// Of the first page of jobs, and when it was asked for: every end before that is in it.
-    revision: Option<u64>,
-    began: Option<Millis>,
+    /// Of the first page of jobs: its revision, and when it was asked for. No job that ended before
+    /// that is in it.
+    first: Option<(u64, Millis)>,
 }
 
 /// Shifts last: they are read only where there are some.
@@ -441,8 +441,7 @@
             load.retry_at = io.now + WRITE_RETRY_MS;
             return None;
         };
-        load.revision.get_or_insert(page.revision);
-        load.began.get_or_insert(sent);
+        load.first.get_or_insert((page.revision, sent));
         load.after = page.items.last().map(|item| item.key.clone());
         let more = page.more && load.after.is_some();
         load.items.extend(page.items);
@@ -473,8 +472,8 @@
         settings: &Settings,
         io: &mut Io,
     ) -> Result<(), records::RecordError> {
-        self.revision = load.revision.unwrap_or(0);
-        let began = load.began;
+        let (revision, asked_at) = load.first.unwrap_or_default();
+        self.revision = revision;
         for item in load.items {
             match self.adopt_record(&item, settings, io) {
                 Ok(()) => (),
@@ -508,9 +507,7 @@
                 }
             }
         }
-        if let Some(began) = began {
-            self.horizon.advance(began);
-        }
+        self.horizon.advance(asked_at);
         Ok(())
     }
 
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -28,7 +28,7 @@
     },
     Release,
     /// A lease of this node under which nobody acts.
-    ReleaseFormer,
+    ReleaseAbandoned,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -180,12 +180,13 @@
 
     /// Issues what is due.
     pub fn poll(&mut self, io: &mut Io) -> Option<News> {
+        let may_renew = self.may_renew(io.now);
         if let Some(lead) = &mut self.lead {
             // Without the state service a leader cannot tell an outage, in which
             // it still leads, from being alone refused. It goes on answering
             // workers for as long as its horizon allows, and never so long that
             // the next leader could count their leases as out.
-            if io.now >= lead.touched + self.grace_ms {
+            if !may_renew {
                 return Some(self.step_down("no word from the state service"));
             }
             if io.now >= lead.next_touch {
@@ -275,7 +276,7 @@
                 None => self.retry(io),
             },
             Step::Claim { lease, sent } => return self.claimed(lease, sent, outcome, io),
-            Step::ReleaseFormer => {
+            Step::ReleaseAbandoned => {
                 // Siblings have seen the key go and know the site already: they go first.
                 self.next = Next::Read;
                 self.at = io.now + RELEASED_PAUSE_MS;
@@ -331,7 +332,7 @@
         self.learn(&item.value, item.version);
         let left = self.nobody_acts_on(&item.value, first);
         match item.lease.filter(|_| left) {
-            Some(lease) => self.release_former(lease, io),
+            Some(lease) => self.release_abandoned(lease, io),
             None => {
                 // A page does not tell the lease: the key does.
                 self.next = if left && behind { Next::Read } else { Next::Watch };
@@ -370,11 +371,11 @@
     /// still under way is refused as after any other take-over: its transactions and its claim by the
     /// key's version and the lease, its commands by the next token, its calls to the cloud by their
     /// records.
-    fn release_former(&mut self, lease: u64, io: &mut Io) {
+    fn release_abandoned(&mut self, lease: u64, io: &mut Io) {
         log::info!("this node holds the leader's key and does not lead: its lease is released");
         self.busy = true;
         let call = io.state_call(Method::Delete, paths::lease(lease), Vec::new(), STATE_TIMEOUT_MS);
-        self.calls.expect(call, Step::ReleaseFormer);
+        self.calls.expect(call, Step::ReleaseAbandoned);
     }
 
     /// Nobody leads. Whoever abstains leaves it to others, unless there are none.
--- a/crates/core/src/users.rs
+++ b/crates/core/src/users.rs
@@ -411,11 +411,8 @@
             }
             if all {
                 self.waiting.remove(&request);
-                if self.overtaken(job, poll.since) {
-                    io.reply_later(request, RETRY_AFTER_S, OVERTAKEN);
-                } else {
-                    self.tell_live(request, &Glimpse::by_protocol(&job.0), counts, io);
-                }
+                let leave = Glimpse::by_protocol(&job.0);
+                self.tell_live(request, &leave, Some(poll.since), counts, io);
             } else if over || failed.is_empty() {
                 self.next(request, UserCall::ReadLive, 0, io);
             } else {
@@ -440,15 +437,27 @@
     /// A sibling told of this job since then: what was read meanwhile may be older than that. Where the
     /// state service is slow, a poll was answered "running" more than a second after its user heard
     /// "cancelled". A frame proves nothing, and where it is late or lost the two still overlap.
-    fn overtaken(&self, job: &JobId, since: Millis) -> bool {
+    fn overtaken(&self, job: &str, since: Millis) -> bool {
         self.told_elsewhere.get(job).is_some_and(|at| *at >= since)
     }
 
     /// The job was live when the state service was asked. If this node has told
-    /// somebody meanwhile that it is over, that answer stands.
-    fn tell_live(&self, request: RequestId, leave: &Glimpse, counts: &Counts, io: &mut Io) {
-        match self.ended.get(&**leave.job()) {
+    /// somebody meanwhile that it is over, that answer stands; if a sibling has told of it since a
+    /// poll came, `polled`, its user asks again.
+    fn tell_live(
+        &self,
+        request: RequestId,
+        leave: &Glimpse,
+        polled: Option<Millis>,
+        counts: &Counts,
+        io: &mut Io,
+    ) {
+        let job = leave.job();
+        match self.ended.get(&**job) {
             Some(over) => answer_ended(request, leave, over, io),
+            None if polled.is_some_and(|since| self.overtaken(job, since)) => {
+                io.reply_later(request, RETRY_AFTER_S, OVERTAKEN);
+            }
             None => answer_live(request, leave, counts, io),
         }
     }
@@ -642,15 +651,10 @@
                 } else {
                     let team = spec.map(|spec| Team::named(&spec.team));
                     let leave = leave(&job, &waiting.wish, team.as_ref());
-                    let since = waiting.since;
-                    let polls = matches!(waiting.wish, Wish::Poll);
+                    let polled = matches!(waiting.wish, Wish::Poll).then_some(waiting.since);
                     self.waiting.remove(&request);
-                    if polls && self.overtaken(&job, since) {
-                        io.reply_later(request, RETRY_AFTER_S, OVERTAKEN);
-                        return None;
-                    }
                     self.saw_live(&job, item.version, team.unwrap_or_else(|| Team::named("")));
-                    self.tell_live(request, &leave, counts, io);
+                    self.tell_live(request, &leave, polled, counts, io);
                 }
             }
             (UserCall::ReadLive, Some(404)) => self.next(request, UserCall::ReadEnded, 0, io),
