--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -45,8 +45,8 @@
 //! node after the other, until it is answered.
 
 use crate::world::{
-    Copies, Cut, Deviation, EndOn, Event, JobFacts, Mishap, NODES, RESTART_MS, Sent, Stage, Trouble,
-    UserKind, Walk, World,
+    Copies, Cut, Deviation, EndOn, JobFacts, Mishap, NODES, RESTART_MS, Sent, Stage, Trouble, UserKind, Walk,
+    World,
 };
 use indigopath_condor::{Bundle, CondorSettings, Declared};
 use indigopath_core::settings::Operator;
@@ -486,26 +486,14 @@
             if let Some(node) = keyed.get("node") {
                 let job = arg(1)?.to_owned();
                 for node in nodes_named(world, node)? {
-                    let kind = UserKind::Cancel;
-                    let event = Event::User {
-                        node,
-                        job: job.clone(),
-                        kind,
-                    };
-                    world.send("users", &format!("n{node}"), event);
+                    world.user_asks(node, &job, UserKind::Cancel);
                 }
             }
         }
         "ask" => {
             let job = arg(1)?.to_owned();
             for node in nodes_named(world, keyed.get("node").copied().unwrap_or("all"))? {
-                let kind = UserKind::Poll;
-                let event = Event::User {
-                    node,
-                    job: job.clone(),
-                    kind,
-                };
-                world.send("users", &format!("n{node}"), event);
+                world.user_asks(node, &job, UserKind::Poll);
             }
         }
         "late-writes" | "late-reports" | "slow-state" | "deaf" | "cut-off" => {
@@ -560,12 +548,7 @@
                 body: body.to_string().into_bytes(),
                 status: 0,
             };
-            let event = Event::User {
-                node,
-                job: String::new(),
-                kind,
-            };
-            world.send("users", &format!("n{node}"), event);
+            world.user_asks(node, "", kind);
         }
         // Whoever sends the so manieth write of an end, or of the books, ends with it.
         "end-books" | "end-ends" => {
@@ -599,12 +582,7 @@
                     body: body.to_string().into_bytes(),
                     status: 200,
                 };
-                let event = Event::User {
-                    node,
-                    job: String::new(),
-                    kind,
-                };
-                world.send("users", &format!("n{node}"), event);
+                world.user_asks(node, "", kind);
             }
         }
         "probe" => {
@@ -617,12 +595,7 @@
                 status: number(arg(3)?)? as u16,
             };
             for node in 0..NODES {
-                let event = Event::User {
-                    node,
-                    job: String::new(),
-                    kind: kind.clone(),
-                };
-                world.send("users", &format!("n{node}"), event);
+                world.user_asks(node, "", kind.clone());
             }
         }
         "crash" => {
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -942,6 +942,12 @@
         }
     }
 
+    /// A user asks a node, by way of the network.
+    pub(crate) fn user_asks(&mut self, node: usize, job: &str, kind: UserKind) {
+        let job = job.to_owned();
+        self.send("users", &format!("n{node}"), Event::User { node, job, kind });
+    }
+
     /// A submission whose user does not come again, after so many ms.
     pub(crate) fn flood(&mut self, after_ms: u64, node: usize, job: String) {
         let kind = UserKind::Submit;
@@ -1463,7 +1469,7 @@
             self.user_at.insert(job.clone(), self.now + again_ms);
             self.user_turn += 1;
             let node = self.user_turn % NODES;
-            self.send("users", &format!("n{node}"), Event::User { node, job, kind });
+            self.user_asks(node, &job, kind);
         }
     }
 
@@ -1480,7 +1486,7 @@
         }
         for (job, node) in due {
             let kind = UserKind::Cluster;
-            self.send("users", &format!("n{node}"), Event::User { node, job, kind });
+            self.user_asks(node, &job, kind);
         }
     }
 
