Log: where the units come from when more of a count are taken than there are

A count that went over was warned of after 10 s only, with sums that cannot tell an attempt, a lingering unit and a client of the licence server apart. The look that finds it now says so at once, in one line of bounded length: each attempt with its machine, number and whether a former leader recorded it; each lingering entry with its shard and what is left of it; each host of the licence server that is no machine of ours, and how old that report is. It is written once for each time that the count goes over. The log is the operators' own: no metric or answer names more than before.

A loopback run that fails shows these lines with what preceded them.

Two tests of the line's form and bound.

--- a/crates/controller/src/constants.rs
+++ b/crates/controller/src/constants.rs
@@ -773,6 +773,11 @@
 /// told. A new leader hears its servers within seconds.
 pub const COUNT_WARNING_AFTER_MS: u64 = 10_000;
 
+/// Most attempts, lingering units and outside clients, of each, that the log names when more of a count
+/// is taken than there is: enough to see where a sum comes from, and at some 100 bytes each a line that
+/// can still be read.
+pub const OVERSUBSCRIPTION_PARTS: usize = 16;
+
 /// Most victims, gangs counted once, that one pass stops to free units for others: each
 /// costs work done, and the next pass sees what came of it.
 pub const UNIT_STOPS_PER_PASS: usize = 64;
--- a/crates/controller/src/leader/counted_resources.rs
+++ b/crates/controller/src/leader/counted_resources.rs
@@ -3,6 +3,7 @@
 
 use super::LeaderTerm;
 use super::calls::TermCall;
+use super::oversubscription::{HeldUnits, LingeringUnits, Oversubscription, UsageReport};
 use crate::allocations::{Attempt, Machine};
 use crate::constants::{COUNT_WARNING_AFTER_MS, FORECAST_MS, SECOND_MS, WARNING_REPEAT_MS};
 use crate::io::{Effect, FencedDestination, Io, Method, Outcome};
@@ -133,6 +134,7 @@
         for (count, units) in counts.iter() {
             let linger_ms = self.counted.linger_ms.get(count).copied().unwrap_or(0);
             if linger_ms > 0 {
+                log::debug!("units linger count={count} team={team} units={units} linger_ms={linger_ms}");
                 let linger = Linger {
                     count: count.clone(),
                     team: team.clone(),
@@ -247,6 +249,12 @@
                 }
                 None if pool.over() > 0 => {
                     over.insert(name.clone());
+                    if !self.counted.over.contains(&name) {
+                        log::warn!(
+                            "counted resource oversubscribed {}",
+                            self.oversubscription(pool, io.now)
+                        );
+                    }
                     found.push((
                         name.clone(),
                         Trouble::Over,
@@ -279,6 +287,28 @@
         self.tell_troubles(found, io);
     }
 
+    /// Where the units of a pool come from of which more are taken than there are.
+    fn oversubscription(&self, pool: &Pool<'_>, now: Timestamp) -> Oversubscription {
+        let mut attempts = Vec::new();
+        for machine in self.machines.values() {
+            let held = machine.attempts.iter().filter_map(|attempt| {
+                let state = holder_state(machine, attempt);
+                HeldUnits::of(attempt, &machine.id, pool.name, state)
+            });
+            attempts.extend(held);
+        }
+        let lingers = self
+            .writer
+            .shard_lingers()
+            .filter(|entry| &*entry.linger.count == pool.name && now < entry.linger.until)
+            .map(|entry| LingeringUnits::of(&entry, now));
+        let feed = self.counted.feeds.get(pool.name);
+        let is_ours =
+            |host: &str| self.machines.as_map().contains_key(host) || self.machines.gone().contains_key(host);
+        let server = feed.and_then(|feed| UsageReport::of(feed, is_ours, now));
+        Oversubscription::new(pool, attempts, lingers.collect(), server)
+    }
+
     fn tell_troubles(&mut self, found: Vec<(Name, Trouble, String)>, io: &mut Io) {
         self.counted.troubles.retain(|(name, trouble), _| {
             found
--- a/crates/controller/src/leader/mod.rs
+++ b/crates/controller/src/leader/mod.rs
@@ -17,6 +17,7 @@
 mod liveness;
 mod machine_table;
 mod one_way_partition;
+mod oversubscription;
 mod partition_detection;
 mod persistence;
 mod protection_windows;
--- /dev/null
+++ b/crates/controller/src/leader/oversubscription/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+use indigopath_counted_resources::{Book, Definition, Definitions, Demand, Linger};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+fn held(number: u64) -> HeldUnits {
+    HeldUnits {
+        units: 2,
+        task: TaskId::parse("wk-1/0").unwrap(),
+        number,
+        machine: MachineId(Arc::from("m-1")),
+        inherited: true,
+        state: "uncertain",
+    }
+}
+
+/// Two seats are held of one, with these parts.
+fn report(attempts: Vec<HeldUnits>, lingers: Vec<LingeringUnits>, server: Option<UsageReport>) -> String {
+    let definitions = Definitions::from([(Arc::from("seat"), Definition::of(1))]);
+    let seats = Demand::new(&BTreeMap::from([("seat".to_owned(), 2)])).unwrap();
+    let mut book = Book::new(&definitions);
+    book.hold("red", &seats, 1.0, false);
+    let pool = book.get("seat").unwrap();
+    Oversubscription::new(pool, attempts, lingers, server).to_string()
+}
+
+#[test]
+fn a_count_that_is_over_names_where_each_unit_comes_from() {
+    let linger = Linger {
+        count: Arc::from("seat"),
+        team: Arc::from("red"),
+        units: 3,
+        until: 1_700,
+    };
+    let entry = ShardLinger {
+        shard: 4,
+        inherited: false,
+        linger: &linger,
+    };
+    let mut feed = Feed::default();
+    assert!(feed.ask(500));
+    feed.answered(Ok(indigopath_counted_resources::Usage {
+        total: 9,
+        in_use: 5,
+        seats: vec![("m-1".to_owned(), 2), ("m-9".to_owned(), 2), (String::new(), 1)],
+    }));
+    let server = UsageReport::of(&feed, |host| host == "m-1", 1_000);
+    let lingers = vec![LingeringUnits::of(&entry, 1_000)];
+    assert_eq!(
+        report(vec![held(7)], lingers, server),
+        "count=seat units=1 held=2 lingering=0 others=0 \
+         attempts=[wk-1/0 units=2 machine=m-1 attempt=7 inherited=true state=uncertain] \
+         lingers=[shard=4 units=3 inherited=false left_ms=700] \
+         server_age_ms=500 in_use=5 outside=[m-9 units=2; reservation units=1]"
+    );
+}
+
+#[test]
+fn a_long_list_of_parts_is_cut_short_and_says_so() {
+    let parts = OVERSUBSCRIPTION_PARTS as u64 + 3;
+    let text = report((0..parts).map(held).collect(), Vec::new(), None);
+    assert!(text.contains(&format!("attempt={}", OVERSUBSCRIPTION_PARTS - 1)));
+    assert!(!text.contains(&format!("attempt={OVERSUBSCRIPTION_PARTS} ")));
+    assert!(text.ends_with("; 3 more] lingers=[]"), "{text}");
+}
--- a/crates/controller/src/storage/batch_writer.rs
+++ b/crates/controller/src/storage/batch_writer.rs
@@ -9,6 +9,7 @@
 mod rereads;
 mod transaction;
 
+pub use machine_shards::ShardLinger;
 pub use transaction::Unit;
 
 use crate::allocations::Machine;
@@ -113,6 +114,11 @@
         self.machine_shards.lingers(now)
     }
 
+    /// Every entry of lingering units, by shard.
+    pub fn shard_lingers(&self) -> impl Iterator<Item = ShardLinger<'_>> {
+        self.machine_shards.shard_lingers()
+    }
+
     /// A machine is gone; its shard is written without it when there is room.
     pub fn machine_gone(&mut self, machine: &Machine) {
         self.machine_shards.remove(machine);
--- a/crates/controller/src/storage/batch_writer/machine_shards.rs
+++ b/crates/controller/src/storage/batch_writer/machine_shards.rs
@@ -21,6 +21,8 @@
     /// Units of attempts that stood here: they stay in the record from which their
     /// attempts go, so that at no time either is missing.
     lingers: Lingers,
+    /// Those of them that a former leader recorded, as they were read.
+    inherited_lingers: Lingers,
     /// Half of its machines moved to that shard, and nobody knows yet whether this
     /// is recorded: until then both are written in one transaction only, so that
     /// at no time a start stands in neither.
@@ -34,6 +36,17 @@
     }
 }
 
+/// Units that linger, and the record that says so.
+#[derive(Debug, Clone, Copy)]
+pub struct ShardLinger<'a> {
+    /// Number of the shard.
+    pub shard: u32,
+    /// A former leader recorded it.
+    pub inherited: bool,
+    /// What lingers.
+    pub linger: &'a Linger,
+}
+
 /// What shards are written from.
 pub(super) struct ShardSources<'a> {
     pub(super) machines: &'a mut BTreeMap<MachineId, Machine>,
@@ -109,9 +122,21 @@
     pub(super) fn on_lingers_read(&mut self, number: u32, version: u64, lingers: Lingers) {
         let shard = self.shards.entry(number).or_default();
         shard.version = shard.version.max(version);
+        shard.inherited_lingers = lingers.clone();
         shard.lingers = lingers;
     }
 
+    /// Every entry of lingering units, by shard.
+    pub(super) fn shard_lingers(&self) -> impl Iterator<Item = ShardLinger<'_>> {
+        self.shards.iter().flat_map(|(number, shard)| {
+            shard.lingers.iter().map(|linger| ShardLinger {
+                shard: *number,
+                inherited: shard.inherited_lingers.iter().any(|read| read == linger),
+                linger,
+            })
+        })
+    }
+
     /// All units that linger still.
     pub(super) fn lingers(&mut self, now: Timestamp) -> Vec<Linger> {
         let mut lingers = Vec::new();
--- a/crates/simulator/src/controllers.rs
+++ b/crates/simulator/src/controllers.rs
@@ -19,6 +19,12 @@
 /// Lines of each log that are shown when a test fails.
 const LOG_SHOWN: usize = 20;
 
+/// Of a log line that says that more units of a count are taken than there are.
+const OVERSUBSCRIBED: &str = "counted resource oversubscribed";
+
+/// Lines that are shown before such a line: what led to it.
+const LINES_BEFORE: usize = 12;
+
 /// The controllers' processes, and the folder in which their settings and logs lie. Both end
 /// with this.
 pub struct Controllers {
@@ -31,6 +37,9 @@
 
 impl Drop for Controllers {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("{}", self.oversubscriptions());
+        }
         for child in self.running.iter_mut().flatten() {
             let _ = child.kill();
             let _ = child.wait();
@@ -113,11 +122,32 @@
         }
     }
 
+    fn log(&self, node: usize) -> String {
+        std::fs::read_to_string(self.folder.join(format!("n{node}.log"))).unwrap_or_default()
+    }
+
+    /// Each time that a leader counted more units as taken than there are, with what it said before.
+    pub fn oversubscriptions(&self) -> String {
+        let mut text = String::new();
+        for node in 0..self.nodes.len() {
+            let log = self.log(node);
+            let lines: Vec<&str> = log.lines().collect();
+            let found = (0..lines.len()).filter(|at| lines[*at].contains(OVERSUBSCRIBED));
+            for at in found {
+                text.push_str(&format!("n{node}:\n"));
+                for line in &lines[at.saturating_sub(LINES_BEFORE)..=at] {
+                    text.push_str(&format!("  {line}\n"));
+                }
+            }
+        }
+        text
+    }
+
     /// The last that the controllers said, errors first.
     pub fn problems(&self) -> String {
         let mut text = String::new();
         for node in 0..self.nodes.len() {
-            let log = std::fs::read_to_string(self.folder.join(format!("n{node}.log"))).unwrap_or_default();
+            let log = self.log(node);
             let bad = |line: &&str| line.contains(" error ") || line.contains("panicked");
             let lines: Vec<&str> = log.lines().collect();
             let last = &lines[lines.len().saturating_sub(LOG_SHOWN)..];
