Failing tests: a new leader counts more units as held than there are

Scenarios now hold the leader's counts against the seats that tasks really have, ten times of simulated time a second: never fewer by its word, and never more than there are unless operators or users outside changed that.

--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -23,7 +23,7 @@
 use crate::storage::records::{self, Ending, Record};
 use indigopath_accounting::Team;
 use indigopath_connection_limits::{PerClass, ShortageCounts};
-use indigopath_counted_resources::status::{CountList, HolderList};
+use indigopath_counted_resources::status::{CountList, CountStatus, HolderList};
 use indigopath_fencing::Permit;
 use rand::RngExt;
 use routing::Route;
@@ -406,6 +406,12 @@
         self.io.reply_bytes(request, 421, Content::Json, body);
     }
 
+    /// Every count at a glance, as whoever leads sees it once its records are read.
+    pub fn counts(&self) -> Option<Vec<CountStatus>> {
+        let term = self.term.as_ref().filter(|term| term.has_read())?;
+        Some(term.count_status(&self.settings.operator.counts, self.io.now))
+    }
+
     /// Only who leads, and surely still does, knows who holds what.
     fn tell_counts(&mut self, request: RequestId, route: Route) {
         let certain = self.election.certain(self.io.now);
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission_checks;
 pub mod cloud;
 pub mod controllers;
+mod count_checks;
 mod effect_digest;
 mod fault_combinations;
 mod invariants;
--- a/crates/simulator/src/licence_server.rs
+++ b/crates/simulator/src/licence_server.rs
@@ -28,6 +28,8 @@
     /// Seats of users who are nobody's task.
     pub others: u32,
     seats: BTreeMap<Client, Seat>,
+    /// Operators gave it another number of units, or users outside had seats, at some time.
+    pub was_changed: bool,
     /// Check-outs that were refused.
     pub refused: u32,
     /// Most seats that tasks had at a time, dead ones included.
@@ -97,6 +99,7 @@
         if let Some(feature) = self.features.get_mut(feature) {
             let free = feature.total.saturating_sub(feature.of_tasks());
             feature.others = units.min(free);
+            feature.was_changed = true;
         }
     }
 
--- a/crates/simulator/src/scenario/actions/controllers.rs
+++ b/crates/simulator/src/scenario/actions/controllers.rs
@@ -39,7 +39,10 @@
             }
         }
         // Operators change a count: nodes find it when they start.
-        "redefine" => define(&mut simulation.operator, action.rest())?,
+        "redefine" => {
+            define(&mut simulation.operator, action.rest())?;
+            simulation.note_redefined_counts();
+        }
         // Nodes that start from now on find a shift so.
         "reshift" => define_shift(&mut simulation.operator, action.rest())?,
         "clock" => set_clock(simulation, action)?,
--- a/crates/simulator/src/scenario/script.rs
+++ b/crates/simulator/src/scenario/script.rs
@@ -1,6 +1,6 @@
 //! Reads a scenario's text: what the site is like, what happens when, and what is expected.
 
-use crate::simulation::{ObservedJob, Simulation};
+use crate::simulation::{ObservedJob, SettingOverrides, Simulation};
 use indigopath_condor::{CondorSettings, Declared};
 use indigopath_controller::settings::Operator;
 use indigopath_counted_resources::Definition;
@@ -26,6 +26,8 @@
     gpus_max: Option<f64>,
     /// By how much a clock may be off, in ms, in place of the settings'.
     skew_ms: Option<f64>,
+    /// Largest value of the key-value store, in KB, in place of the settings'.
+    value_kb: Option<f64>,
     /// Fetches at one time share a machine's rate.
     shares_rate: bool,
     /// The key-value store refuses what is beyond its rates.
@@ -38,7 +40,12 @@
 
 impl Setup {
     pub(super) fn begin(self) -> Simulation {
-        let mut simulation = Simulation::with_skew(self.gpus_max, self.operator, self.skew_ms);
+        let overrides = SettingOverrides {
+            gpus_max: self.gpus_max,
+            skew_ms: self.skew_ms,
+            value_kb: self.value_kb,
+        };
+        let mut simulation = Simulation::with_settings(overrides, self.operator);
         simulation.condor_run_s = self.condor_run_s.unwrap_or(CONDOR_RUN_S);
         simulation.shares_rate = self.shares_rate;
         if self.limits {
@@ -152,6 +159,10 @@
             "teams" => self.gpus_max = Some(rest.parse().map_err(|error| format!("{error}"))?),
             "count" => define(&mut self.operator, rest)?,
             "shift" => define_shift(&mut self.operator, rest)?,
+            "idle-return" => {
+                self.operator.idle_return_s = rest.parse().map_err(|error| format!("{error}"))?;
+            }
+            "value-kb" => self.value_kb = Some(rest.parse().map_err(|error| format!("{error}"))?),
             "skew" => {
                 let seconds: f64 = rest.parse().map_err(|error| format!("{error}"))?;
                 self.skew_ms = Some(seconds * 1000.0);
--- a/crates/simulator/src/simulation.rs
+++ b/crates/simulator/src/simulation.rs
@@ -5,6 +5,7 @@
 use crate::accounting_checks::{self, AccountingCheck};
 use crate::admission_checks::Intake;
 use crate::cloud::Cloud;
+use crate::count_checks::COUNTS_STEP_MS;
 use crate::effect_digest::EffectDigest;
 use crate::fault_combinations::FaultCombinations;
 use crate::job_stream::Stream;
@@ -420,6 +421,8 @@
     pub(crate) warnings: Vec<String>,
     /// GPUs that each team may use, in place of the settings'.
     pub(crate) gpus_max: Option<f64>,
+    /// Largest value of the key-value store, in KB, in place of the settings'.
+    pub(crate) value_kb: Option<f64>,
     /// The operators' own settings, as nodes find them when they start.
     pub(crate) operator: Operator,
     pub(crate) licences: LicenceServer,
@@ -471,14 +474,29 @@
     }
 }
 
+/// Settings that a scenario has in place of the usual ones.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct SettingOverrides {
+    /// GPUs that each team may use.
+    pub(crate) gpus_max: Option<f64>,
+    /// By how much a clock may be off, in ms.
+    pub(crate) skew_ms: Option<f64>,
+    /// Largest value of the key-value store, in KB.
+    pub(crate) value_kb: Option<f64>,
+}
+
 impl Simulation {
     #[cfg(test)]
     pub(crate) fn new(gpus_max: Option<f64>, operator: Operator) -> Simulation {
-        Simulation::with_skew(gpus_max, operator, None)
+        let overrides = SettingOverrides {
+            gpus_max,
+            ..SettingOverrides::default()
+        };
+        Simulation::with_settings(overrides, operator)
     }
 
-    /// `skew_ms`: by how much a clock may be off, in place of the settings'.
-    pub(crate) fn with_skew(gpus_max: Option<f64>, operator: Operator, skew_ms: Option<f64>) -> Simulation {
+    /// A world whose controllers have these settings.
+    pub(crate) fn with_settings(overrides: SettingOverrides, operator: Operator) -> Simulation {
         let mut simulation = Simulation {
             now: 0,
             queue: BTreeMap::new(),
@@ -512,11 +530,12 @@
             walk: None,
             unknown_acts: 0,
             warnings: Vec::new(),
-            gpus_max,
+            value_kb: overrides.value_kb,
+            gpus_max: overrides.gpus_max,
             licences: LicenceServer::default(),
             operator,
             calls: Calls::default(),
-            guarded: WindowChecks::new(skew_ms),
+            guarded: WindowChecks::new(overrides.skew_ms),
             end_at: None,
             end_on: VecDeque::new(),
             trouble_at: 0,
@@ -572,6 +591,9 @@
                 team.gpus_max = most;
             }
         }
+        if let Some(value_kb) = self.value_kb {
+            settings.deployment.state.value_kb = value_kb;
+        }
         if let Some(skew_ms) = self.guarded.skew_ms {
             settings.deployment.clock_off_ms = skew_ms;
         }
@@ -775,6 +797,9 @@
             self.count_replicas();
             self.count_protected(SERVED_STEP_MS);
         }
+        if self.now.is_multiple_of(COUNTS_STEP_MS) && !self.licences.features.is_empty() {
+            self.check_counts();
+        }
         if self.now.is_multiple_of(BOOKS_STEP_MS) && !self.books.spoilt {
             self.check_books();
         }
