A record names no units that are free, so a new leader counts none twice

Symptom: after a change of leader more units of a count were held than there are ("units=4 held=8 lingering=0 others=0", all inherited, in_use=0 at the licence server). A count that is over starts nothing: free seats stood idle until the machines reported, and where one of them was dead until it was given up.

Cause: the record of a machine is a superset of what runs, and what it had beyond that held units, too: - an attempt that is done stays in it for its result, with its units, although the same transaction may give them to the next task; - an attempt that ended, or units that lingered, stay in one shard until something else is written there, while a start with their units is written to another shard.

Now an attempt that is in the record for its result alone has no units there (a job can be listed twice in a shard, with and without; earlier builds read that), and a shard whose units came free is written before any start that could get them.

A shard costs one more change for each end of a task with units, which most often goes with the start that follows there.

--- a/crates/controller/src/allocations/machine.rs
+++ b/crates/controller/src/allocations/machine.rs
@@ -3,6 +3,7 @@
 use super::{Attempt, ReportNumber};
 use crate::model::{JobId, MachineId, MachineKind, Resources, TaskId, Timestamp};
 use crate::storage::records::{MachineRecord, StartRecord};
+use indigopath_counted_resources::Demand;
 use indigopath_image_locality::Cache;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -280,13 +281,20 @@
     }
 }
 
+/// An attempt that stands in the record for its result alone holds no units any more: others may have
+/// been given them by the same transaction.
 fn start_record(attempt: &Attempt) -> StartRecord {
+    let counts = if attempt.may_be_there() {
+        attempt.counts.clone()
+    } else {
+        Demand::default()
+    };
     StartRecord {
         job: attempt.task.job.clone(),
         index: attempt.task.index,
         attempt: attempt.number,
         team: attempt.team.clone(),
         needs: attempt.needs,
-        counts: attempt.counts.clone(),
+        counts,
     }
 }
--- a/crates/controller/src/leader/counted_resources.rs
+++ b/crates/controller/src/leader/counted_resources.rs
@@ -141,6 +141,8 @@
                     units,
                     until: now + linger_ms,
                 };
+                // What is said of the count before the next pass must not lack it.
+                self.counted.lingers.push(linger.clone());
                 self.writer.linger(shard, linger);
             }
         }
--- a/crates/controller/src/leader/reconciliation.rs
+++ b/crates/controller/src/leader/reconciliation.rs
@@ -169,6 +169,9 @@
                     if lingers {
                         self.freed(shard, &team, &counts, io.now);
                     }
+                    if let Some(shard) = shard {
+                        self.writer.units_freed(shard);
+                    }
                 }
                 Change::Vanished { task, number } => self.task_vanished(&task, number, io.now),
             }
--- a/crates/controller/src/leader/recovery.rs
+++ b/crates/controller/src/leader/recovery.rs
@@ -284,7 +284,10 @@
                     .map_or(0, |definition| definition.linger_ms())
             },
         );
-        self.writer.linger_read(number, item.version, lingers);
+        let recorded: u64 = shard.lingers().iter().map(|entry| u64::from(entry.2)).sum();
+        let left: u64 = lingers.iter().map(|linger| u64::from(linger.units)).sum();
+        self.writer
+            .linger_read(number, item.version, lingers, left < recorded);
         for record in shard.machines()? {
             let mut machine = Machine::from_record(&record, io.now);
             for attempt in &mut machine.attempts {
--- a/crates/controller/src/leader/scheduling_pass.rs
+++ b/crates/controller/src/leader/scheduling_pass.rs
@@ -11,6 +11,7 @@
 use crate::scheduling::gangs::GangAttempt;
 use crate::scheduling::placement::{self, AgingCredit, ClusterSnapshot, Decision, MachineTypes, Unplaced};
 use crate::settings::Settings;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// When passes are due, and what the last one left.
@@ -221,15 +222,22 @@
             return;
         }
         let mut dropped = Vec::new();
+        let mut freed_in = BTreeSet::new();
         for machine in self.machines.values_mut() {
             machine.attempts.retain(|attempt| {
                 let cancelled = attempt.never_sent() && attempt.stop.is_some();
                 if cancelled {
                     dropped.push(attempt.task.clone());
+                    if !attempt.counts.is_empty() {
+                        freed_in.extend(machine.shard);
+                    }
                 }
                 !cancelled
             });
         }
+        for shard in freed_in {
+            self.writer.units_freed(shard);
+        }
         for task in dropped {
             self.requeue(&task, io.now);
             self.scheduler.request_pass();
--- a/crates/controller/src/storage/batch_writer.rs
+++ b/crates/controller/src/storage/batch_writer.rs
@@ -104,9 +104,16 @@
         self.machine_shards.linger(number, linger);
     }
 
-    /// Lingering units as read from a record.
-    pub fn linger_read(&mut self, number: u32, version: u64, lingers: Lingers) {
-        self.machine_shards.on_lingers_read(number, version, lingers);
+    /// Lingering units as read from a record; `spent` if it names others that linger no longer.
+    pub fn linger_read(&mut self, number: u32, version: u64, lingers: Lingers, spent: bool) {
+        self.machine_shards
+            .on_lingers_read(number, version, lingers, spent);
+    }
+
+    /// Units that this shard's record may name are free: it is written before any start that could get
+    /// them.
+    pub fn units_freed(&mut self, shard: u32) {
+        self.machine_shards.on_units_freed(shard);
     }
 
     /// All units that linger still.
--- a/crates/controller/src/storage/batch_writer/machine_shards.rs
+++ b/crates/controller/src/storage/batch_writer/machine_shards.rs
@@ -28,6 +28,8 @@
     /// at no time a start stands in neither.
     split_to: Option<u32>,
     split_from: Option<u32>,
+    /// Its record may name units that are free by now, and may stand in another record soon.
+    names_freed_units: bool,
 }
 
 impl Shard {
@@ -118,12 +120,15 @@
         self.shards.entry(number).or_default().lingers.add(linger);
     }
 
-    /// Lingering units as read from a record.
-    pub(super) fn on_lingers_read(&mut self, number: u32, version: u64, lingers: Lingers) {
+    /// Lingering units as read from a record; `spent` if it names others that linger no longer.
+    pub(super) fn on_lingers_read(&mut self, number: u32, version: u64, lingers: Lingers, spent: bool) {
         let shard = self.shards.entry(number).or_default();
         shard.version = shard.version.max(version);
         shard.inherited_lingers = lingers.clone();
         shard.lingers = lingers;
+        if spent {
+            self.on_units_freed(number);
+        }
     }
 
     /// Every entry of lingering units, by shard.
@@ -137,16 +142,28 @@
         })
     }
 
+    /// Units that this shard's record may name are free. It is written before any start that could get
+    /// them, or a new leader would read them twice, as held here and there.
+    pub(super) fn on_units_freed(&mut self, number: u32) {
+        if let Some(shard) = self.shards.get_mut(&number) {
+            shard.names_freed_units = true;
+            self.queue(number);
+        }
+    }
+
     /// All units that linger still.
     pub(super) fn lingers(&mut self, now: Timestamp) -> Vec<Linger> {
         let mut lingers = Vec::new();
+        let mut freed = Vec::new();
         for (number, shard) in &mut self.shards {
-            if shard.lingers.prune(now) && shard.machines.is_empty() {
-                // Nothing is left for its record to say.
-                self.stale.insert(*number);
+            if shard.lingers.prune(now) {
+                freed.push(*number);
             }
             lingers.extend(shard.lingers.iter().cloned());
         }
+        for number in freed {
+            self.on_units_freed(number);
+        }
         lingers
     }
 
@@ -160,9 +177,16 @@
         }
     }
 
-    /// The shard must be written.
+    /// The shard must be written; before all others if its record names units that are free.
     pub(super) fn queue(&mut self, number: u32) {
-        if !self.urgent.contains(&number) {
+        let names_freed_units = self
+            .shards
+            .get(&number)
+            .is_some_and(|shard| shard.names_freed_units);
+        if names_freed_units {
+            self.urgent.retain(|queued| *queued != number);
+            self.urgent.push_front(number);
+        } else if !self.urgent.contains(&number) {
             self.urgent.push_back(number);
         }
     }
@@ -174,6 +198,8 @@
                 shard.version = if *deleted { 0 } else { version };
                 shard.split_to = None;
                 shard.split_from = None;
+                // Units that were freed while it was in flight have queued it again.
+                shard.names_freed_units = self.urgent.contains(number);
             }
         }
     }
--- a/crates/controller/src/storage/records/machine_shard/encoder.rs
+++ b/crates/controller/src/storage/records/machine_shard/encoder.rs
@@ -11,7 +11,16 @@
 pub(super) struct ShardEncoder {
     shard: ShardRecord,
     text_positions: HashMap<Arc<str>, usize>,
-    job_positions: HashMap<(JobId, Arc<str>), usize>,
+    job_positions: HashMap<JobKey, usize>,
+}
+
+/// What the starts of one listed job have in common.
+#[derive(PartialEq, Eq, Hash)]
+struct JobKey {
+    job: JobId,
+    team: Arc<str>,
+    /// Tasks that are done hold none, beside others of their job that do.
+    holds_units: bool,
 }
 
 impl ShardEncoder {
@@ -51,7 +60,11 @@
     fn job_position(&mut self, start: &StartRecord) -> usize {
         // The team is listed first, also for a job that is listed already.
         let team = self.text_position(&start.team);
-        let key = (start.job.clone(), start.team.clone());
+        let key = JobKey {
+            job: start.job.clone(),
+            team: start.team.clone(),
+            holds_units: !start.counts.is_empty(),
+        };
         if let Some(position) = self.job_positions.get(&key) {
             return *position;
         }
