The next leader knows whose machines are gone, for as long as units linger

Symptom: after a failover a licence server's seats on a machine that had just been returned counted as a user's outside, beside the lingering units of the record: "seat: 0 held, 2 linger, 2 are others', of 2". Nothing started on that count until the server named them no longer and was asked again.

Cause: only the memory of the leader that returned a machine said that it had been ours, and that for 300 s, while units may linger for 7,200 s.

Now the shard of a machine that went while units lingered there names it ("released", at most 16 a shard) until they are free, and a new leader remembers it as gone, which also refuses late reports and lagging lists of it. In one term it is remembered for as long. The field is left out where it is empty. An earlier build ignores and drops it: then the next leader counts as before this change, which starts less, never more.

--- a/crates/controller/src/constants.rs
+++ b/crates/controller/src/constants.rs
@@ -225,6 +225,11 @@
 /// of them share one that it stays within `value_kb`. Fuller ones are halved.
 pub const SHARD_MACHINE_BYTES: usize = 500;
 
+/// Most machines that are gone, but whose clients a licence server may still name, in one record: some
+/// 30 bytes each, so that a record's room stays that of its machines. The client of one that is left out
+/// counts as a user outside to the next leader, until the server has its seat back.
+pub const RELEASED_PER_SHARD: usize = 16;
+
 /// Tasks per chunk of a job's record of completed tasks. As a bitmap a chunk
 /// takes 1 KiB, far below any `value_kb` that the platform sets.
 pub const DONE_CHUNK: u32 = 8_192;
--- a/crates/controller/src/leader/autoscaling/scale_in.rs
+++ b/crates/controller/src/leader/autoscaling/scale_in.rs
@@ -255,6 +255,7 @@
                 self.writer.machine_gone(&machine);
                 let changes = machine.clear();
                 self.apply_from(&id, machine.shard, changes, io);
+                self.remember_clients(&machine);
                 self.scheduler.request_pass();
             }
             return;
--- a/crates/controller/src/leader/counted_resources.rs
+++ b/crates/controller/src/leader/counted_resources.rs
@@ -8,12 +8,13 @@
 use crate::constants::{COUNT_WARNING_AFTER_MS, FORECAST_MS, SECOND_MS, WARNING_REPEAT_MS};
 use crate::io::{Effect, FencedDestination, Io, Method, Outcome};
 use crate::job_api::authorization;
-use crate::model::{Job, JobId, Timestamp};
+use crate::model::{Job, JobId, MachineId, Timestamp};
 use crate::protocol::paths;
 use crate::scheduling::placement::{self, Units, UnsatisfiedDemand};
 use crate::settings::Settings;
+use crate::storage::records::ReleasedMachine;
 use indigopath_accounting::{Access, Owner, Team};
-use indigopath_counted_resources::constants::{SERVER_BYTES, SERVER_TIMEOUT_MS};
+use indigopath_counted_resources::constants::{SERVER_BYTES, SERVER_TIMEOUT_MS, SERVER_TRUST_MS};
 use indigopath_counted_resources::status::{
     Asked, CountStatus, Explanation, Holder, ServerStatus, TeamStatus,
 };
@@ -148,6 +149,38 @@
         }
     }
 
+    /// A machine is gone. For as long as units linger that its attempts may have held, a licence server
+    /// may name its clients, which are ours then, also to the next leader.
+    pub(super) fn remember_clients(&mut self, machine: &Machine) {
+        let named_until = machine
+            .shard
+            .and_then(|shard| self.writer.machine_released(shard, &machine.id));
+        if let Some(until) = named_until {
+            // A server that falls silent then is believed for a while.
+            self.machines.remember_gone(&machine.id, until + SERVER_TRUST_MS);
+        }
+    }
+
+    /// A machine that is gone, as a former leader recorded it: its clients are ours.
+    pub(super) fn adopt_released(
+        &mut self,
+        shard: u32,
+        released: &ReleasedMachine,
+        clock_off_ms: u64,
+        io: &Io,
+    ) {
+        // As with lingering units: this clock may be late, the other may have been early.
+        let named_until_ms = released.until_ms.saturating_add(2 * clock_off_ms);
+        let left_ms = named_until_ms.saturating_sub(io.wall_ms);
+        let longest_ms = self.counted.linger_ms.values().max().copied().unwrap_or(0);
+        let until = io.now + left_ms.min(longest_ms);
+        if io.now < until {
+            let id = MachineId(released.name.clone());
+            self.machines.remember_gone(&id, until + SERVER_TRUST_MS);
+            self.writer.released_read(shard, id, until);
+        }
+    }
+
     /// A task with units is placed: how long its job waited.
     pub(super) fn note_wait(&mut self, counts: &Demand, age_ms: u64) {
         let age_s = age_ms as f64 / SECOND_MS as f64;
--- a/crates/controller/src/leader/machine_table.rs
+++ b/crates/controller/src/leader/machine_table.rs
@@ -13,7 +13,8 @@
     /// Machines that may hold attempts of a job: a superset, made exact by the next reindexing.
     task_locations: TaskLocations,
     indexed_at: Timestamp,
-    /// Machines that the cloud took back, and when: late heartbeats of theirs are refused.
+    /// Machines that the cloud took back, and until when that is remembered: late heartbeats of theirs
+    /// are refused, and their clients of a licence server are ours.
     gone: HashMap<MachineId, Timestamp>,
 }
 
@@ -81,23 +82,29 @@
     /// Removes a machine that the cloud has taken back, and remembers it for a while.
     pub(super) fn take_gone(&mut self, id: &MachineId, now: Timestamp) -> Option<Machine> {
         let machine = self.machines.remove(id)?;
-        self.gone.insert(id.clone(), now);
+        self.remember_gone(id, now + GONE_MEMORY_MS);
         Some(machine)
     }
 
+    /// Remembers at least until then that the cloud took this machine back.
+    pub(super) fn remember_gone(&mut self, id: &MachineId, until: Timestamp) {
+        let known = self.gone.entry(id.clone()).or_insert(until);
+        *known = until.max(*known);
+    }
+
     /// Whether the cloud took this machine back lately.
     pub(super) fn is_gone(&self, id: &MachineId) -> bool {
         self.gone.contains_key(id)
     }
 
-    /// Machines that the cloud took back lately, and when.
+    /// Machines that the cloud took back lately, and until when that is remembered.
     pub(super) fn gone(&self) -> &HashMap<MachineId, Timestamp> {
         &self.gone
     }
 
     /// Forgets machines that went back long ago.
     pub(super) fn forget_gone(&mut self, now: Timestamp) {
-        self.gone.retain(|_, since| now < *since + GONE_MEMORY_MS);
+        self.gone.retain(|_, until| now < *until);
     }
 
     /// For each job, the machines where attempts of it may be.
--- a/crates/controller/src/leader/recovery.rs
+++ b/crates/controller/src/leader/recovery.rs
@@ -288,6 +288,10 @@
         let left: u64 = lingers.iter().map(|linger| u64::from(linger.units)).sum();
         self.writer
             .linger_read(number, item.version, lingers, left < recorded);
+        let clock_off_ms = settings.deployment.clock_off_ms as u64;
+        for released in shard.released() {
+            self.adopt_released(number, released, clock_off_ms, io);
+        }
         for record in shard.machines()? {
             let mut machine = Machine::from_record(&record, io.now);
             for attempt in &mut machine.attempts {
--- a/crates/controller/src/storage/batch_writer.rs
+++ b/crates/controller/src/storage/batch_writer.rs
@@ -110,6 +110,17 @@
             .on_lingers_read(number, version, lingers, spent);
     }
 
+    /// The machine is gone. While units linger that stood in its shard, a licence server may name its
+    /// clients: until when, if at all.
+    pub fn machine_released(&mut self, shard: u32, machine: &MachineId) -> Option<Timestamp> {
+        self.machine_shards.on_released(shard, machine)
+    }
+
+    /// A machine that is gone, as read from a record.
+    pub fn released_read(&mut self, shard: u32, machine: MachineId, until: Timestamp) {
+        self.machine_shards.on_released_read(shard, machine, until);
+    }
+
     /// Units that this shard's record may name are free: it is written before any start that could get
     /// them.
     pub fn units_freed(&mut self, shard: u32) {
--- a/crates/controller/src/storage/batch_writer/machine_shards.rs
+++ b/crates/controller/src/storage/batch_writer/machine_shards.rs
@@ -4,11 +4,11 @@
 use super::next_number;
 use super::transaction::{PlannedStart, TransactionBuilder, Unit, WrittenShard, put_text};
 use crate::allocations::Machine;
-use crate::constants::{SHARD_CONDITIONS, SHARD_MACHINE_BYTES};
+use crate::constants::{RELEASED_PER_SHARD, SHARD_CONDITIONS, SHARD_MACHINE_BYTES};
 use crate::model::{Job, JobId, MachineId, Timestamp};
 use crate::protocol::{Change, Condition};
 use crate::storage::keys;
-use crate::storage::records::{MachineRecord, Record, ShardRecord};
+use crate::storage::records::{MachineRecord, Record, ReleasedMachine, ShardRecord};
 use indigopath_counted_resources::{Linger, LingerEntry, Lingers};
 use serde_json::value::RawValue;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -23,6 +23,8 @@
     lingers: Lingers,
     /// Those of them that a former leader recorded, as they were read.
     inherited_lingers: Lingers,
+    /// Machines that stood here and are gone, and until when a licence server may name their clients.
+    released: Vec<(MachineId, Timestamp)>,
     /// Half of its machines moved to that shard, and nobody knows yet whether this
     /// is recorded: until then both are written in one transaction only, so that
     /// at no time a start stands in neither.
@@ -36,6 +38,15 @@
     fn is_splitting(&self) -> bool {
         self.split_to.is_some() || self.split_from.is_some()
     }
+
+    /// Beyond the most, those that are named for the shortest time are left out.
+    fn add_released(&mut self, machine: MachineId, until: Timestamp) {
+        self.released.push((machine, until));
+        if self.released.len() > RELEASED_PER_SHARD {
+            self.released.sort_by_key(|(_, until)| std::cmp::Reverse(*until));
+            self.released.truncate(RELEASED_PER_SHARD);
+        }
+    }
 }
 
 /// Units that linger, and the record that says so.
@@ -131,15 +142,22 @@
         }
     }
 
-    /// Every entry of lingering units, by shard.
-    pub(super) fn shard_lingers(&self) -> impl Iterator<Item = ShardLinger<'_>> {
-        self.shards.iter().flat_map(|(number, shard)| {
-            shard.lingers.iter().map(|linger| ShardLinger {
-                shard: *number,
-                inherited: shard.inherited_lingers.iter().any(|read| read == linger),
-                linger,
-            })
-        })
+    /// The machine is gone. While units linger that stood here, a licence server may name its clients:
+    /// until when, if at all.
+    pub(super) fn on_released(&mut self, number: u32, machine: &MachineId) -> Option<Timestamp> {
+        let shard = self.shards.get_mut(&number)?;
+        let until = shard.lingers.iter().map(|linger| linger.until).max()?;
+        shard.add_released(machine.clone(), until);
+        self.stale.insert(number);
+        Some(until)
+    }
+
+    /// A machine that is gone, as read from a record.
+    pub(super) fn on_released_read(&mut self, number: u32, machine: MachineId, until: Timestamp) {
+        self.shards
+            .entry(number)
+            .or_default()
+            .add_released(machine, until);
     }
 
     /// Units that this shard's record may name are free. It is written before any start that could get
@@ -151,6 +169,17 @@
         }
     }
 
+    /// Every entry of lingering units, by shard.
+    pub(super) fn shard_lingers(&self) -> impl Iterator<Item = ShardLinger<'_>> {
+        self.shards.iter().flat_map(|(number, shard)| {
+            shard.lingers.iter().map(|linger| ShardLinger {
+                shard: *number,
+                inherited: shard.inherited_lingers.iter().any(|read| read == linger),
+                linger,
+            })
+        })
+    }
+
     /// All units that linger still.
     pub(super) fn lingers(&mut self, now: Timestamp) -> Vec<Linger> {
         let mut lingers = Vec::new();
@@ -159,6 +188,7 @@
             if shard.lingers.prune(now) {
                 freed.push(*number);
             }
+            shard.released.retain(|(_, until)| now < *until);
             lingers.extend(shard.lingers.iter().cloned());
         }
         for number in freed {
@@ -363,6 +393,7 @@
             number: next,
             machines: moved,
             lingers: Vec::new(),
+            released: Vec::new(),
         }
     }
 }
@@ -372,18 +403,32 @@
     number: u32,
     machines: Vec<MachineRecord>,
     lingers: Vec<LingerEntry>,
+    released: Vec<ReleasedMachine>,
 }
 
 impl ShardContents {
     fn text(&self) -> Box<RawValue> {
-        ShardRecord::of(&self.machines, self.lingers.clone()).to_text()
+        ShardRecord::of(&self.machines, self.lingers.clone())
+            .with_released(self.released.clone())
+            .to_text()
     }
 
     fn is_empty(&self) -> bool {
-        self.machines.is_empty() && self.lingers.is_empty()
+        self.machines.is_empty() && self.lingers.is_empty() && self.released.is_empty()
     }
 }
 
+/// Machines that are gone, as a record names them.
+fn released_records(released: &[(MachineId, Timestamp)], sources: &ShardSources) -> Vec<ReleasedMachine> {
+    let named = released.iter().filter(|(_, until)| sources.now < *until);
+    named
+        .map(|(machine, until)| ReleasedMachine {
+            name: machine.0.clone(),
+            until_ms: sources.wall_ms + (until - sources.now),
+        })
+        .collect()
+}
+
 fn texts(contents: &[ShardContents]) -> Vec<Box<RawValue>> {
     contents.iter().map(ShardContents::text).collect()
 }
@@ -415,6 +460,7 @@
                 .map(|machine| self.machine(machine, transaction, sources.jobs))
                 .collect(),
             lingers: shard.lingers.to_record(sources.now, sources.wall_ms),
+            released: released_records(&shard.released, sources),
         }
     }
 
--- a/crates/controller/src/storage/records.rs
+++ b/crates/controller/src/storage/records.rs
@@ -39,7 +39,7 @@
 };
 pub use ended::{EndedRecord, Ending};
 pub use leader::LeaderRecord;
-pub use machine_shard::{MachineRecord, ShardRecord, StartRecord};
+pub use machine_shard::{MachineRecord, ReleasedMachine, ShardRecord, StartRecord};
 
 use crate::model::JobSpec;
 use crate::protocol::{Flavors, RentalRequest};
--- a/crates/controller/src/storage/records/machine_shard.rs
+++ b/crates/controller/src/storage/records/machine_shard.rs
@@ -47,6 +47,27 @@
     pub returning: bool,
 }
 
+/// A machine that the cloud has taken back, but whose clients a licence server may still name.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "(Arc<str>, u64)", into = "(Arc<str>, u64)")]
+pub struct ReleasedMachine {
+    pub name: Arc<str>,
+    /// Until when, by the time of day in ms since 1970.
+    pub until_ms: u64,
+}
+
+impl From<(Arc<str>, u64)> for ReleasedMachine {
+    fn from((name, until_ms): (Arc<str>, u64)) -> ReleasedMachine {
+        ReleasedMachine { name, until_ms }
+    }
+}
+
+impl From<ReleasedMachine> for (Arc<str>, u64) {
+    fn from(machine: ReleasedMachine) -> (Arc<str>, u64) {
+        (machine.name, machine.until_ms)
+    }
+}
+
 /// What may be on each of some machines.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ShardRecord {
@@ -63,6 +84,10 @@
     /// Units that linger after attempts which stood here.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     lingers: Vec<LingerEntry>,
+    /// Machines that stood here. Builds that do not know the field leave it out; whoever reads their
+    /// record takes these machines' clients for users outside, as they do themselves.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    released: Vec<ReleasedMachine>,
 }
 
 /// Form of shards that this build writes.
@@ -86,6 +111,16 @@
         }
     }
 
+    /// The same record, with machines that stood here and are gone.
+    pub fn with_released(self, released: Vec<ReleasedMachine>) -> ShardRecord {
+        ShardRecord { released, ..self }
+    }
+
+    /// Machines that stood here, whose clients a licence server may still name.
+    pub fn released(&self) -> &[ReleasedMachine] {
+        &self.released
+    }
+
     /// Units that linger after attempts which stood here.
     pub fn lingers(&self) -> &[LingerEntry] {
         &self.lingers
--- a/crates/counted_resources/src/linger.rs
+++ b/crates/counted_resources/src/linger.rs
@@ -105,7 +105,7 @@
     ) -> Lingers {
         let mut lingers = Lingers::default();
         for LingerEntry(count, team, units, until_ms) in entries {
-            let left_ms = (until_ms + 2 * off_ms).saturating_sub(wall_ms);
+            let left_ms = until_ms.saturating_add(2 * off_ms).saturating_sub(wall_ms);
             let left_ms = left_ms.min(most_ms(&count));
             if left_ms > 0 {
                 lingers.add(Linger {
