Units that were freed are not held again by a start whose answer is due

A start of an earlier agent epoch is judged once its direct command is settled, not before and after.

--- a/crates/controller/src/allocations/reconciliation.rs
+++ b/crates/controller/src/allocations/reconciliation.rs
@@ -211,7 +211,10 @@
         let held = !attempt.counts.is_empty() && attempt.may_be_there();
         HeldUnits {
             held,
-            held_in_earlier_epoch: held && attempt.may_have_run_in_earlier_epoch(agent_epoch),
+            // The outcome of a direct command to that epoch, if one is due, shows the same.
+            held_in_earlier_epoch: held
+                && !attempt.in_flight
+                && attempt.may_have_run_in_earlier_epoch(agent_epoch),
             start: attempt.start_delivery(),
         }
     }
@@ -269,6 +272,11 @@
         };
         if units.are_freed(attempt, stays) {
             self.changes.push(attempt.freed(units.start));
+            if stays && attempt.exited() {
+                // It has ended. A direct start whose answer is still due starts nothing that its worker
+                // knows, and would have it hold them again beside those that linger.
+                attempt.counts = Demand::default();
+            }
         }
         if !stays || attempt.exited() && !attempt.had_image() {
             self.abandoned_fetches.extend(fetched);
@@ -279,11 +287,10 @@
     /// A start that may have run in an earlier agent epoch may have left its units with a licence server.
     /// It is not sent again but released, so that its task is placed anew once there are units for it.
     fn release_lost_start(&mut self, attempt: &Attempt, units: &HeldUnits) -> bool {
-        let lost = units.held_in_earlier_epoch && !attempt.in_flight;
-        if lost {
+        if units.held_in_earlier_epoch {
             self.changes.push(Change::Released(attempt.task.clone()));
         }
-        lost
+        units.held_in_earlier_epoch
     }
 
     /// Drops the last delivered command, once a copy of it would be refused.
