What people are told of counts is a module of its own; tests of records and their order

New tests: tasks of one job with and without units in a record, machines that are gone in one, and the order of shards whose units are free.

--- /dev/null
+++ b/crates/controller/src/leader/counted_resources/status.rs
@@ -0,0 +1,214 @@
+//! What people are told of counted resources: each count at a glance, who holds units, and why a job
+//! waits for some.
+
+use crate::allocations::{Attempt, Machine};
+use crate::constants::SECOND_MS;
+use crate::job_api::authorization;
+use crate::leader::LeaderTerm;
+use crate::model::{JobId, Timestamp};
+use crate::scheduling::placement::{self, UnsatisfiedDemand};
+use crate::settings::Settings;
+use indigopath_accounting::{Access, Owner, Team};
+use indigopath_counted_resources::status::{
+    Asked, CountStatus, Explanation, Holder, ServerStatus, TeamStatus,
+};
+use indigopath_counted_resources::{Closed, Definitions, Pool};
+
+impl LeaderTerm {
+    /// Every count at a glance.
+    pub fn count_status(&self, definitions: &Definitions, now: Timestamp) -> Vec<CountStatus> {
+        let units = self.units(definitions);
+        let book = placement::book(self.machines.as_map(), &units, now);
+        book.pools().map(|pool| self.status_of(pool, now)).collect()
+    }
+
+    fn status_of(&self, pool: &Pool<'_>, now: Timestamp) -> CountStatus {
+        let definition = pool.definition;
+        let mut teams: Vec<TeamStatus> = pool
+            .teams()
+            .map(|of| TeamStatus {
+                team: of.team.to_owned(),
+                share: of.share,
+                used: of.used,
+            })
+            .collect();
+        teams.sort_by(|a, b| a.team.cmp(&b.team));
+        let server = definition.and_then(|definition| definition.server).map(|addr| {
+            let feed = self.counted.feeds.get(pool.name);
+            let last = feed.and_then(|feed| feed.last(now));
+            ServerStatus {
+                addr: addr.to_string(),
+                heard_s: last.map(|(_, age_ms)| age_ms as f64 / SECOND_MS as f64),
+                total: last.map(|(usage, _)| usage.total),
+                in_use: last.map(|(usage, _)| usage.in_use),
+                problem: feed.and_then(|feed| feed.problem.clone()),
+            }
+        });
+        CountStatus {
+            name: pool.name.to_owned(),
+            units: definition.map(|definition| definition.units),
+            usable: pool.units,
+            held: pool.held,
+            leaving: pool.leaving,
+            lingering: pool.lingering,
+            others: pool.others,
+            free: pool.free(),
+            kept: self.counted.kept.get(pool.name).copied().unwrap_or(0),
+            waiting: self.units_wanted(pool.name, None),
+            oversubscribed: self.counted.oversubscribed.get(pool.name).copied().unwrap_or(0),
+            closed: pool.closed.map(|closed| {
+                let text = match closed {
+                    Closed::Undefined => "it is not defined any more",
+                    Closed::Silent => "its licence server is silent",
+                };
+                text.to_owned()
+            }),
+            teams,
+            server,
+        }
+    }
+
+    /// Units of a count that tasks wait for; with a job, only tasks before it in the
+    /// order of service.
+    fn units_wanted(&self, count: &str, before: Option<&JobId>) -> u64 {
+        self.counted
+            .short
+            .iter()
+            .take_while(|short| before != Some(&short.job))
+            .filter_map(|short| {
+                let job = self.jobs.get(&short.job)?;
+                Some(u64::from(job.spec.counts.units(count)) * u64::from(short.tasks))
+            })
+            .sum()
+    }
+
+    /// Every task that holds units, and what lingers: of all teams, as operators chose by `show_holders`, or of the one that
+    /// the request states.
+    pub fn holders(&self, asks: Option<&Team>, settings: &Settings, now: Timestamp) -> Vec<Holder> {
+        let mut holders = Vec::new();
+        for machine in self.machines.values() {
+            for attempt in machine.attempts.iter().filter(|attempt| attempt.may_be_there()) {
+                let owner = Owner::on_record(&attempt.task.job.0, &attempt.team);
+                let access = match asks {
+                    Some(asks) => Access::stated(&owner, asks),
+                    None => Access::shown_to_all(&owner, settings.operator.show_holders),
+                };
+                if access.is_err() {
+                    continue;
+                }
+                for (count, units) in attempt.counts.iter() {
+                    holders.push(Holder {
+                        count: count.to_string(),
+                        units,
+                        team: attempt.team.to_string(),
+                        task: Some(attempt.task.to_string()),
+                        machine: Some(machine.id.to_string()),
+                        state: holder_state(machine, attempt).to_owned(),
+                        seconds: now.saturating_sub(attempt.planned_at) as f64 / SECOND_MS as f64,
+                    });
+                }
+            }
+        }
+        let lingering = self.counted.lingers.iter().filter(|linger| {
+            now < linger.until && asks.is_none_or(|asks| authorization::is_of(&linger.team, asks, settings))
+        });
+        holders.extend(lingering.map(|linger| Holder {
+            count: linger.count.to_string(),
+            units: linger.units,
+            team: linger.team.to_string(),
+            task: None,
+            machine: None,
+            state: "lingering".to_owned(),
+            seconds: (linger.until - now) as f64 / SECOND_MS as f64,
+        }));
+        holders.sort_by(|a, b| (&a.count, &a.task).cmp(&(&b.count, &b.task)));
+        holders
+    }
+
+    /// Why a job's tasks wait; `None` if it is not live.
+    /// Where the operators show holders to whoever asks, a request need not state a team.
+    pub fn explain(
+        &self,
+        id: &JobId,
+        team: Option<&str>,
+        settings: &Settings,
+        now: Timestamp,
+    ) -> Option<Explanation> {
+        let job = self.jobs.get(id)?;
+        let shown = settings.operator.show_holders && team.is_none();
+        let access = Access::shown_to_all(&authorization::owner(&job.spec), shown)
+            .or_else(|_| authorization::access(&job.spec, &authorization::asks(team, settings), settings));
+        let job = self.jobs.get(&**access.ok()?.job())?;
+        let definitions = &settings.operator.counts;
+        let units = self.units(definitions);
+        let book = placement::book(self.machines.as_map(), &units, now);
+        let short: Vec<&UnsatisfiedDemand> = self
+            .counted
+            .short
+            .iter()
+            .filter(|short| short.job == *id)
+            .collect();
+        let counts = job.spec.counts.iter().map(|(count, units)| Asked {
+            count: count.to_string(),
+            needs: u64::from(units) * u64::from(job.together()),
+            free: book.get(count).map_or(0, |pool| pool.free()),
+            kept: self.counted.kept.get(count).copied().unwrap_or(0),
+            ahead: if short.is_empty() {
+                0
+            } else {
+                self.units_wanted(count, Some(id))
+            },
+            why: short
+                .iter()
+                .find(|short| short.lack.count == *count)
+                .map(|short| short.lack.why.text().to_owned()),
+        });
+        let waiting = job.waiting.len() as u32;
+        let rents = self
+            .scheduler
+            .unplaced()
+            .iter()
+            .any(|unplaced| unplaced.job == *id);
+        let verdict = if waiting == 0 {
+            "all its tasks are done or on machines".to_owned()
+        } else if let Some(first) = short.first() {
+            let tasks: u32 = short.iter().map(|short| short.tasks).sum();
+            format!(
+                "{tasks} of its tasks wait for units of {}: {}",
+                first.lack.count,
+                first.lack.why.text()
+            )
+        } else if let Some(why) = job.spec.condor.as_ref().and_then(|part| part.held()) {
+            format!("it is held: {why}")
+        } else if job.parked {
+            "its cluster is not accepted yet".to_owned()
+        } else if now < job.held_until {
+            "it failed on several machines and is tried again in a while".to_owned()
+        } else if rents {
+            "it has its units and waits for machines".to_owned()
+        } else {
+            "it waits for its turn, or for its team's limit".to_owned()
+        };
+        Some(Explanation {
+            id: id.to_string(),
+            waiting,
+            verdict,
+            counts: counts.collect(),
+        })
+    }
+}
+
+/// What is known of an attempt that holds units, in one word.
+pub(super) fn holder_state(machine: &Machine, attempt: &Attempt) -> &'static str {
+    if attempt.stop.is_some() {
+        "stopping"
+    } else if attempt.from_previous_leader || attempt.unacknowledged.is_some() || machine.inspect_failed {
+        "uncertain"
+    } else {
+        match attempt.seen {
+            None if attempt.durable => "sent",
+            None => "planned",
+            Some(_) => "running",
+        }
+    }
+}
--- a/crates/controller/src/leader/recovery.rs
+++ b/crates/controller/src/leader/recovery.rs
@@ -14,7 +14,7 @@
 use crate::scheduling::gangs::GangAttempt;
 use crate::settings::Settings;
 use crate::storage::records::{self, DoneRecord, Record, RecordError, ShardRecord};
-use indigopath_counted_resources::Lingers;
+use indigopath_counted_resources::{LingerEntry, Lingers};
 use std::collections::BTreeSet;
 
 /// Prefixes in the order of their reading. The records of protection windows come last: they are
@@ -284,10 +284,13 @@
                     .map_or(0, |definition| definition.linger_ms())
             },
         );
-        let recorded: u64 = shard.lingers().iter().map(|entry| u64::from(entry.2)).sum();
+        let recorded = shard.lingers().iter();
+        let recorded: u64 = recorded
+            .map(|LingerEntry(_, _, units, _)| u64::from(*units))
+            .sum();
         let left: u64 = lingers.iter().map(|linger| u64::from(linger.units)).sum();
-        self.writer
-            .linger_read(number, item.version, lingers, left < recorded);
+        let spent = left < recorded;
+        self.writer.linger_read(number, item.version, lingers, spent);
         let clock_off_ms = settings.deployment.clock_off_ms as u64;
         for released in shard.released() {
             self.adopt_released(number, released, clock_off_ms, io);
--- a/crates/controller/src/storage/batch_writer/tests.rs
+++ b/crates/controller/src/storage/batch_writer/tests.rs
@@ -29,3 +29,70 @@
     assert_eq!(ended_at(ENDED_CACHE + more - 1), 7);
     assert_eq!(writer.ended.len(), ENDED_CACHE);
 }
+
+/// Machines with numbers from 0 on, each in a shard of its own.
+fn machines_in_shards(writer: &mut BatchWriter, count: u32) -> BTreeMap<MachineId, Machine> {
+    let machines = (0..count).map(|number| {
+        let id = MachineId(std::sync::Arc::from(format!("m-{number}").as_str()));
+        let mut machine = Machine::new(id.clone(), "small".into(), "east".into(), false, 0);
+        writer.join(&mut machine, number, 1);
+        (id, machine)
+    });
+    machines.collect()
+}
+
+/// Numbers of the shards that the next transaction writes, in their order, with so many changes at most.
+fn shards_written(
+    writer: &mut BatchWriter,
+    machines: &mut BTreeMap<MachineId, Machine>,
+    most: usize,
+) -> Vec<u32> {
+    let settings = Settings::parse(include_str!("../../../tests/support/settings.json")).unwrap();
+    writer.batch(
+        most,
+        &settings,
+        machines,
+        &BTreeMap::new(),
+        &BTreeMap::new(),
+        (0, 1_000),
+    );
+    let units = writer.take_batch();
+    let numbers = units.iter().flat_map(|unit| match unit {
+        Unit::Shards { numbers, .. } => numbers.iter().map(|shard| shard.number).collect(),
+        _ => Vec::new(),
+    });
+    numbers.collect()
+}
+
+// A start in another shard may get the units: were it on record first, and the leader ended then, the next
+// one would count them twice.
+#[test]
+fn a_shard_whose_units_are_free_is_written_before_all_others() {
+    let settings = Settings::parse(include_str!("../../../tests/support/settings.json")).unwrap();
+    let mut writer = BatchWriter::new(1, &settings);
+    let mut machines = machines_in_shards(&mut writer, 3);
+    for machine in machines.values_mut() {
+        writer.record(machine);
+    }
+    writer.units_freed(2);
+    assert_eq!(shards_written(&mut writer, &mut machines, 1), [2]);
+    // The transaction failed: it keeps its place before the others.
+    let units = [Unit::Shards {
+        numbers: vec![WrittenShard {
+            number: 2,
+            deleted: false,
+        }],
+        planned: Vec::new(),
+        returns: Vec::new(),
+    }];
+    writer.failed(&units, 0);
+    assert_eq!(shards_written(&mut writer, &mut machines, 2), [2, 0]);
+    writer.shards_written(
+        &[WrittenShard {
+            number: 2,
+            deleted: false,
+        }],
+        2,
+    );
+    assert_eq!(shards_written(&mut writer, &mut machines, 2), [1]);
+}
--- a/crates/controller/src/storage/records/tests.rs
+++ b/crates/controller/src/storage/records/tests.rs
@@ -116,6 +116,49 @@
     assert!(LeaderRecord::from_value(&stored["leader"]).is_ok());
 }
 
+// A task that is done stands in the record for its result; its seat is another's by then, maybe of its own
+// job.
+#[test]
+fn tasks_of_one_job_with_and_without_units_are_told_apart() {
+    let seat = Demand::new(&[("seat".to_owned(), 1)].into()).unwrap();
+    let start = |index, counts: &Demand| StartRecord {
+        job: JobId(Arc::from("wk-1")),
+        index,
+        attempt: 7,
+        team: Arc::from("red"),
+        needs: Resources::default(),
+        counts: counts.clone(),
+    };
+    let none = Demand::default();
+    let machines = vec![
+        machine("m-1", vec![start(0, &none), start(1, &seat)]),
+        machine("m-2", vec![start(2, &seat), start(3, &none)]),
+    ];
+    let value = ShardRecord::of(&machines, Vec::new()).to_value();
+    let read = ShardRecord::from_value(&value).unwrap().machines().unwrap();
+    assert_eq!(read, machines);
+}
+
+// The field is there only where it says something: what an earlier build wrote, or reads, has none.
+#[test]
+fn machines_that_are_gone_are_named_where_there_are_some() {
+    let without = ShardRecord::of(&[], Vec::new()).to_value();
+    assert!(without.get("released").is_none());
+    assert!(ShardRecord::from_value(&without).unwrap().released().is_empty());
+    let released = ReleasedMachine {
+        name: Arc::from("m-7"),
+        until_ms: 1_700_000_000_000,
+    };
+    let value = ShardRecord::of(&[], Vec::new())
+        .with_released(vec![released.clone()])
+        .to_value();
+    assert_eq!(
+        value["released"],
+        serde_json::json!([["m-7", 1_700_000_000_000u64]])
+    );
+    assert_eq!(ShardRecord::from_value(&value).unwrap().released(), [released]);
+}
+
 #[test]
 fn a_later_builds_shard_is_not_guessed_at() {
     let mut value = ShardRecord::of(&[], Vec::new()).to_value();
