An unproven attempt holds no units by a rule of its own; the order of writes is as it was without counts

The effect digest differed for books_all_controllers_end_in_a_flood, which has no counts: a shard that was queued again while its write was in flight was taken for one whose units are free. It is no longer. That an old report's attempt holds nothing is asked in one place, Attempt::holds_units(), and calls for no pass.

--- a/crates/controller/src/allocations/attempt.rs
+++ b/crates/controller/src/allocations/attempt.rs
@@ -67,7 +67,7 @@
     /// Read from a former leader's record: it may have been sent by that one.
     pub from_previous_leader: bool,
     /// No record names it, and only a report without this leader's token speaks of it: that may be older
-    /// than the records, from which a start goes only once it is provably gone.
+    /// than the records, from which a start goes only once it is provably gone. It holds no units.
     pub unproven_stranger: bool,
     /// The report in whose answer the start was sent.
     pub sent: Option<ReportNumber>,
@@ -187,6 +187,11 @@
         self.image.clone().filter(|_| self.fetching())
     }
 
+    /// It has units of counts, which nobody else may have.
+    pub fn holds_units(&self) -> bool {
+        !self.counts.is_empty() && self.may_be_there() && !self.unproven_stranger
+    }
+
     /// It has ended in a way that only a task with its image can.
     pub(super) fn had_image(&self) -> bool {
         proves_image(self.why)
--- a/crates/controller/src/allocations/machine.rs
+++ b/crates/controller/src/allocations/machine.rs
@@ -284,7 +284,7 @@
 /// An attempt that stands in the record for its result alone holds no units any more: others may have
 /// been given them by the same transaction.
 fn start_record(attempt: &Attempt) -> StartRecord {
-    let counts = if attempt.may_be_there() {
+    let counts = if attempt.holds_units() {
         attempt.counts.clone()
     } else {
         Demand::default()
--- a/crates/controller/src/allocations/reconciliation.rs
+++ b/crates/controller/src/allocations/reconciliation.rs
@@ -168,7 +168,7 @@
         }
         let mut changes = Vec::new();
         for attempt in attempts {
-            if !attempt.counts.is_empty() && attempt.may_be_there() {
+            if attempt.holds_units() {
                 changes.push(attempt.freed(attempt.start_delivery()));
             }
             if !attempt.exited() {
@@ -208,7 +208,7 @@
 
 impl HeldUnits {
     fn of(attempt: &Attempt, agent_epoch: u64) -> HeldUnits {
-        let held = !attempt.counts.is_empty() && attempt.may_be_there();
+        let held = attempt.holds_units();
         HeldUnits {
             held,
             // The outcome of a direct command to that epoch, if one is due, shows the same.
@@ -258,9 +258,7 @@
         let stays = match self.take_status(attempt) {
             Some(status) if self.may_have_restarted(attempt, status) => return true,
             Some(status) => {
-                if self.is_fenced && std::mem::take(&mut attempt.unproven_stranger) {
-                    self.changes.push(Change::Stranger(attempt.task.clone()));
-                }
+                attempt.unproven_stranger &= !self.is_fenced;
                 self.observe(attempt, status, images);
                 true
             }
--- a/crates/controller/src/leader/counted_resources/status.rs
+++ b/crates/controller/src/leader/counted_resources/status.rs
@@ -87,7 +87,7 @@
     pub fn holders(&self, asks: Option<&Team>, settings: &Settings, now: Timestamp) -> Vec<Holder> {
         let mut holders = Vec::new();
         for machine in self.machines.values() {
-            for attempt in machine.attempts.iter().filter(|attempt| attempt.may_be_there()) {
+            for attempt in machine.attempts.iter().filter(|attempt| attempt.holds_units()) {
                 let owner = Owner::on_record(&attempt.task.job.0, &attempt.team);
                 let access = match asks {
                     Some(asks) => Access::stated(&owner, asks),
--- a/crates/controller/src/leader/oversubscription.rs
+++ b/crates/controller/src/leader/oversubscription.rs
@@ -34,7 +34,7 @@
         state: &'static str,
     ) -> Option<HeldUnits> {
         let units = attempt.counts.units(count);
-        (units > 0 && attempt.may_be_there()).then(|| HeldUnits {
+        (units > 0 && attempt.holds_units()).then(|| HeldUnits {
             units,
             task: attempt.task.clone(),
             number: attempt.number,
--- a/crates/controller/src/leader/reconciliation.rs
+++ b/crates/controller/src/leader/reconciliation.rs
@@ -195,16 +195,12 @@
         }
     }
 
-    /// A machine runs an attempt that no record names: what it holds, its job may say, once a report with
-    /// this leader's token shows it. An older one may be from before its record went.
+    /// A machine runs an attempt that no record names: what it holds, its job may say.
     fn adopt_unrecorded(&mut self, machine_id: &MachineId, task: TaskId) {
         if let Some(job) = self.jobs.get(&task.job)
             && let Some(machine) = self.machines.get_mut(machine_id)
         {
-            let unrecorded = machine
-                .attempts
-                .iter_mut()
-                .filter(|attempt| attempt.task == task && !attempt.unproven_stranger);
+            let unrecorded = machine.attempts.iter_mut().filter(|attempt| attempt.task == task);
             for attempt in unrecorded {
                 attempt.counts = job.spec.counts.clone();
             }
--- a/crates/controller/src/scheduling/placement/counted_units.rs
+++ b/crates/controller/src/scheduling/placement/counted_units.rs
@@ -60,17 +60,15 @@
 pub fn book<'a>(machines: &'a BTreeMap<MachineId, Machine>, units: &Units<'a>, now: Timestamp) -> Book<'a> {
     let mut book = Book::with_policy(units.definitions, units.policy);
     for attempt in machines.values().flat_map(|machine| &machine.attempts) {
-        if attempt.may_be_there() {
-            record_units(&mut book, attempt, now);
-        }
+        record_units(&mut book, attempt, now);
     }
     units.settle(&mut book, machines, now);
     book
 }
 
-/// Notes the units, if any, of an attempt that may be on its machine.
+/// Notes the units, if any, that an attempt holds.
 pub(super) fn record_units<'a>(book: &mut Book<'a>, attempt: &'a Attempt, now: Timestamp) {
-    if attempt.counts.is_empty() {
+    if !attempt.holds_units() {
         return;
     }
     let over_s = attempt.ran_s(now) - attempt.estimate_s;
--- a/crates/controller/src/storage/batch_writer/machine_shards.rs
+++ b/crates/controller/src/storage/batch_writer/machine_shards.rs
@@ -229,7 +229,7 @@
                 shard.split_to = None;
                 shard.split_from = None;
                 // Units that were freed while it was in flight have queued it again.
-                shard.names_freed_units = self.urgent.contains(number);
+                shard.names_freed_units &= self.urgent.contains(number);
             }
         }
     }
