--- a/crates/indigopath/src/client.rs
+++ b/crates/indigopath/src/client.rs
@@ -12,6 +12,10 @@
 /// few seconds how far it is.
 const TIMEOUT_MS: u64 = 6_000;
 
+/// For how long controllers are asked again while none of them leads.
+#[cfg(test)]
+const LEADER_WAIT: Duration = Duration::from_secs(15);
+
 #[derive(Args, Clone)]
 pub struct Nodes {
     /// Controller to ask; several may be given, and the first that can answer does
