Commands wait while the leader changes

Cause: each controller was asked once, although 421 and 503 say no more than "not now". Now they are asked again, every 0.5 s for at most 15 s, while one of them is there. A request that changes something is not repeated where a controller gave no answer, as it may have been carried out.

--- a/crates/indigopath/src/client.rs
+++ b/crates/indigopath/src/client.rs
@@ -5,17 +5,20 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddrV4;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 
 /// Longest wait for a node's answer, in ms: a node answers from memory, or tells within a
 /// few seconds how far it is.
 const TIMEOUT_MS: u64 = 6_000;
 
-/// For how long controllers are asked again while none of them leads.
-#[cfg(test)]
+/// For how long controllers are asked again while none of them leads: a lease that runs out (2.5 s), an
+/// election and the reading of the records, twice.
 const LEADER_WAIT: Duration = Duration::from_secs(15);
 
+/// Pause before they are asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+
 #[derive(Args, Clone)]
 pub struct Nodes {
     /// Controller to ask; several may be given, and the first that can answer does
@@ -55,6 +58,16 @@
     Unreadable(#[from] serde_json::Error),
 }
 
+/// What came of asking every controller once.
+enum Round {
+    /// The body of the answer of whoever could tell.
+    Answered(String),
+    /// Some are there, and none of them leads for the moment.
+    NobodyLeads(String),
+    /// Asking again would not help, or could do a thing twice.
+    Failed(String),
+}
+
 impl Nodes {
     /// What a path shows.
     ///
@@ -82,9 +95,25 @@
             .build()
             .into();
         let stated = self.team.as_deref().map(query).unwrap_or_default();
+        let began = Instant::now();
+        loop {
+            match self.ask_each(&agent, &format!("{path}{stated}"), body)? {
+                Round::Answered(answer) => return Ok(serde_json::from_str(&answer)?),
+                Round::NobodyLeads(problems) if began.elapsed() >= LEADER_WAIT => {
+                    return Err(ClientError::NoAnswer(problems));
+                }
+                Round::NobodyLeads(_) => std::thread::sleep(ASK_AGAIN),
+                Round::Failed(problems) => return Err(ClientError::NoAnswer(problems)),
+            }
+        }
+    }
+
+    /// Asks one controller after the other until one answers.
+    fn ask_each(&self, agent: &ureq::Agent, path: &str, body: Option<&str>) -> Result<Round, ClientError> {
         let mut problems = Vec::new();
+        let mut unanswered = 0;
         for node in &self.nodes {
-            let url = format!("http://{node}{path}{stated}");
+            let url = format!("http://{node}{path}");
             let answer = match body {
                 Some(body) => agent.post(url).send(body),
                 None => agent.get(url).call(),
@@ -92,14 +121,24 @@
             let answer = answer
                 .and_then(|mut answer| Ok((answer.status().as_u16(), answer.body_mut().read_to_string()?)));
             match answer {
-                Ok((200 | 201, body)) => return Ok(serde_json::from_str(&body)?),
+                Ok((200 | 201, body)) => return Ok(Round::Answered(body)),
                 Ok((421, _)) => problems.push(format!("{node} does not lead")),
                 Ok((503, body)) => problems.push(format!("{node}: {}", error_of(&body))),
                 Ok((status, body)) => return Err(ClientError::Refused(status, body)),
-                Err(error) => problems.push(format!("{node}: {error}")),
+                Err(error) => {
+                    unanswered += 1;
+                    problems.push(format!("{node}: {error}"));
+                }
             }
         }
-        Err(ClientError::NoAnswer(problems.join("; ")))
+        // A request that changes something may have been carried out where no answer came.
+        let may_ask_again = unanswered < self.nodes.len() && (body.is_none() || unanswered == 0);
+        let problems = problems.join("; ");
+        Ok(if may_ask_again {
+            Round::NobodyLeads(problems)
+        } else {
+            Round::Failed(problems)
+        })
     }
 
     /// A value as a table, or as JSON.
