--- /dev/null
+++ b/review/run-case.sh
@@ -0,0 +1,32 @@
+#!/bin/sh
+# Runs the program of a case: run-case.sh FOLDER PROGRAM. Ends with 1 if the rule was broken, 0 if it held,
+# 2 if the case couldn't run.
+set -u
+here=$(cd "$1" && pwd) || exit 2
+root=$(cd "$(dirname "$0")/.." && pwd) || exit 2
+cd "$root" || exit 2
+run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
+program="target/review/release/$2"
+if [ ! -x "$program" ] || [ ! -x "${run%% *}" ]; then
+    echo "build first: the build command of deploy/service.toml, then review/build.sh" >&2
+    exit 2
+fi
+folder=$(mktemp -d) || exit 2
+end() {
+    # Controllers that are left, should the program have ended early: by their ids, and only if they are
+    # still those that it started.
+    for pid in $(cat "$folder/pids" 2>/dev/null); do
+        if tr '\0' ' ' <"/proc/$pid/cmdline" 2>/dev/null | grep -qF "$folder/"; then
+            kill -KILL "$pid" 2>/dev/null
+        fi
+    done
+    rm -rf "$folder"
+}
+trap end EXIT
+trap 'exit 2' INT TERM
+timeout -k 1 118 "$program" "$run" "$here" "$folder"
+code=$?
+case $code in
+    0 | 1) exit $code ;;
+    *) exit 2 ;;
+esac
