--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -16,7 +16,7 @@
     # Controllers that are left, should the program have ended early: by their ids, and only if they are
     # still those that it started.
     for pid in $(cat "$folder/pids" 2>/dev/null); do
-        if tr '\0' ' ' <"/proc/$pid/cmdline" 2>/dev/null | grep -qF "$folder/"; then
+        if [ -r "/proc/$pid/cmdline" ] && grep -qF "$folder/" "/proc/$pid/cmdline"; then
             kill -KILL "$pid" 2>/dev/null
         fi
     done
--- a/review/stand/src/stand.rs
+++ b/review/stand/src/stand.rs
@@ -35,6 +35,8 @@
     pub rigs: Vec<Rig>,
     pub limits: Limits,
     pub timings: Timings,
+    /// Limits that the state service will have later: `state.next`.
+    pub next: Option<Limits>,
     settings: Value,
 }
 
@@ -88,6 +90,7 @@
                 boot_s: 1.5,
                 list_lag_s: 4.0,
             },
+            next: None,
             settings: json!({
                 "teams": [team("lecteur", 56.0, 232.0), team("atelier", 16.0, 48.0), team("traduction", 48.0, 96.0),
                     team("vision", 32.0, 64.0), team("teranga-lab", 0.0, 0.0)],
@@ -139,6 +142,7 @@
                 boot_s: 1.5,
                 list_lag_s: 3.0,
             },
+            next: None,
             settings: json!({
                 "teams": teams,
                 "objectives": [{ "kind": "wait", "class": "pickpath-live", "within_s": 8.0, "share": 0.96 },
@@ -164,6 +168,7 @@
             rigs,
             limits,
             timings,
+            next,
             mut settings,
         } = deployment;
         let state = State::new(limits, ledger);
@@ -195,6 +200,10 @@
         settings["zones"] = json!(zones);
         settings["state"] = json!({ "rps": limits.rps, "write_rps": limits.write_rps, "value_kb": limits.value_kb,
             "txn_ops": limits.txn_ops });
+        if let Some(next) = next {
+            settings["state"]["next"] = json!({ "rps": next.rps, "write_rps": next.write_rps,
+                "value_kb": next.value_kb, "txn_ops": next.txn_ops });
+        }
         settings["skew_ms"] = json!(1000.0);
         let site = Site {
             zones,
