--- a/review/stand/src/fleet.rs
+++ b/review/stand/src/fleet.rs
@@ -53,6 +53,8 @@
     up: Instant,
     endpoint: Option<SocketAddrV4>,
     gone: Option<Instant>,
+    /// When it stopped on its own, with all that was on it.
+    stopped: Option<Instant>,
 }
 
 #[derive(Debug, Clone)]
@@ -77,6 +79,8 @@
     renewed: Instant,
     changed: bool,
     gone: bool,
+    /// Without power: it is silent, and nothing runs on it.
+    pub stopped: bool,
     /// Reports sent so far.
     pub reports_sent: u64,
     /// Orders to run that were carried out: the task, its attempt, and when.
@@ -138,6 +142,19 @@
         }
     }
 
+    /// A machine stops with all that is on it: from now on it is silent.
+    pub fn stop_machine(&self, worker: &Mutex<Worker>) {
+        let mut worker = lock(worker);
+        worker.stopped = true;
+        let tasks: Vec<&str> = worker.tasks.iter().map(|task| task.pick.as_str()).collect();
+        self.record
+            .line(&format!("machine {} stops with {tasks:?} on it", worker.host));
+        worker.tasks.clear();
+        if let Some(machine) = lock(&self.machines).get_mut(&worker.host) {
+            machine.stopped.get_or_insert(Instant::now());
+        }
+    }
+
     /// Tasks that completed.
     pub fn done_count(&self) -> usize {
         lock(&self.done).len()
@@ -152,7 +169,10 @@
     pub fn up(&self) -> Vec<Arc<Mutex<Worker>>> {
         lock(&self.workers)
             .values()
-            .filter(|worker| !lock(worker).gone)
+            .filter(|worker| {
+                let worker = lock(worker);
+                !worker.gone && !worker.stopped
+            })
             .cloned()
             .collect()
     }
@@ -222,10 +242,19 @@
                 break;
             }
             let is_up = now >= machine.up + lag;
+            // "A machine that dies still appears as `running` for about 30 s."
+            let has_failed = machine
+                .stopped
+                .is_some_and(|at| now >= at + Duration::from_secs(30));
+            let status = match (has_failed, is_up) {
+                (true, _) => "failed",
+                (false, true) => "running",
+                (false, false) => "booting",
+            };
             hosts.push(
                 json!({ "Id": id, "Endpoint": machine.endpoint.map(|addr| addr.to_string()),
                 "Rig": self.rigs[machine.rig].label, "Yard": machine.yard, "Loaners": machine.loaners,
-                "Status": if is_up { "running" } else { "booting" },
+                "Status": status,
                 "HeldS": (now.duration_since(machine.rented) - lag).as_secs_f64() }),
             );
         }
@@ -281,6 +310,7 @@
                     up: now + Duration::from_secs_f64(self.timings.boot_s),
                     endpoint: None,
                     gone: None,
+                    stopped: None,
                 },
             );
             drop(machines);
@@ -330,11 +360,17 @@
             renewed: now,
             changed: false,
             gone: false,
+            stopped: false,
             reports_sent: 0,
             runs: Vec::new(),
         }));
         let (fleet, served) = (self.clone(), worker.clone());
         let endpoint = serve(Arc::new(move |method, path, body| {
+            if lock(&served).stopped {
+                // Connections to it hang.
+                thread::sleep(Duration::from_secs(10));
+                return None;
+            }
             let mut worker = lock(&served);
             if worker.gone {
                 return None;
@@ -369,7 +405,7 @@
             let now = Instant::now();
             let (body, shift) = {
                 let mut worker = lock(worker);
-                if worker.gone {
+                if worker.gone || worker.stopped {
                     return;
                 }
                 self.step(&mut worker);
