--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,12 +1,11 @@
 #!/bin/sh
-# Runs the program of a case: run-case.sh FOLDER PROGRAM. Ends with 1 if the rule was broken, 0 if it held,
-# 2 if the case couldn't run.
+# Runs the program of a case: run-case.sh PROGRAM RECORD, which writes RECORD. Ends with 1 if the rule was
+# broken, 0 if it held, 2 if the case couldn't run.
 set -u
-here=$(cd "$1" && pwd) || exit 2
 root=$(cd "$(dirname "$0")/.." && pwd) || exit 2
 cd "$root" || exit 2
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
-program="target/review/release/$2"
+program="target/review/release/$1"
 if [ ! -x "$program" ] || [ ! -x "${run%% *}" ]; then
     echo "build first: the build command of deploy/service.toml, then review/build.sh" >&2
     exit 2
@@ -24,7 +23,7 @@
 }
 trap end EXIT
 trap 'exit 2' INT TERM
-timeout -k 1 118 "$program" "$run" "$here" "$folder"
+timeout -k 1 118 "$program" "$run" "$2" "$folder"
 code=$?
 case $code in
     0 | 1) exit $code ;;
--- a/review/stand/src/bin/flood.rs
+++ b/review/stand/src/bin/flood.rs
@@ -86,11 +86,8 @@
             .collect();
         let mut waiting = [0; 2];
         for (at, body) in jobs.iter().enumerate() {
-            let need = |field: &str| body[field].as_f64().unwrap_or(0.0);
             waiting[at] = waiting_picks(&fleet.started.lock().expect("started"), body).len();
-            let has_room = free.iter().any(|(cpus, gpus, mem_gb)| {
-                need("Cpus") <= *cpus && need("Gpus") <= *gpus && need("MemGb") <= *mem_gb
-            });
+            let has_room = fleet.has_room(body);
             if waiting[at] == 0 || !has_room {
                 beside_room[at] = None;
                 continue;
--- a/review/stand/src/bin/wave.rs
+++ b/review/stand/src/bin/wave.rs
@@ -126,9 +126,7 @@
             .iter()
             .map(|worker| fleet.free(&worker.lock().expect("a worker")))
             .collect();
-        let has_room = free
-            .iter()
-            .any(|(cpus, _, mem_gb)| *cpus >= 60.0 && *mem_gb >= 100.0);
+        let has_room = fleet.has_room(&jobs[0]);
         let mut waiting = 0;
         for (body, since) in jobs.iter().zip(&mut beside_room) {
             let waits = runs_on(body).is_none();
--- a/review/stand/src/fleet.rs
+++ b/review/stand/src/fleet.rs
@@ -78,6 +78,8 @@
     fetches: BTreeMap<String, Instant>,
     renewed: Instant,
     changed: bool,
+    /// When a higher token last counted as a change.
+    token_change: Option<Instant>,
     gone: bool,
     /// Without power: it is silent, and nothing runs on it.
     pub stopped: bool,
@@ -177,6 +179,22 @@
             .collect()
     }
 
+    /// Whether a machine that is up and that the job allows has room for one more task of it.
+    pub fn has_room(&self, body: &Value) -> bool {
+        let need = |field: &str| body[field].as_f64().unwrap_or(0.0);
+        self.up().iter().any(|worker| {
+            let worker = lock(worker);
+            let spot = lock(&self.machines)
+                .get(&worker.host)
+                .is_some_and(|machine| machine.loaners);
+            let (cpus, gpus, mem_gb) = self.free(&worker);
+            (!spot || body["Loaners"] == true)
+                && need("Cpus") <= cpus
+                && need("Gpus") <= gpus
+                && need("MemGb") <= mem_gb
+        })
+    }
+
     /// Resources that are free on a machine, by what is on it: CPUs, GPUs, memory.
     pub fn free(&self, worker: &Worker) -> (f64, f64, f64) {
         let rig = lock(&self.machines)
@@ -294,6 +312,7 @@
         let capacity = capacity.map_or(0, |(_, ordinary, spot)| if loaners { *spot } else { *ordinary });
         let count = (count as usize).min(capacity.saturating_sub(rented));
         if count == 0 {
+            self.record.line(&format!("cloud refused {request}: no capacity"));
             return (503, json!({ "error": "no capacity" }));
         }
         let mut names = Vec::new();
@@ -359,6 +378,7 @@
             fetches: BTreeMap::new(),
             renewed: now,
             changed: false,
+            token_change: None,
             gone: false,
             stopped: false,
             reports_sent: 0,
@@ -376,6 +396,13 @@
                 return None;
             }
             fleet.step(&mut worker);
+            if path == "/do" {
+                let orders = String::from_utf8_lossy(body).matches("\"Verb\":").count();
+                fleet.record.line(&format!(
+                    "{} gets a direct command with {orders} orders",
+                    worker.host
+                ));
+            }
             Some(match (method, path) {
                 ("POST", "/do") => fleet.direct(&mut worker, body),
                 ("GET", "/inspect") => (200, fleet.report(&mut worker).to_string()),
@@ -432,11 +459,16 @@
                 Duration::from_secs(4),
             );
             let mut worker = lock(worker);
-            let took = last.elapsed();
-            if took > Duration::from_millis(500) {
-                let took_s = took.as_secs_f64();
-                self.task_line(|| format!("{} reported {took_s:.3} s ago, answered {answer:?}", worker.host));
+            if worker.stopped || worker.gone {
+                return;
             }
+            self.record.line(&format!(
+                "{} reports {} tasks to {}: {}",
+                worker.host,
+                body.matches("\"Pick\":").count(),
+                self.nodes[node].0,
+                brief(&answer)
+            ));
             match answer {
                 Some((200, text)) => {
                     let answer: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
@@ -444,8 +476,7 @@
                     if baton == 0 || baton < worker.baton || shift != worker.shift || worker.gone {
                         continue;
                     }
-                    worker.changed |= baton > worker.baton;
-                    worker.baton = baton;
+                    self.see_token(&mut worker, baton);
                     worker.renewed = now;
                     self.execute(&mut worker, &answer["Orders"]);
                 }
@@ -493,6 +524,20 @@
             "Shift": worker.shift, "Tick": worker.tick, "Baton": worker.baton, "WarningS": null, "Picks": picks })
     }
 
+    /// A higher token counts as a change at most once within half of the lease.
+    fn see_token(&self, worker: &mut Worker, baton: u64) {
+        if baton <= worker.baton {
+            return;
+        }
+        worker.baton = baton;
+        let now = Instant::now();
+        let half = Duration::from_secs_f64(self.timings.lease_s / 2.0);
+        if worker.token_change.is_none_or(|at| now >= at + half) {
+            worker.token_change = Some(now);
+            worker.changed = true;
+        }
+    }
+
     fn direct(&self, worker: &mut Worker, body: &[u8]) -> (u16, String) {
         let request: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         let (Some(baton), Some(shift)) = (request["Baton"].as_u64(), request["Shift"].as_u64()) else {
@@ -501,8 +546,7 @@
         if baton < worker.baton || shift != worker.shift {
             return (409, self.report(worker).to_string());
         }
-        worker.changed |= baton > worker.baton;
-        worker.baton = baton;
+        self.see_token(worker, baton);
         self.execute(worker, &request["Orders"]);
         (200, self.report(worker).to_string())
     }
@@ -638,3 +682,20 @@
         self.cause = Some(cause);
     }
 }
+
+/// An answer in short: the status, and the numbers of orders or what else it says.
+fn brief(answer: &Option<(u16, String)>) -> String {
+    match answer {
+        None => "no answer".to_owned(),
+        Some((200, text)) => {
+            let count = |verb: &str| text.matches(&format!("\"Verb\":\"{verb}\"")).count();
+            format!(
+                "200, orders: {} run, {} stop, {} forget",
+                count("run"),
+                count("stop"),
+                count("forget")
+            )
+        }
+        Some((status, text)) => format!("{status} {}", text.chars().take(80).collect::<String>()),
+    }
+}
--- a/review/stand/src/stand.rs
+++ b/review/stand/src/stand.rs
@@ -158,11 +158,11 @@
 
 impl Stand {
     /// Starts a deployment; `ledger` is what the state service has counted before. Arguments: the run command
-    /// of the deploy file, the case's folder, a temporary folder. `None` if the controllers don't become
+    /// of the deploy file, the record's path, a temporary folder. `None` if the controllers don't become
     /// healthy.
     pub fn start(arguments: &[String], deployment: Deployment, ledger: u64) -> Option<Stand> {
         let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-        let record = Arc::new(Record::create(&PathBuf::from(&arguments[2]).join("record.txt")).ok()?);
+        let record = Arc::new(Record::create(&PathBuf::from(&arguments[2])).ok()?);
         let Deployment {
             zones,
             rigs,
@@ -181,9 +181,12 @@
         let hook: Arc<Mutex<Option<Arc<Hook>>>> = Arc::default();
         let state_addrs: Vec<SocketAddrV4> = (0..NODES)
             .map(|node| {
-                let (state, hook) = (state.clone(), hook.clone());
+                let (state, hook, lines) = (state.clone(), hook.clone(), record.clone());
                 serve(Arc::new(move |method, path, body| {
                     let answer = state.handle(method, path, body);
+                    if path == "/multi" {
+                        record_transaction(&lines, node, body, answer.0);
+                    }
                     let hook = hook.lock().expect("the hook").clone();
                     if let Some(hook) = hook {
                         hook(node, method, path, body);
@@ -300,6 +303,28 @@
     }
 }
 
+/// Records a transaction: who sent it, the keys that it changes, its size and its status.
+fn record_transaction(record: &Record, node: usize, body: &[u8], status: u16) {
+    let text: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+    let changes = text["Then"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let keys: Vec<String> = changes
+        .iter()
+        .map(
+            |change| match (change["Put"].as_str(), change["Delete"].as_str()) {
+                (Some(key), _) => format!("put {key}"),
+                (None, key) => format!("delete {}", key.unwrap_or("")),
+            },
+        )
+        .collect();
+    if !keys.is_empty() {
+        record.line(&format!(
+            "state service: drover-{node} {}, {} bytes: {status}",
+            keys.join(", "),
+            body.len()
+        ));
+    }
+}
+
 pub fn id_of(body: &Value) -> &str {
     body["Id"].as_str().unwrap_or("")
 }
