--- a/review/stand/src/bin/standstill.rs
+++ b/review/stand/src/bin/standstill.rs
@@ -145,6 +145,8 @@
             worker.lock().expect("a worker").reports_sent > sent_before
         });
         record.line(&format!("the worker has reported meanwhile: {has_reported}"));
+        // It is on its way before the user asks.
+        thread::sleep(Duration::from_millis(20));
         tried += 1;
         // The user's request, repeated until it is answered.
         let resume = thread::spawn({
--- a/review/stand/src/fleet.rs
+++ b/review/stand/src/fleet.rs
@@ -451,6 +451,7 @@
             let spread = 0.75 + 0.5 * f64::from(count % 5) / 4.0;
             due = now + Duration::from_secs_f64(self.timings.report_s * spread);
             lock(worker).reports_sent += 1;
+            let sent_at = self.record.now();
             let answer = client.call(
                 self.nodes[node].1,
                 "POST",
@@ -463,7 +464,7 @@
                 return;
             }
             self.record.line(&format!(
-                "{} reports {} tasks to {}: {}",
+                "{} reported {} tasks to {} at {sent_at:.3}: {}",
                 worker.host,
                 body.matches("\"Pick\":").count(),
                 self.nodes[node].0,
