Log each start with the age of what shows its job to be live

Two causes would look the same from outside: the order was on its way at the confirmation, or it was sent later by a leader that knew nothing newer. No log line told them apart.

An attempt keeps when the transaction that recorded its start was sent, which was on condition that its job was live; the debug line of a start says how long ago that was and which way the start goes, another one says when an end notice of a peer is received.

--- a/crates/controller/src/allocations/attempt.rs
+++ b/crates/controller/src/allocations/attempt.rs
@@ -64,6 +64,9 @@
     pub estimate_s: f64,
     /// Its start is recorded in the state service. It is not sent before.
     pub durable: bool,
+    /// When the transaction that recorded its start was sent, on this node's clock: its job was
+    /// live then or later.
+    pub job_live_at: Option<Timestamp>,
     /// Loaded from the record of a previous leader, which may have sent it.
     pub from_previous_leader: bool,
     /// No record lists it, only a report without this leader's token. That report may be older than
@@ -140,6 +143,7 @@
             image_gb: 0.0,
             estimate_s: 0.0,
             durable: false,
+            job_live_at: None,
             from_previous_leader: false,
             unconfirmed: false,
             sent_in_reply_to: None,
--- a/crates/controller/src/allocations/commands.rs
+++ b/crates/controller/src/allocations/commands.rs
@@ -2,7 +2,7 @@
 
 use super::{Attempt, Machine, ReportNumber, Stop, UnacknowledgedCommand};
 use crate::constants::{SECOND_MS, STOP_RETRY_MS};
-use crate::model::Timestamp;
+use crate::model::{MachineId, Timestamp};
 use crate::protocol::{CommandKind, TaskState, WorkerCommand};
 
 impl Stop {
@@ -38,6 +38,18 @@
         self.exited() && self.end_processed && self.unacknowledged.is_none() && !self.start_in_flight
     }
 
+    /// Logs that its start is sent, and how long ago its job was known to be live.
+    fn log_start(&self, machine: &MachineId, answering: Option<ReportNumber>, now: Timestamp) {
+        let live_ms_ago = self.job_live_at.map_or(0, |at| now.saturating_sub(at));
+        log::debug!(
+            "start sent job={} machine={machine} task={} attempt={} direct={} live_ms_ago={live_ms_ago}",
+            self.task.job,
+            self.task.index,
+            self.number,
+            answering.is_none()
+        );
+    }
+
     /// A command to the worker about this attempt.
     fn command(&self, kind: CommandKind, grace_s: Option<f64>) -> WorkerCommand {
         WorkerCommand {
@@ -96,6 +108,7 @@
             } else if attempt.stop.is_some() {
                 commands.extend(attempt.stop_command(answering.is_some(), now));
             } else if starts && attempt.start_is_due() {
+                attempt.log_start(&self.id, answering, now);
                 commands.push(attempt.command(CommandKind::Start, None));
                 match answering {
                     Some(at) => attempt.sent_in_reply_to = Some(at),
--- a/crates/controller/src/leader/calls.rs
+++ b/crates/controller/src/leader/calls.rs
@@ -17,7 +17,7 @@
     /// Watches the records of live jobs for changes.
     Watch { sent: Timestamp },
     /// A transaction assembled by the batch writer, or a token renewal.
-    Transaction,
+    Transaction { sent: Timestamp },
     /// Reads a record whose version is uncertain.
     Reread {
         key: String,
--- a/crates/controller/src/leader/mod.rs
+++ b/crates/controller/src/leader/mod.rs
@@ -284,7 +284,9 @@
                 return self.handle_records_page(sent, outcome, election, settings, io);
             }
             TermCall::Watch { sent } => return self.handle_watch_response(sent, outcome, election, io),
-            TermCall::Transaction => return self.handle_transaction_response(outcome, election, io),
+            TermCall::Transaction { sent } => {
+                return self.handle_transaction_response(sent, outcome, election, io);
+            }
             TermCall::Reread { key, end_notices } => {
                 return self.handle_reread(key, end_notices, outcome, election, io);
             }
--- a/crates/controller/src/leader/persistence.rs
+++ b/crates/controller/src/leader/persistence.rs
@@ -28,6 +28,15 @@
     types_stored: bool,
 }
 
+/// A transaction that was committed.
+#[derive(Debug, Clone, Copy)]
+struct Committed {
+    /// The version of the records that it wrote.
+    revision: u64,
+    /// When it was sent, on this node's clock.
+    sent: Timestamp,
+}
+
 impl LeaderTerm {
     /// Sends the next re-read, token renewal or batch, if one is due.
     pub(super) fn send_due_write(&mut self, election: &Election, settings: &Settings, io: &mut Io) {
@@ -50,7 +59,7 @@
             self.persistence.token_renewed_at = io.now;
             self.persistence.fencing_needed = false;
             let body = self.writer.begin_renewal(renewal);
-            self.transact(body, TermCall::Transaction, io);
+            self.transact(body, TermCall::Transaction { sent: io.now }, io);
             return;
         }
         self.queue_protection_windows(io.now);
@@ -70,7 +79,7 @@
             return;
         };
         io.write_budget.force_take(ops as f64, io.now);
-        self.transact(body, TermCall::Transaction, io);
+        self.transact(body, TermCall::Transaction { sent: io.now }, io);
     }
 
     /// Updates whether the token must be renewed.
@@ -111,6 +120,7 @@
     /// Handles the response to a transaction.
     pub(super) fn handle_transaction_response(
         &mut self,
+        sent: Timestamp,
         outcome: &Outcome,
         election: &mut Election,
         io: &mut Io,
@@ -119,8 +129,12 @@
         if outcome.status() == Some(200)
             && let Some(response) = outcome.read::<protocol::TransactionResponse>(&[200])
         {
+            let committed = Committed {
+                revision: response.revision,
+                sent,
+            };
             for unit in units {
-                self.on_unit_committed(unit, response.revision, election, io.now);
+                self.on_unit_committed(unit, committed, election, io.now);
             }
             return None;
         }
@@ -177,7 +191,13 @@
     }
 
     /// Applies the effects of a committed unit of a transaction.
-    fn on_unit_committed(&mut self, unit: WriteUnit, revision: u64, election: &mut Election, now: Timestamp) {
+    fn on_unit_committed(
+        &mut self,
+        unit: WriteUnit,
+        Committed { revision, sent }: Committed,
+        election: &mut Election,
+        now: Timestamp,
+    ) {
         match unit {
             WriteUnit::Renewal => {
                 election.on_key_renewed(revision);
@@ -201,6 +221,7 @@
                         .and_then(|machine| machine.attempt_mut(&start.task, start.number))
                     {
                         attempt.durable = true;
+                        attempt.job_live_at = Some(sent);
                         if let Some(job) = self.jobs.get_mut(&start.task.job) {
                             job.execution_stats.record_attempt();
                         }
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -782,6 +782,7 @@
                 self.job_api.on_peer_notice(job, false, self.io.now);
             }
             Frame::EndNotice { job, nonce, index } => {
+                log::debug!("end notice received job={job}");
                 // Before the acknowledgement, after which the user sees the end: no task of the job may start
                 // from then on.
                 if let Some(term) = &mut self.term {
