Tell the term of an end that the node reads for a user

Cause: a node that reads the end of a job for a user notifies its peers, which acknowledge within milliseconds, but its own term waited for the watch. Only an end that the node had written itself was passed on.

Evidence: in the scenario below the leader's watch is answered 1.4 s late; its poll reads the end at 20.78 s and is answered at 20.80 s, the start leaves at 21.06 s.

Change: every end that JobApi learns is passed to the term with the command that taught it. RequestOutcome::Cancelled, which did that for one way, is gone; the accepted job that is left of the type is a struct.

Why it works: the answer to a user leaves with or after the command in which JobApi learns the end, and the term handles no other command in between.

Test, seen failing without the change: cancelled_as_the_leader_learns_by_a_poll, guards against starts by a leader that told a user of the end but not its own term ("started_cancelled at 21.06 s: wk-3 is started by n1, which knows, 260 ms after"). For it the simulator's `withhold` can delay the answer to a watch.

--- a/crates/controller/src/job_api/cancel.rs
+++ b/crates/controller/src/job_api/cancel.rs
@@ -4,7 +4,7 @@
 use crate::io::{Io, Outcome, RequestId};
 use crate::job_api::cache::TerminalState;
 use crate::job_api::state_call::StateCall;
-use crate::job_api::{JobApi, RequestOutcome, authorization};
+use crate::job_api::{JobApi, authorization};
 use crate::model::{JobId, JobSpec};
 use crate::protocol::{Change, Condition, Transaction};
 use crate::storage::records::{self, EndedJobRecord, Record};
@@ -53,15 +53,12 @@
         self.send_next_call(request, StateCall::MoveToEnded { version }, io);
     }
 
-    pub(super) fn on_move_response(
-        &mut self,
-        request: RequestId,
-        outcome: &Outcome,
-        io: &mut Io,
-    ) -> Option<RequestOutcome> {
-        let pending = self.pending.get_mut(request)?;
+    pub(super) fn on_move_response(&mut self, request: RequestId, outcome: &Outcome, io: &mut Io) {
+        let Some(pending) = self.pending.get_mut(request) else {
+            return;
+        };
         match outcome.status() {
-            Some(200) => return self.on_moved(request, io),
+            Some(200) => self.on_moved(request, io),
             // The record changed since it was read.
             Some(409) if pending.rereads < MAX_REREADS => {
                 pending.rereads += 1;
@@ -69,14 +66,15 @@
             }
             _ => self.give_up(request, io),
         }
-        None
     }
 
-    fn on_moved(&mut self, request: RequestId, io: &mut Io) -> Option<RequestOutcome> {
-        let mut pending = self.pending.remove(request)?;
+    fn on_moved(&mut self, request: RequestId, io: &mut Io) {
+        let Some(mut pending) = self.pending.remove(request) else {
+            return;
+        };
+        let Some(record) = pending.end.take() else { return };
         let job = pending.job.clone();
-        let ended = TerminalState::from(&pending.end.take()?);
+        let ended = TerminalState::from(&record);
         self.learn_end_and_reply(&job, ended, pending.into_requester(request), io);
-        Some(RequestOutcome::Cancelled(job))
     }
 }
--- a/crates/controller/src/job_api/end_visibility.rs
+++ b/crates/controller/src/job_api/end_visibility.rs
@@ -47,12 +47,18 @@
         true
     }
 
+    /// Takes the jobs whose ends this node has learned since the last call.
+    pub fn take_newly_ended(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.newly_ended)
+    }
+
     /// Records an end that this node knows to be committed, and starts its commit wait. Returns false if
-    /// there is no room to record it.
+    /// there is no room to record it. The node's own term learns of it through [`JobApi::take_newly_ended`].
     pub fn learn_end(&mut self, job: &JobId, ended: TerminalState, io: &mut Io) -> bool {
         if self.cache.has_ended(job) {
             return true;
         }
+        self.newly_ended.push(job.clone());
         let known_at = self.peer_notices.ended_since(job).unwrap_or(io.now);
         let nonces = match self.commit_wait.begin(job, known_at, io.now) {
             Visibility::Immediate => Vec::new(),
--- a/crates/controller/src/job_api/mod.rs
+++ b/crates/controller/src/job_api/mod.rs
@@ -51,11 +51,12 @@
     Cancel,
 }
 
-/// A committed change of a job that the node has to act on.
+/// A job whose acceptance has been committed.
 #[derive(Debug, Clone, PartialEq)]
-pub enum RequestOutcome {
-    Accepted { spec: Box<JobSpec>, version: u64 },
-    Cancelled(JobId),
+pub struct AcceptedJob {
+    pub spec: Box<JobSpec>,
+    /// Version of its record.
+    pub version: u64,
 }
 
 /// Numbers of done and running tasks by job, for display.
@@ -76,6 +77,8 @@
     scan: JobScan,
     pending: PendingRequests,
     calls: PendingCalls<CallPurpose>,
+    /// Jobs whose ends this node has learned and its own term has not been told yet.
+    newly_ended: Vec<JobId>,
 }
 
 impl JobApi {
@@ -93,6 +96,7 @@
             scan: JobScan::NotStarted,
             pending: PendingRequests::default(),
             calls: PendingCalls::default(),
+            newly_ended: Vec::new(),
         }
     }
 
--- a/crates/controller/src/job_api/state_call.rs
+++ b/crates/controller/src/job_api/state_call.rs
@@ -4,7 +4,7 @@
 use crate::io::{CallId, FencedDestination, Io, Method, Outcome, RequestId, json};
 use crate::job_api::pending::PendingRequest;
 use crate::job_api::poll::BatchedPoll;
-use crate::job_api::{JobApi, JobRequest, RequestOutcome, TaskCounts, cancel, submit};
+use crate::job_api::{AcceptedJob, JobApi, JobRequest, TaskCounts, cancel, submit};
 use crate::protocol::{Transaction, paths};
 use crate::storage::records;
 
@@ -101,16 +101,16 @@
         self.send_call(request, call, io);
     }
 
-    /// Handles the outcome of a call. Returns `None` if the call was not made here, else the change that the
-    /// node has to act on, if any.
+    /// Handles the outcome of a call. Returns `None` if the call was not made here, else the job whose acceptance
+    /// the node has to act on, if any.
     pub fn handle_response(
         &mut self,
         call: CallId,
         outcome: &Outcome,
         counts: &TaskCounts,
         io: &mut Io,
-    ) -> Option<Option<RequestOutcome>> {
-        let request_outcome = match self.calls.complete(call)? {
+    ) -> Option<Option<AcceptedJob>> {
+        let accepted = match self.calls.complete(call)? {
             CallPurpose::Request(request, call) => self.on_response(request, call, outcome, counts, io),
             CallPurpose::ScanPage { after } => {
                 self.scan.on_page(after, outcome, &mut self.cache, io.now);
@@ -121,7 +121,7 @@
                 None
             }
         };
-        Some(request_outcome)
+        Some(accepted)
     }
 
     fn on_response(
@@ -131,10 +131,13 @@
         outcome: &Outcome,
         counts: &TaskCounts,
         io: &mut Io,
-    ) -> Option<RequestOutcome> {
+    ) -> Option<AcceptedJob> {
         match call {
             StateCall::Create => self.on_create_response(request, outcome, io),
-            StateCall::MoveToEnded { .. } => self.on_move_response(request, outcome, io),
+            StateCall::MoveToEnded { .. } => {
+                self.on_move_response(request, outcome, io);
+                None
+            }
             StateCall::ReadLive => {
                 self.on_live_response(request, outcome, counts, io);
                 None
--- a/crates/controller/src/job_api/submit.rs
+++ b/crates/controller/src/job_api/submit.rs
@@ -3,7 +3,7 @@
 use crate::constants::LIVE_READ_MAX_AGE_MS;
 use crate::io::{Io, Outcome, RequestId};
 use crate::job_api::state_call::StateCall;
-use crate::job_api::{JobApi, JobRequest, RequestOutcome};
+use crate::job_api::{AcceptedJob, JobApi, JobRequest};
 use crate::model::JobSpec;
 use crate::protocol::{Change, Condition, JobStatus, JobStatusResponse, Transaction, TransactionResponse};
 use crate::storage::records::{self, Record};
@@ -32,7 +32,7 @@
         request: RequestId,
         outcome: &Outcome,
         io: &mut Io,
-    ) -> Option<RequestOutcome> {
+    ) -> Option<AcceptedJob> {
         self.pending.get(request)?;
         match outcome.status() {
             Some(200) => return self.on_created(request, outcome, io),
@@ -43,7 +43,7 @@
         None
     }
 
-    fn on_created(&mut self, request: RequestId, outcome: &Outcome, io: &mut Io) -> Option<RequestOutcome> {
+    fn on_created(&mut self, request: RequestId, outcome: &Outcome, io: &mut Io) -> Option<AcceptedJob> {
         let version = outcome
             .read::<TransactionResponse>(&[200])
             .map_or(0, |response| response.revision);
@@ -70,6 +70,6 @@
             spec.class,
             spec.tasks
         );
-        Some(RequestOutcome::Accepted { spec, version })
+        Some(AcceptedJob { spec, version })
     }
 }
--- a/crates/controller/src/job_api/tests.rs
+++ b/crates/controller/src/job_api/tests.rs
@@ -314,7 +314,8 @@
     let (_, moved, _) = only_call(io);
     let committed = response(200, serde_json::json!({ "Ledger": 9 }));
     let done = job_api.handle_response(moved, &committed, &TaskCounts::new(), io);
-    assert_eq!(done, Some(Some(RequestOutcome::Cancelled(job()))));
+    assert_eq!(done, Some(None));
+    assert_eq!(job_api.take_newly_ended(), [job()], "the node's own term is told");
     job_api
 }
 
@@ -448,10 +449,7 @@
     assert!(job_api.on_peer_notice(job(), true, io.now));
     let created = response(200, serde_json::json!({ "Ledger": 9 }));
     let done = job_api.handle_response(create, &created, &TaskCounts::new(), &mut io);
-    assert!(matches!(
-        done,
-        Some(Some(RequestOutcome::Accepted { version: 9, .. }))
-    ));
+    assert!(matches!(done, Some(Some(AcceptedJob { version: 9, .. }))));
     assert_eq!(reply_count(&io), 0);
     assert_eq!(only_call(&mut io).0, "/store/e/wk-1");
 }
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -13,7 +13,7 @@
 use crate::io::{CallId, ContentType, Effect, Io, Method, Outcome, PendingCalls, RequestId};
 use crate::job_api::admission::{self, KnownMachineTypes, Refusal};
 use crate::job_api::authorization;
-use crate::job_api::{self, JobApi, JobRequest, RequestOutcome, TaskCounts, TerminalState};
+use crate::job_api::{self, AcceptedJob, JobApi, JobRequest, TaskCounts, TerminalState};
 use crate::leader::{LeaderTerm, PeerView};
 use crate::metrics::{Metrics, NodeGauges};
 use crate::model::{JobId, Timestamp};
@@ -190,6 +190,7 @@
             Command::Frame(frame) => self.handle_frame(frame),
             Command::PeerConnected { peer } => self.send_task_counts(peer),
         }
+        self.apply_learned_ends();
     }
 
     /// Does what is due after a batch of commands or at a timer tick.
@@ -550,9 +551,11 @@
             .term
             .as_ref()
             .map_or(&self.leader_task_counts, |term| term.counts());
-        if let Some(request_outcome) = self.job_api.handle_response(call, outcome, counts, &mut self.io) {
+        if let Some(accepted) = self.job_api.handle_response(call, outcome, counts, &mut self.io) {
             self.record_state_response(outcome);
-            self.on_request_outcome(request_outcome);
+            if let Some(job) = accepted {
+                self.on_job_accepted(job);
+            }
             return;
         }
         let context = Context {
@@ -613,21 +616,21 @@
         }
     }
 
-    fn on_request_outcome(&mut self, request_outcome: Option<RequestOutcome>) {
-        match request_outcome {
-            Some(RequestOutcome::Accepted { spec, version }) => {
-                // A peer may be about to answer that the job does not exist.
-                self.broadcast(&Frame::JobChanged { job: spec.id.clone() });
-                if let Some(term) = &mut self.term {
-                    term.on_job_accepted(*spec, version, &self.io);
-                }
-            }
-            Some(RequestOutcome::Cancelled(job)) => {
-                if let Some(term) = &mut self.term {
-                    term.on_job_ended(&job, self.io.now);
-                }
+    fn on_job_accepted(&mut self, AcceptedJob { spec, version }: AcceptedJob) {
+        // A peer may be about to answer that the job does not exist.
+        self.broadcast(&Frame::JobChanged { job: spec.id.clone() });
+        if let Some(term) = &mut self.term {
+            term.on_job_accepted(*spec, version, &self.io);
+        }
+    }
+
+    /// Tells the term of the ends that this node has learned as it served users, who may be told of them from now on:
+    /// the watch may report them much later.
+    fn apply_learned_ends(&mut self) {
+        for job in self.job_api.take_newly_ended() {
+            if let Some(term) = &mut self.term {
+                term.on_job_ended(&job, self.io.now);
             }
-            None => (),
         }
     }
 
--- a/crates/simulator/src/response_checks.rs
+++ b/crates/simulator/src/response_checks.rs
@@ -143,8 +143,13 @@
     pub(crate) fn response_delay_ms(&mut self, node: usize, path: &str, body: &[u8]) -> u64 {
         let body = String::from_utf8_lossy(body);
         let delayed = &mut self.response_checks.delayed_responses;
-        let matches =
-            |held: &DelayedResponse| held.node == node && held.path == path && body.contains(&held.body_text);
+        let matches = |held: &DelayedResponse| {
+            let is_path = match held.path.strip_suffix('*') {
+                Some(beginning) => path.starts_with(beginning),
+                None => held.path == path,
+            };
+            held.node == node && is_path && body.contains(&held.body_text)
+        };
         let at = delayed.iter().position(matches);
         at.map_or(0, |at| delayed.remove(at).delay_ms)
     }
@@ -154,7 +159,8 @@
 ///   asked about it, and it is submitted again, within milliseconds; this share of the accepted jobs
 ///   is cancelled at once.
 /// - `withhold NODE 1.2 /multi:j/wk-1`: the next such call of that node is executed at once and
-///   answered this many seconds later.
+///   answered this many seconds later. A path that ends with `*` stands for all that begin so; a watch is answered that
+///   much after the change that it waits for.
 /// - `repeat JOB node=n1`: that node receives the job's submission once more.
 pub(crate) fn act(
     simulation: &mut Simulation,
--- a/crates/simulator/src/simulation.rs
+++ b/crates/simulator/src/simulation.rs
@@ -245,6 +245,8 @@
     pub(crate) prefix: String,
     pub(crate) after: u64,
     pub(crate) until: u64,
+    /// Additional delay of its response.
+    pub(crate) response_delay_ms: u64,
 }
 
 /// What happens to messages across a cut.
@@ -1268,6 +1270,7 @@
                                 prefix,
                                 after,
                                 until,
+                                response_delay_ms,
                             });
                             None
                         }
@@ -1486,7 +1489,11 @@
                         call: watch.call,
                         outcome,
                     };
-                    self.send("state", &format!("n{}", watch.node), event);
+                    if watch.response_delay_ms > 0 {
+                        self.schedule(watch.response_delay_ms, event);
+                    } else {
+                        self.send("state", &format!("n{}", watch.node), event);
+                    }
                 }
                 None => self.watches.push(watch),
             }
