Acknowledge the end of a job only once no start of it can leave

What callers could see: a task starts after its user was told that the job is cancelled.

Cause: a direct start waits in the event loop until the connection to the worker is made, up to 2 s, while the acknowledgement of a peer's end notice that is decided later goes out at once. Likewise a leader that cancels a job itself waited for its peers only.

Change: calls with starts are known until they have an outcome, with the time until which the event loop may send them (StartsInFlight). Meanwhile the acknowledgement is withheld, and the commit wait of the node itself has one more participant.

Why it works: when the acknowledgement is given, every start of the job was sent or dropped or is too old to be sent, and the job's other starts are withheld since the notice.

Tests, each seen failing without the change: - a_peers_notice_is_acknowledged_once_no_start_of_the_job_can_be_sent: guards against an acknowledgement that overtakes a start - an_end_is_reported_once_this_node_cannot_send_a_start_of_the_job: the same for the leader that cancels In the tests of CommitWait the new argument was added; what they assert is the same.

--- a/crates/controller/src/allocations.rs
+++ b/crates/controller/src/allocations.rs
@@ -15,7 +15,7 @@
 pub use attempt::{Attempt, Stop, UnacknowledgedCommand};
 pub use machine::{Machine, Usability};
 pub use reconciliation::Change;
-pub use start_permission::{CommandBatch, StartPermission};
+pub use start_permission::{CommandBatch, StartLimits, StartPermission};
 
 /// Agent epoch of a worker's report and its sequence number within that epoch, ordered by time.
 pub type ReportNumber = (u64, u64);
--- a/crates/controller/src/allocations/commands.rs
+++ b/crates/controller/src/allocations/commands.rs
@@ -119,7 +119,8 @@
                     .extend(attempt.stop_command(answering.is_some(), now));
             } else if let Some(send_before) = attempt.start_due_before(starts, now) {
                 attempt.log_start(&self.id, answering, now);
-                batch.push_start(attempt.command(CommandKind::Start, None), send_before);
+                let job = attempt.task.job.clone();
+                batch.push_start(attempt.command(CommandKind::Start, None), job, send_before);
                 match answering {
                     Some(at) => attempt.sent_in_reply_to = Some(at),
                     None => attempt.start_in_flight = true,
@@ -137,7 +138,7 @@
             commands: attempts
                 .filter_map(|attempt| attempt.stop_command(true, now))
                 .collect(),
-            send_before: None,
+            starts: None,
         }
     }
 
--- a/crates/controller/src/allocations/start_permission.rs
+++ b/crates/controller/src/allocations/start_permission.rs
@@ -1,8 +1,9 @@
 //! Which starts may be sent, by the age of the knowledge that their jobs are live.
 
 use crate::constants::LIVE_READ_MAX_AGE_MS;
-use crate::model::Timestamp;
+use crate::model::{JobId, Timestamp};
 use crate::protocol::WorkerCommand;
+use std::collections::BTreeSet;
 
 /// Decides which recorded starts may be sent.
 ///
@@ -39,20 +40,33 @@
     }
 }
 
+/// Until when starts may be sent, and of which jobs they are.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartLimits {
+    /// Time before which they must be sent.
+    pub send_before: Timestamp,
+    /// The jobs whose tasks they start.
+    pub jobs: BTreeSet<JobId>,
+}
+
 /// Commands for a worker.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct CommandBatch {
     /// The commands, in the order in which they are executed.
     pub commands: Vec<WorkerCommand>,
-    /// Time before which they must be sent, if there is a start among them.
-    pub send_before: Option<Timestamp>,
+    /// Limits of the starts among them, if there are any.
+    pub starts: Option<StartLimits>,
 }
 
 impl CommandBatch {
-    /// Adds a start that must be sent before a time.
-    pub(super) fn push_start(&mut self, start: WorkerCommand, send_before: Timestamp) {
+    /// Adds a start of a task of this job, which must be sent before a time.
+    pub(super) fn push_start(&mut self, start: WorkerCommand, job: JobId, send_before: Timestamp) {
         self.commands.push(start);
-        let earliest = self.send_before.map_or(send_before, |at| at.min(send_before));
-        self.send_before = Some(earliest);
+        let starts = self.starts.get_or_insert_with(|| StartLimits {
+            send_before,
+            jobs: BTreeSet::new(),
+        });
+        starts.send_before = starts.send_before.min(send_before);
+        starts.jobs.insert(job);
     }
 }
--- a/crates/controller/src/allocations/tests.rs
+++ b/crates/controller/src/allocations/tests.rs
@@ -14,7 +14,7 @@
 }
 
 fn send_before(batch: &CommandBatch) -> Option<Timestamp> {
-    batch.send_before
+    batch.starts.as_ref().map(|starts| starts.send_before)
 }
 
 fn task() -> TaskId {
--- a/crates/controller/src/io.rs
+++ b/crates/controller/src/io.rs
@@ -3,10 +3,13 @@
 
 mod call;
 mod effect;
+mod starts_in_flight;
 
 pub use call::{CallId, Destination, FencedDestination, Method, Outcome, PendingCalls, SendCondition};
 pub use effect::{ContentType, Effect, RequestId};
+pub use starts_in_flight::StartsInFlight;
 
+use crate::allocations::StartLimits;
 use crate::constants::{
     CLOUD_SHARE, CLOUD_TIMEOUT_MS, DIRECT_COMMAND_TIMEOUT_MS, FOLLOWERS_STATE_SHARE, LEADER_STATE_SHARE,
     LEADER_WRITE_SHARE, MAX_ERROR_CHARS, NEW_LEADER_WRITE_BURST, NODE_WARMUP_MS,
@@ -40,6 +43,8 @@
     pub effects: Vec<Effect>,
     /// Permits for guarded operations on other systems, which only a leader has.
     pub permits: Permits,
+    /// Direct commands with starts that the host may not have sent yet.
+    pub starts_in_flight: StartsInFlight,
     /// Requests rejected with `Retry-After`, by reason, since they were last logged.
     pub rejections: BTreeMap<String, u32>,
     /// End of this node's startup phase: see [`NODE_WARMUP_MS`].
@@ -66,6 +71,7 @@
             cloud_budget: TokenBucket::new(cloud, cloud.max(1.0), now),
             effects: Vec::new(),
             permits: Permits::default(),
+            starts_in_flight: StartsInFlight::default(),
             rejections: BTreeMap::new(),
             startup_until: now + NODE_WARMUP_MS,
             state_rate: deployment.state.rps,
@@ -120,12 +126,19 @@
         &mut self,
         addr: String,
         body: Vec<u8>,
-        send_before: Option<Timestamp>,
+        starts: Option<StartLimits>,
     ) -> CallId {
         let path = paths::DIRECT_COMMANDS.to_owned();
         let to = Destination::Worker(addr);
-        let condition = send_before.map_or(SendCondition::Unconditional, SendCondition::Before);
-        self.send(to, Method::Post, path, body, DIRECT_COMMAND_TIMEOUT_MS, condition)
+        let condition = starts.as_ref().map_or(SendCondition::Unconditional, |starts| {
+            SendCondition::Before(starts.send_before)
+        });
+        let call = self.send(to, Method::Post, path, body, DIRECT_COMMAND_TIMEOUT_MS, condition);
+        if let Some(starts) = starts {
+            self.starts_in_flight
+                .insert(call, starts.jobs, starts.send_before);
+        }
+        call
     }
 
     /// Reads the machine types from the cloud. Any node may call this, because it changes nothing.
--- a/crates/controller/src/job_api/commit_wait.rs
+++ b/crates/controller/src/job_api/commit_wait.rs
@@ -1,7 +1,7 @@
 //! Commit wait: decides when users may see the end of a job. A node that learns that a job has ended
 //! notifies its peers and does not report the end while a peer may still answer "live": until every peer
-//! has acknowledged the notice, and so returns no older reading of the job, or until [`COMMIT_WAIT_MS`]
-//! have passed, after which any reading made before the end was committed is too old to be returned (see
+//! has acknowledged the notice, and so returns no older reading of the job and starts none of its tasks, or until
+//! [`COMMIT_WAIT_MS`] have passed, after which any reading made before the end was committed is too old to be used (see
 //! `docs/design/commit-wait.md`).
 
 use crate::constants::{COMMIT_WAIT_MS, MAX_COMMIT_WAITS};
@@ -13,12 +13,21 @@
 pub enum Visibility {
     /// Immediately: no peer can answer with an older state.
     Immediate,
-    /// Once the peers have acknowledged these nonces, one for each peer.
-    AwaitingPeers(Vec<u64>),
+    /// Once these nonces have been acknowledged.
+    Awaiting(Nonces),
     /// Too many ends are waiting: this one is not recorded and must not be reported.
     Overloaded,
 }
 
+/// The nonces of one commit wait. They tell its participants apart.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Nonces {
+    /// One for each peer.
+    pub peers: Vec<u64>,
+    /// One for this node, if it takes part.
+    pub own: Option<u64>,
+}
+
 /// An end that users may not see yet.
 #[derive(Debug)]
 struct OpenWait<T> {
@@ -51,29 +60,42 @@
         }
     }
 
-    /// Starts the wait for a job's end, known to be committed since `known_at` on this node's clock.
-    pub fn begin(&mut self, job: &JobId, known_at: Timestamp, now: Timestamp) -> Visibility {
+    /// Starts the wait for a job's end, known to be committed since `known_at` on this node's clock. With `awaits_own`
+    /// it also waits for an acknowledgement of this node itself.
+    pub fn begin(
+        &mut self,
+        job: &JobId,
+        known_at: Timestamp,
+        awaits_own: bool,
+        now: Timestamp,
+    ) -> Visibility {
         let until = known_at + COMMIT_WAIT_MS;
         if self.open.contains_key(job) {
-            return Visibility::AwaitingPeers(Vec::new());
+            return Visibility::Awaiting(Nonces::default());
         }
-        if self.peers == 0 || now >= until {
+        if self.peers == 0 && !awaits_own || now >= until {
             return Visibility::Immediate;
         }
         if self.open.len() >= MAX_COMMIT_WAITS {
             return Visibility::Overloaded;
         }
-        // A nonce of its own for each peer also tells the peers apart.
-        let nonce = |peer: usize| self.next_nonce.wrapping_add(peer as u64);
-        let nonces: Vec<u64> = (0..self.peers).map(nonce).collect();
-        self.next_nonce = self.next_nonce.wrapping_add(self.peers as u64);
+        let nonces = Nonces {
+            peers: (0..self.peers).map(|_| self.take_nonce()).collect(),
+            own: awaits_own.then(|| self.take_nonce()),
+        };
         let open = OpenWait {
             until,
-            unacknowledged: nonces.clone(),
+            unacknowledged: nonces.peers.iter().copied().chain(nonces.own).collect(),
             requests: Vec::new(),
         };
         self.open.insert(job.clone(), open);
-        Visibility::AwaitingPeers(nonces)
+        Visibility::Awaiting(nonces)
+    }
+
+    fn take_nonce(&mut self) -> u64 {
+        let nonce = self.next_nonce;
+        self.next_nonce = nonce.wrapping_add(1);
+        nonce
     }
 
     /// Whether the end of this job is not visible to users yet.
--- a/crates/controller/src/job_api/commit_wait/tests.rs
+++ b/crates/controller/src/job_api/commit_wait/tests.rs
@@ -8,11 +8,12 @@
 /// A wait with two peers for an end known since 1,000 ms, and one waiting request.
 fn open_wait() -> (CommitWait<&'static str>, Vec<u64>) {
     let mut commit_wait = CommitWait::new(2, 70);
-    let Visibility::AwaitingPeers(nonces) = commit_wait.begin(&job(), 1_000, 1_000) else {
+    let Visibility::Awaiting(nonces) = commit_wait.begin(&job(), 1_000, false, 1_000) else {
         panic!("the end must wait for the peers");
     };
+    assert_eq!(nonces.own, None);
     assert_eq!(commit_wait.wait(&job(), "user", 1), Ok(()));
-    (commit_wait, nonces)
+    (commit_wait, nonces.peers)
 }
 
 #[test]
@@ -56,26 +57,45 @@
 fn the_wait_counts_from_when_the_end_was_known() {
     let mut commit_wait: CommitWait<()> = CommitWait::new(2, 0);
     assert_eq!(
-        commit_wait.begin(&job(), 1_000, 1_000 + COMMIT_WAIT_MS),
+        commit_wait.begin(&job(), 1_000, true, 1_000 + COMMIT_WAIT_MS),
         Visibility::Immediate
     );
     assert!(matches!(
-        commit_wait.begin(&job(), 1_000, 2_000),
-        Visibility::AwaitingPeers(_)
+        commit_wait.begin(&job(), 1_000, false, 2_000),
+        Visibility::Awaiting(_)
     ));
     assert_eq!(commit_wait.due(1_000 + COMMIT_WAIT_MS).len(), 1);
     assert_eq!(
-        CommitWait::<()>::new(0, 0).begin(&job(), 5, 5),
+        CommitWait::<()>::new(0, 0).begin(&job(), 5, false, 5),
         Visibility::Immediate
     );
 }
 
+// A start of the job that this node may still send counts like one of a peer.
+#[test]
+fn an_end_waits_for_the_own_acknowledgement_if_this_node_takes_part() {
+    for peers in [0, 2] {
+        let mut commit_wait = CommitWait::new(peers, 70);
+        let Visibility::Awaiting(nonces) = commit_wait.begin(&job(), 1_000, true, 1_000) else {
+            panic!("the end must wait");
+        };
+        assert_eq!(commit_wait.wait(&job(), "user", 1), Ok(()));
+        for nonce in &nonces.peers {
+            assert_eq!(commit_wait.acknowledged(&job(), *nonce), None);
+        }
+        assert!(commit_wait.is_open("wk-1"));
+        let own = nonces.own.expect("a nonce of this node");
+        assert!(!nonces.peers.contains(&own));
+        assert_eq!(commit_wait.acknowledged(&job(), own), Some(vec!["user"]));
+    }
+}
+
 #[test]
 fn a_wait_is_opened_once_and_within_the_limits() {
     let (mut commit_wait, _) = open_wait();
     assert_eq!(
-        commit_wait.begin(&job(), 1_100, 1_100),
-        Visibility::AwaitingPeers(Vec::new())
+        commit_wait.begin(&job(), 1_100, true, 1_100),
+        Visibility::Awaiting(Nonces::default())
     );
     assert_eq!(commit_wait.wait(&job(), "second", 1), Err("second"));
     assert_eq!(commit_wait.take_if(|_| true), ["user"]);
@@ -83,17 +103,17 @@
     for number in 1..MAX_COMMIT_WAITS {
         let job = JobId(Arc::from(format!("wk-9{number}")));
         assert!(matches!(
-            commit_wait.begin(&job, 1_000, 1_000),
-            Visibility::AwaitingPeers(_)
+            commit_wait.begin(&job, 1_000, false, 1_000),
+            Visibility::Awaiting(_)
         ));
     }
     let excess_job = JobId(Arc::from("wk-80"));
     assert_eq!(
-        commit_wait.begin(&excess_job, 1_000, 1_000),
+        commit_wait.begin(&excess_job, 1_000, false, 1_000),
         Visibility::Overloaded
     );
     assert_eq!(
-        commit_wait.begin(&excess_job, 0, COMMIT_WAIT_MS),
+        commit_wait.begin(&excess_job, 0, false, COMMIT_WAIT_MS),
         Visibility::Immediate
     );
 }
--- a/crates/controller/src/job_api/end_visibility.rs
+++ b/crates/controller/src/job_api/end_visibility.rs
@@ -5,8 +5,9 @@
     MAX_WAITING_REQUESTS, POLL_RESPONSE_DEADLINE_MS, RETRY_AFTER_S, WRITE_RESPONSE_DEADLINE_MS,
 };
 use crate::io::{Effect, Io, RequestId};
+use crate::job_api::acknowledgements::AcknowledgementRecipient;
 use crate::job_api::cache::TerminalState;
-use crate::job_api::commit_wait::Visibility;
+use crate::job_api::commit_wait::{Nonces, Visibility};
 use crate::job_api::pending::Requester;
 use crate::job_api::reply::{self, END_NOT_VISIBLE, TOO_MANY_REQUESTS, visible_job};
 use crate::job_api::{JobApi, JobRequest};
@@ -60,12 +61,16 @@
         }
         self.newly_ended.push(job.clone());
         let known_at = self.peer_notices.ended_since(job).unwrap_or(io.now);
-        let nonces = match self.commit_wait.begin(job, known_at, io.now) {
-            Visibility::Immediate => Vec::new(),
-            Visibility::AwaitingPeers(nonces) => nonces,
+        let start_may_be_sent = io.starts_in_flight.may_be_sent(job, io.now);
+        let nonces = match self.commit_wait.begin(job, known_at, start_may_be_sent, io.now) {
+            Visibility::Immediate => Nonces::default(),
+            Visibility::Awaiting(nonces) => nonces,
             Visibility::Overloaded => return false,
         };
-        self.notify_peers(job, nonces, io);
+        self.notify_peers(job, nonces.peers, io);
+        if let Some(nonce) = nonces.own {
+            self.acknowledge_end(job.clone(), nonce, AcknowledgementRecipient::ThisNode, io);
+        }
         // Every node that learns of a cancellation logs it, because the node that made it may have
         // received no response.
         if ended.end == Ending::Cancelled {
--- a/crates/controller/src/job_api/mod.rs
+++ b/crates/controller/src/job_api/mod.rs
@@ -6,6 +6,7 @@
 //! is then `pending` while calls for it are in flight. Responses of the state service are handled in
 //! `submit`, `read`, `cancel` and `poll`; `end_visibility` delays ends that users may not see yet.
 
+mod acknowledgements;
 pub mod admission;
 pub mod authorization;
 mod cache;
@@ -28,6 +29,7 @@
 use crate::io::{Io, PendingCalls, RequestId};
 use crate::model::{JobId, JobSpec, Timestamp};
 use crate::settings::Settings;
+use acknowledgements::WithheldAcknowledgement;
 use admission::Refusal;
 use cache::JobCache;
 use commit_wait::CommitWait;
@@ -77,6 +79,7 @@
     scan: JobScan,
     pending: PendingRequests,
     calls: PendingCalls<CallPurpose>,
+    withheld_acknowledgements: Vec<WithheldAcknowledgement>,
     /// Jobs whose ends this node has learned and its own term has not been told yet.
     newly_ended: Vec<JobId>,
 }
@@ -96,6 +99,7 @@
             scan: JobScan::NotStarted,
             pending: PendingRequests::default(),
             calls: PendingCalls::default(),
+            withheld_acknowledgements: Vec::new(),
             newly_ended: Vec::new(),
         }
     }
@@ -160,6 +164,7 @@
     /// Does what is due: answers and rejects waiting requests, sends their calls, and sends comparisons
     /// of at most `max_polls` polls each.
     pub fn run_due_work(&mut self, max_polls: usize, io: &mut Io) {
+        self.deliver_due_acknowledgements(io);
         self.reply_visible_ends(io);
         self.scan_next_page(io);
         self.reject_expired(io);
--- a/crates/controller/src/job_api/tests.rs
+++ b/crates/controller/src/job_api/tests.rs
@@ -480,3 +480,62 @@
     assert!(!job_api.on_peer_notice(job(), true, 1_000));
     assert!(job_api.on_peer_notice(job(), true, 1_000 + USER_WRITE_TIMEOUT_MS));
 }
+
+/// Records a call that may still start a task of the job until 500 ms from now.
+fn start_in_flight(io: &mut Io) -> CallId {
+    let call = CallId(9_000);
+    let jobs = std::collections::BTreeSet::from([job()]);
+    io.starts_in_flight.insert(call, jobs, io.now + 500);
+    call
+}
+
+fn acknowledgement_count(io: &Io) -> usize {
+    let is_acknowledgement = |effect: &&Effect| {
+        matches!(effect, Effect::Frame { bytes, .. }
+            if matches!(Frame::decode(bytes), Ok(Some((Some(Frame::EndAcknowledged { .. }), _)))))
+    };
+    io.effects.iter().filter(is_acknowledgement).count()
+}
+
+// The connection to a worker took longer than the acknowledgement, and the start was sent after the user had been told
+// that the job is cancelled.
+#[test]
+fn a_peers_notice_is_acknowledged_once_no_start_of_the_job_can_be_sent() {
+    let (mut io, mut job_api) = (io(), new_job_api());
+    let call = start_in_flight(&mut io);
+    job_api.on_end_notice(job(), 70, Some(0), &mut io);
+    job_api.run_due_work(48, &mut io);
+    assert_eq!(acknowledgement_count(&io), 0);
+    io.starts_in_flight.complete(call);
+    job_api.run_due_work(48, &mut io);
+    assert_eq!(acknowledgement_count(&io), 1);
+
+    // A call without an outcome is not sent after its time.
+    start_in_flight(&mut io);
+    job_api.on_end_notice(job(), 71, Some(0), &mut io);
+    assert_eq!(acknowledgement_count(&io), 1);
+    io.now += 500;
+    job_api.run_due_work(48, &mut io);
+    assert_eq!(acknowledgement_count(&io), 2);
+    // Starts of other jobs do not matter.
+    start_in_flight(&mut io);
+    job_api.on_end_notice(JobId(std::sync::Arc::from("wk-2")), 72, Some(0), &mut io);
+    assert_eq!(acknowledgement_count(&io), 3);
+}
+
+// The same for a leader that cancels a job itself: its peers acknowledge within milliseconds.
+#[test]
+fn an_end_is_reported_once_this_node_cannot_send_a_start_of_the_job() {
+    let mut io = io();
+    let call = start_in_flight(&mut io);
+    let mut job_api = api_after_cancellation(&mut io);
+    for (_, nonce) in end_notices(&mut io) {
+        job_api.on_end_acknowledged(&job(), nonce, &mut io);
+    }
+    job_api.run_due_work(48, &mut io);
+    assert_eq!(reply_count(&io), 0);
+    io.starts_in_flight.complete(call);
+    job_api.run_due_work(48, &mut io);
+    assert_eq!(reply_count(&io), 1);
+    assert_eq!(reply_body(&mut io)["Status"], "cancelled");
+}
--- a/crates/controller/src/leader/direct_commands.rs
+++ b/crates/controller/src/leader/direct_commands.rs
@@ -140,10 +140,7 @@
             return;
         };
         let Some(addr) = machine.addr.clone() else { return };
-        let CommandBatch {
-            commands,
-            send_before,
-        } = if machine.synced {
+        let CommandBatch { commands, starts } = if machine.synced {
             machine.due_commands(None, starts, token, io.now)
         } else {
             CommandBatch::default()
@@ -164,7 +161,7 @@
             agent_epoch,
             commands,
         });
-        let call = io.direct_command_call(addr, body, send_before);
+        let call = io.direct_command_call(addr, body, starts);
         self.calls.insert(
             call,
             TermCall::Direct(DirectCall {
--- a/crates/controller/src/leader/reconciliation.rs
+++ b/crates/controller/src/leader/reconciliation.rs
@@ -62,10 +62,7 @@
             machine.record_answered_report(heartbeat, io.now);
             // A heartbeat that is older than the response to a direct command still renews the lease, so
             // its reply carries stop commands. Its contents must have no other effect.
-            let CommandBatch {
-                commands,
-                send_before,
-            } = if is_newest {
+            let CommandBatch { commands, starts } = if is_newest {
                 machine.due_commands(
                     Some((heartbeat.agent_epoch, heartbeat.seq)),
                     starts,
@@ -76,8 +73,8 @@
                 machine.stop_commands(io.now)
             };
             let response = HeartbeatResponse { token, commands };
-            match send_before {
-                Some(until) => io.reply_until(request, 200, &response, until),
+            match starts {
+                Some(starts) => io.reply_until(request, 200, &response, starts.send_before),
                 None => io.reply(request, 200, &response),
             }
         }
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -186,7 +186,10 @@
                 path,
                 body,
             } => self.handle_request(request, &method, &path, &body),
-            Command::Answer { call, outcome } => self.handle_response(call, &outcome),
+            Command::Answer { call, outcome } => {
+                self.io.starts_in_flight.complete(call);
+                self.handle_response(call, &outcome);
+            }
             Command::Frame(frame) => self.handle_frame(frame),
             Command::PeerConnected { peer } => self.send_task_counts(peer),
         }
@@ -791,14 +794,8 @@
                 if let Some(term) = &mut self.term {
                     term.on_job_ended_elsewhere(&job);
                 }
-                // Only a recorded notice is acknowledged.
-                if self.job_api.on_peer_notice(job.clone(), true, self.io.now)
-                    && let Some(peer) = self.peer_index(index)
-                {
-                    let index = self.job_api.index();
-                    let bytes = Frame::EndAcknowledged { job, nonce, index }.encode();
-                    self.io.effects.push(Effect::Frame { peer, bytes });
-                }
+                let peer = self.peer_index(index);
+                self.job_api.on_end_notice(job, nonce, peer, &mut self.io);
             }
             Frame::EndAcknowledged { job, nonce, .. } => {
                 self.job_api.on_end_acknowledged(&job, nonce, &mut self.io)
