Give readings that a job does not exist the age of other readings

Cause: a reading of a job as live is not answered once it is 1.5 s old, checked as the answer is made and as its bytes go out. A reading that there is no such job had no age; nor had 400 and 422, which rest on it.

Evidence: the scenario below, for a node that stands still before its second reading is answered, and for one that has decided on the answer.

Change: both have the age. The job is read again, or the user is told to come back.

Why it works: the time since the reading was asked for includes the standstill. It narrows what is left: acceptances do not wait for peers, so a node that stands still for less than 1.5 s may still answer 404 to a question from before the acceptance.

--- a/crates/controller/src/io.rs
+++ b/crates/controller/src/io.rs
@@ -251,9 +251,20 @@
     /// Rejects a request. The problem may quote the request, so it is truncated to
     /// [`MAX_ERROR_CHARS`] to stay within the length of a line.
     pub fn reply_error(&mut self, request: RequestId, status: u16, problem: &str) {
-        let problem: String = problem.chars().take(MAX_ERROR_CHARS).collect();
+        let problem = truncated(problem);
         self.reply(request, status, &ErrorResponse { error: &problem });
     }
+
+    /// Rejects a request as [`Io::reply_error`] does, unless the reply cannot be sent before `until`, after which
+    /// other nodes may have given a newer answer.
+    pub fn reply_error_until(&mut self, request: RequestId, status: u16, problem: &str, until: Timestamp) {
+        let problem = truncated(problem);
+        self.reply_until(request, status, &ErrorResponse { error: &problem }, until);
+    }
+}
+
+fn truncated(problem: &str) -> String {
+    problem.chars().take(MAX_ERROR_CHARS).collect()
 }
 
 /// Serializes plain data as JSON. This fails only for maps with non-string keys, of which there are none.
--- a/crates/controller/src/job_api/read.rs
+++ b/crates/controller/src/job_api/read.rs
@@ -104,23 +104,25 @@
             // Neither live nor ended: the job was never accepted, unless that happened after the first
             // of the two reads. The peer that accepted it sends a notice. If the notice arrives after this
             // response, the requests overlap: this user asked before the other user was answered.
-            Some(not_live_at) if self.peer_notices.supersedes(&job, not_live_at) => {
+            Some(not_live_at) if self.is_outdated(&job, not_live_at, io.now) => {
                 self.read_again(request, io);
             }
-            Some(_) => self.reply_absent(request, io),
+            Some(not_live_at) => self.reply_absent(request, not_live_at + LIVE_READ_MAX_AGE_MS, io),
         }
     }
 
-    /// Answers that the job does not exist.
-    fn reply_absent(&mut self, request: RequestId, io: &mut Io) {
+    /// Answers that the job does not exist, unless the reply cannot be sent before `until`.
+    fn reply_absent(&mut self, request: RequestId, until: Timestamp, io: &mut Io) {
         let Some(pending) = self.pending.remove(request) else {
             return;
         };
         match &pending.kind {
-            JobRequest::Refused(refusal) => reply::reply_refusal(request, refusal, io),
+            JobRequest::Refused(refusal) => reply::reply_refusal(request, refusal, Some(until), io),
             // Creation failed because a record existed, but now there is none.
             JobRequest::Submit(_) => self.give_up(request, io),
-            JobRequest::Poll | JobRequest::Cancel => io.reply_error(request, 404, "no such job"),
+            JobRequest::Poll | JobRequest::Cancel => {
+                io.reply_error_until(request, 404, "no such job", until);
+            }
         }
     }
 
--- a/crates/controller/src/job_api/reply.rs
+++ b/crates/controller/src/job_api/reply.rs
@@ -19,12 +19,17 @@
 /// A queue was full, or the request waited too long.
 pub(super) const TOO_MANY_REQUESTS: &str = "too many requests, come back later";
 
-/// Answers a rejected submission.
-pub fn reply_refusal(request: RequestId, refusal: &Refusal, io: &mut Io) {
-    match refusal {
-        Refusal::Invalid(problem) => io.reply_error(request, 400, problem),
-        Refusal::Impossible(problem) => io.reply_error(request, 422, problem),
-        Refusal::Undecided(problem) => io.reply_retry_later(request, RETRY_AFTER_S, problem),
+/// Answers a rejected submission. If it names a job, that job did not exist when it was read, and the reply must be sent
+/// before `until`.
+pub fn reply_refusal(request: RequestId, refusal: &Refusal, until: Option<Timestamp>, io: &mut Io) {
+    let (status, problem) = match refusal {
+        Refusal::Invalid(problem) => (400, problem.as_str()),
+        Refusal::Impossible(problem) => (422, problem.as_ref()),
+        Refusal::Undecided(problem) => return io.reply_retry_later(request, RETRY_AFTER_S, problem),
+    };
+    match until {
+        Some(until) => io.reply_error_until(request, status, problem, until),
+        None => io.reply_error(request, status, problem),
     }
 }
 
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -366,7 +366,7 @@
         let (job, request_kind) = match accepted {
             Ok(spec) => (spec.id.clone(), JobRequest::Submit(Box::new(spec))),
             Err((Some(job), refusal)) => (job, JobRequest::Refused(refusal)),
-            Err((None, refusal)) => return job_api::reply_refusal(request, &refusal, &mut self.io),
+            Err((None, refusal)) => return job_api::reply_refusal(request, &refusal, None, &mut self.io),
         };
         // A job with the id may still exist, accepted before submit files were enabled.
         let request_kind = if self.settings.operator.condor.is_some() && condor::is_reserved(&job) {
