Count placed tasks whose start is not recorded, and log oversized records in full

Tasks that are not placed, starts that are not recorded and starts that are not executed would look the same from outside, and to the leader a placed task does not wait.

/metrics has tasks{state="unrecorded"} and the age of the oldest of them; the error `shard too large` says for each record of the unit how large it is and what is in it.

--- a/crates/controller/src/leader/status.rs
+++ b/crates/controller/src/leader/status.rs
@@ -2,10 +2,11 @@
 
 use super::LeaderTerm;
 use crate::metrics::MetricsSnapshot;
+use crate::model::Timestamp;
 
 impl LeaderTerm {
     /// A snapshot of the numbers of jobs, machines and placements.
-    pub fn metrics_snapshot(&self) -> MetricsSnapshot {
+    pub fn metrics_snapshot(&self, now: Timestamp) -> MetricsSnapshot {
         let mut metrics_snapshot = MetricsSnapshot {
             jobs: self.jobs.len(),
             waiting: self.jobs.waiting_tasks(false),
@@ -29,7 +30,14 @@
             };
             *state += 1;
             let placed = machine.attempts.iter().filter(|attempt| attempt.may_be_running());
-            metrics_snapshot.placed += placed.count();
+            for attempt in placed {
+                metrics_snapshot.placed += 1;
+                if !attempt.durable {
+                    let age_ms = now.saturating_sub(attempt.planned_at);
+                    metrics_snapshot.unrecorded += 1;
+                    metrics_snapshot.oldest_unrecorded_ms = metrics_snapshot.oldest_unrecorded_ms.max(age_ms);
+                }
+            }
         }
         metrics_snapshot
     }
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -37,6 +37,10 @@
     pub held: usize,
     /// Attempts that are or may be on a machine.
     pub placed: usize,
+    /// Those of them whose start is not recorded yet, so that it is not sent.
+    pub unrecorded: usize,
+    /// Age, in ms, of the oldest of these.
+    pub oldest_unrecorded_ms: u64,
     /// Launch requests to the cloud whose machines are not known yet.
     pub open_launch_requests: usize,
     pub booting: usize,
@@ -172,6 +176,7 @@
     live_jobs: Gauge,
     tasks: Family<StateLabels, Gauge>,
     machines: Family<StateLabels, Gauge>,
+    oldest_unrecorded: Gauge<f64, AtomicU64>,
     open_launch_requests: Gauge,
     models: Family<StateLabels, Gauge>,
     replicas_placed: Family<StateLabels, Gauge>,
@@ -221,6 +226,7 @@
             live_jobs: Gauge::default(),
             tasks: Family::default(),
             machines: Family::default(),
+            oldest_unrecorded: Gauge::default(),
             open_launch_requests: Gauge::default(),
             models: Family::default(),
             replicas_placed: Family::default(),
@@ -275,6 +281,11 @@
         );
         registry.register("jobs_live", "Jobs that are not over", self.live_jobs.clone());
         registry.register("tasks", "Tasks, by state", self.tasks.clone());
+        registry.register(
+            "starts_unrecorded_age_seconds",
+            "Age of the oldest placed task whose start is not recorded yet",
+            self.oldest_unrecorded.clone(),
+        );
         registry.register("machines", "Machines, by state", self.machines.clone());
         registry.register(
             "models",
@@ -443,11 +454,14 @@
             ("waiting", snapshot.waiting),
             ("held", snapshot.held),
             ("placed", snapshot.placed),
+            ("unrecorded", snapshot.unrecorded),
         ] {
             self.tasks
                 .get_or_create(&StateLabels { state })
                 .set(gauge_value(tasks));
         }
+        self.oldest_unrecorded
+            .set(snapshot.oldest_unrecorded_ms as f64 / SECOND_MS as f64);
         for (state, machines) in [
             ("booting", snapshot.booting),
             ("idle", snapshot.idle),
--- a/crates/controller/src/metrics/tests.rs
+++ b/crates/controller/src/metrics/tests.rs
@@ -26,6 +26,8 @@
         peers_heard: 2,
         metrics_snapshot: Some(MetricsSnapshot {
             busy: 3,
+            unrecorded: 5,
+            oldest_unrecorded_ms: 2_500,
             ..MetricsSnapshot::default()
         }),
         counted_resources: vec![seat],
@@ -57,6 +59,8 @@
         "indigopath_connections_refused_total{class=\"newcomer\"} 2",
         "indigopath_connections_closed_total{class=\"worker\",how=\"answer\"} 9",
         "indigopath_machines{state=\"busy\"} 3",
+        "indigopath_tasks{state=\"unrecorded\"} 5",
+        "indigopath_starts_unrecorded_age_seconds 2.5",
         "indigopath_fencing_epoch 7",
         "indigopath_cancellation_watermark_age_seconds 1.5",
         "indigopath_guarded_operations_dropped{duty=\"return\",why=\"refused\"} 2",
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -479,7 +479,7 @@
         let now = self.io.now;
         let definitions = &self.settings.operator.counted_resources;
         let counts = self.term.as_ref().map(|term| term.count_status(definitions, now));
-        let metrics_snapshot = self.term.as_ref().map(LeaderTerm::metrics_snapshot);
+        let metrics_snapshot = self.term.as_ref().map(|term| term.metrics_snapshot(now));
         let gauges = NodeGauges {
             token: self.election.token(),
             state_ok: self.state_failing_since.is_none(),
--- a/crates/controller/src/storage/batch_writer/machine_shards.rs
+++ b/crates/controller/src/storage/batch_writer/machine_shards.rs
@@ -310,7 +310,16 @@
             values = encode_values(&contents);
         }
         if values.iter().any(|value| self.is_too_large(value)) {
-            log::error!("shard too large shard={number}");
+            for (content, value) in contents.iter().zip(&values) {
+                log::error!(
+                    "shard too large shard={} bytes={} max_bytes={} machines={} starts={}",
+                    content.number,
+                    value.get().len(),
+                    self.max_value_bytes,
+                    content.machines.len(),
+                    content.start_count()
+                );
+            }
             return true;
         }
         let has_omitted_starts = collected.has_omitted_starts;
@@ -423,6 +432,10 @@
             .to_text()
     }
 
+    fn start_count(&self) -> usize {
+        self.machines.iter().map(|machine| machine.starts.len()).sum()
+    }
+
     fn is_empty(&self) -> bool {
         self.machines.is_empty() && self.lingers.is_empty() && self.released.is_empty()
     }
