Record as many starts as fit, and split a full record as often as it takes

Cause: while a transaction has no answer, passes place starts on machines that share a record. A record that was too large was split once, by the number of machines; if a half was still too large, the writer logged an error and reported the shard as written. It left the queue, and counted as being split, so it was never split again. The leader counted the starts as placed. Likewise starts of the other half of a split record were not queued again when the conditions of a transaction were used up.

Change: ShardEncoder keeps an upper bound of the record's size, and a record takes the starts that fit in it and in the transaction. The shards of the others stay queued, both halves. A record that has no room for them is split, its halves again once the split is known to have happened. One that is too large without new starts is written without images, and if that is not enough, it stays queued behind the others. A shard that no transaction has room for does not hold up others.

Why it works: a value never depends on how many starts were placed meanwhile, so each transaction records some, and every shard with unrecorded starts is in the queue. Starts are added up to 0.9 of a value and half of a transaction, so both halves of a full record fit in one. Form and keys of the records are unchanged.

--- a/crates/controller/src/allocations/attempt.rs
+++ b/crates/controller/src/allocations/attempt.rs
@@ -4,6 +4,7 @@
 use crate::constants::SECOND_MS;
 use crate::model::{Resources, TaskId, Timestamp};
 use crate::protocol::{TaskEndCause, TaskState};
+use crate::storage::records::StartRecord;
 use indigopath_counted_resources::Demand;
 use std::sync::Arc;
 
@@ -178,6 +179,29 @@
         self.exited() && self.exit_cause == Some(TaskEndCause::Done) && !self.end_processed
     }
 
+    /// Whether its start is still to be recorded.
+    pub fn is_unrecorded(&self) -> bool {
+        !self.durable && self.may_be_running()
+    }
+
+    /// The record of its start. One that is recorded only for its result holds no units any more: the same
+    /// transaction may give them to others.
+    pub fn start_record(&self) -> StartRecord {
+        let counts = if self.holds_units() {
+            self.counts.clone()
+        } else {
+            Demand::default()
+        };
+        StartRecord {
+            job: self.task.job.clone(),
+            index: self.task.index,
+            attempt: self.number,
+            team: self.team.clone(),
+            needs: self.needs,
+            counts,
+        }
+    }
+
     /// Whether it is waiting for its image, as far as known.
     pub fn is_fetching(&self) -> bool {
         match self.reported_state {
--- a/crates/controller/src/allocations/machine.rs
+++ b/crates/controller/src/allocations/machine.rs
@@ -3,7 +3,6 @@
 use super::{Attempt, ReportNumber};
 use crate::model::{JobId, MachineId, MachineKind, Resources, TaskId, Timestamp};
 use crate::storage::records::{MachineRecord, StartRecord};
-use indigopath_counted_resources::Demand;
 use indigopath_image_locality::Cache;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -180,7 +179,7 @@
                 .iter()
                 .filter(|attempt| attempt.may_be_running() || attempt.has_unrecorded_result())
                 .filter(|attempt| included(attempt))
-                .map(start_record)
+                .map(Attempt::start_record)
                 .collect(),
         }
     }
@@ -281,21 +280,3 @@
         )
     }
 }
-
-/// The record of an attempt's start. One that is recorded only for its result holds no units any
-/// more: the same transaction may give them to others.
-fn start_record(attempt: &Attempt) -> StartRecord {
-    let counts = if attempt.holds_units() {
-        attempt.counts.clone()
-    } else {
-        Demand::default()
-    };
-    StartRecord {
-        job: attempt.task.job.clone(),
-        index: attempt.task.index,
-        attempt: attempt.number,
-        team: attempt.team.clone(),
-        needs: attempt.needs,
-        counts,
-    }
-}
--- a/crates/controller/src/constants.rs
+++ b/crates/controller/src/constants.rs
@@ -236,6 +236,13 @@
 /// how many machines share a record within `value_kb`; a record that gets larger is split in half.
 pub const SHARD_MACHINE_BYTES: usize = 500;
 
+/// Share of a value up to which starts are added to a shared record. The rest is for what is learned of its machines
+/// later: addresses, images, units that linger.
+pub const SHARD_FILL_SHARE: f64 = 0.9;
+
+/// Records that one transaction must hold when a shard is split: both halves.
+pub const RECORDS_PER_SPLIT: usize = 2;
+
 /// Maximum number of released machines in one record whose clients a licence server may still list.
 /// Each takes some 30 bytes, so that most of the record is left for live machines. The next leader
 /// counts the client of an omitted machine as an outside user until the server has its seat back.
--- a/crates/controller/src/leader/recovery.rs
+++ b/crates/controller/src/leader/recovery.rs
@@ -298,6 +298,7 @@
             .sum();
         let remaining: u64 = lingers.iter().map(|linger| u64::from(linger.units)).sum();
         let some_expired = remaining < recorded;
+        self.writer.load_shard_size(number, item.value.to_string().len());
         self.writer
             .load_lingers(number, item.version, lingers, some_expired);
         let clock_skew_ms = settings.deployment.clock_skew_ms as u64;
--- a/crates/controller/src/leader/scheduling_pass.rs
+++ b/crates/controller/src/leader/scheduling_pass.rs
@@ -198,7 +198,7 @@
                 now,
             )
         });
-        self.writer.queue_machine(machine);
+        self.writer.queue_starts(machine);
         self.machines.add_location(job_id, machine_id.clone());
         if !counts.is_empty() {
             self.record_unit_wait(&counts, waited_ms);
--- a/crates/controller/src/leader/status.rs
+++ b/crates/controller/src/leader/status.rs
@@ -32,7 +32,7 @@
             let placed = machine.attempts.iter().filter(|attempt| attempt.may_be_running());
             for attempt in placed {
                 metrics_snapshot.placed += 1;
-                if !attempt.durable {
+                if attempt.is_unrecorded() {
                     let age_ms = now.saturating_sub(attempt.planned_at);
                     metrics_snapshot.unrecorded += 1;
                     metrics_snapshot.oldest_unrecorded_ms = metrics_snapshot.oldest_unrecorded_ms.max(age_ms);
--- a/crates/controller/src/storage/batch_writer.rs
+++ b/crates/controller/src/storage/batch_writer.rs
@@ -94,6 +94,16 @@
         self.machine_shards.queue_machine(machine);
     }
 
+    /// The machine has starts to be recorded.
+    pub fn queue_starts(&mut self, machine: &mut Machine) {
+        self.machine_shards.queue_starts(machine);
+    }
+
+    /// A shard's record was read: its size, in bytes.
+    pub fn load_shard_size(&mut self, number: u32, bytes: usize) {
+        self.machine_shards.load_size(number, bytes);
+    }
+
     /// Assigns a machine to the shard that a record lists it in.
     pub fn assign_shard(&mut self, machine: &mut Machine, number: u32, version: u64) {
         self.machine_shards.assign_shard(machine, number, version);
--- a/crates/controller/src/storage/batch_writer/transaction.rs
+++ b/crates/controller/src/storage/batch_writer/transaction.rs
@@ -31,6 +31,8 @@
     pub number: u32,
     /// Its key is deleted, because nothing is left to record.
     pub deleted: bool,
+    /// Size of its record.
+    pub bytes: usize,
 }
 
 /// One item that a transaction writes.
@@ -159,6 +161,16 @@
         self.body.changes.len() >= self.max_changes
     }
 
+    /// Whether nothing was added yet.
+    pub(super) fn is_empty(&self) -> bool {
+        self.units.is_empty()
+    }
+
+    /// Bytes that conditions and changes may still take.
+    pub(super) fn bytes_left(&self) -> usize {
+        MAX_TXN_BYTES.saturating_sub(self.bytes)
+    }
+
     /// Whether there already is a condition on this key.
     pub(super) fn has_condition(&self, key: &str) -> bool {
         self.conditioned_keys.contains(key)
@@ -193,8 +205,14 @@
     }
 }
 
+/// Upper bound of the size in a transaction body of what goes with a stored record: its key, and the condition on its
+/// version.
+pub(super) fn record_overhead_bytes(key: &str) -> usize {
+    2 * key.len() + CHANGE_OVERHEAD_BYTES + CONDITION_OVERHEAD_BYTES
+}
+
 /// Upper bound of a condition's size in a transaction body.
-fn condition_bytes(condition: &Condition) -> usize {
+pub(super) fn condition_bytes(condition: &Condition) -> usize {
     condition.key.len() + CONDITION_OVERHEAD_BYTES
 }
 
--- a/crates/controller/src/storage/records.rs
+++ b/crates/controller/src/storage/records.rs
@@ -42,7 +42,7 @@
 };
 pub use ended::{EndedJobRecord, Ending};
 pub use leader::LeaderRecord;
-pub use machine_shard::{MachineRecord, ReleasedMachine, ShardRecord, StartRecord};
+pub use machine_shard::{MachineRecord, ReleasedMachine, ShardEncoder, ShardRecord, StartRecord};
 
 use crate::model::JobSpec;
 use crate::protocol::{LaunchRequest, MachineTypeList};
--- a/crates/controller/src/storage/records/machine_shard.rs
+++ b/crates/controller/src/storage/records/machine_shard.rs
@@ -8,7 +8,7 @@
 
 use super::RecordError;
 use crate::model::{JobId, Resources};
-use encoder::ShardEncoder;
+pub use encoder::ShardEncoder;
 use indigopath_counted_resources::{Demand, LingerEntry};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -100,20 +100,11 @@
 impl ShardRecord {
     /// The record of these machines.
     pub fn from_machines(machines: &[MachineRecord], lingers: Vec<LingerEntry>) -> ShardRecord {
-        let mut encoder = ShardEncoder::default();
+        let mut encoder = ShardEncoder::new(lingers, Vec::new());
         for machine in machines {
-            encoder.add(machine);
+            encoder.add_machine(machine);
         }
-        ShardRecord {
-            format: SHARD_FORMAT,
-            lingers,
-            ..encoder.into_shard()
-        }
-    }
-
-    /// The same record with released machines.
-    pub fn with_released(self, released: Vec<ReleasedMachine>) -> ShardRecord {
-        ShardRecord { released, ..self }
+        encoder.into_record()
     }
 
     /// Released machines whose clients a licence server may still list.
--- a/crates/controller/src/storage/records/tests.rs
+++ b/crates/controller/src/storage/records/tests.rs
@@ -149,8 +149,8 @@
         name: Arc::from("m-7"),
         until_ms: 1_700_000_000_000,
     };
-    let value = ShardRecord::from_machines(&[], Vec::new())
-        .with_released(vec![released.clone()])
+    let value = ShardEncoder::new(Vec::new(), vec![released.clone()])
+        .into_record()
         .to_value();
     assert_eq!(
         value["released"],
