Log which machines a leader cannot reach and which worker heartbeats a node receives

Three causes would look the same from outside: a peer reaches the machines that the leader does not reach; a peer hears new machines only; or the peers hear the machines that live, as the hand-over before brought them there. No log line told which machines the old and the new leader heard, and when.

A leader that hands over logs the machines that are unreachable and when it last heard each; at debug level each node logs the worker heartbeats that it receives.

--- a/crates/controller/src/constants.rs
+++ b/crates/controller/src/constants.rs
@@ -421,6 +421,10 @@
 /// peers take to reconnect after an interruption, and far shorter than the worker leases.
 pub const SELF_PARTITION_HANDOVER_ALONE_MS: u64 = 5_000;
 
+/// Maximum number of unreachable machines that the log lists when a leader suspects itself to be
+/// partitioned.
+pub const UNREACHABLE_MACHINES_LOGGED: usize = 64;
+
 /// How recently, in ms, a worker must have contacted a node for the node to claim that it hears it,
 /// plus one second for each node. A worker waits 4 s for an unresponsive node, and then tries the
 /// others for about a second each.
--- a/crates/controller/src/leader/partition_detection.rs
+++ b/crates/controller/src/leader/partition_detection.rs
@@ -4,7 +4,7 @@
 use super::{LeaderTerm, PeerView};
 use crate::constants::{
     INSPECT_TIMEOUT_MS, PROBE_SAMPLE, RECONNECT_GRACE_MS, SELF_PARTITION_HANDOVER_ALONE_MS,
-    SELF_PARTITION_HANDOVER_MS, SELF_PARTITION_UNREACHABLE_SHARE,
+    SELF_PARTITION_HANDOVER_MS, SELF_PARTITION_UNREACHABLE_SHARE, UNREACHABLE_MACHINES_LOGGED,
 };
 use crate::election::{Election, ElectionEvent};
 use crate::io::Io;
@@ -123,6 +123,7 @@
         }
         let since = *self.partition_detector.suspected_since.get_or_insert(io.now);
         if io.now >= since + SELF_PARTITION_HANDOVER_MS && peers.max_workers_heard > 0 {
+            self.log_unreachable_machines(peers, io.now);
             return election.hand_over("most workers are unreachable from here, but not from a peer", io);
         }
         // Peers that this node cannot reach may hear all workers. If none does, handing over costs
@@ -140,6 +141,26 @@
         None
     }
 
+    /// Logs which machines are unreachable and when each was last heard, as evidence for a hand-over.
+    fn log_unreachable_machines(&self, peers: PeerView, now: Timestamp) {
+        let ReachabilityCount { unreachable, total } = self.count_unreachable();
+        let silent: Vec<String> = self
+            .machines
+            .values()
+            .filter(|machine| machine.unreachable)
+            .take(UNREACHABLE_MACHINES_LOGGED)
+            .map(|machine| match machine.last_heard_at {
+                Some(at) => format!("{} heard {} ms ago", machine.id, now - at),
+                None => format!("{} not heard", machine.id),
+            })
+            .collect();
+        log::info!(
+            "own partition suspected unreachable={unreachable} machines={total} heard_by_one_peer={} silent=[{}]",
+            peers.max_workers_heard,
+            silent.join(", ")
+        );
+    }
+
     /// Whether unreachable machines may be released as failed.
     ///
     /// While this node may be partitioned and no peer can be consulted, nothing is released. A peer that
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -408,6 +408,11 @@
                 return;
             }
         };
+        log::debug!(
+            "worker heartbeat received machine={} leads={}",
+            heartbeat.machine,
+            self.term.is_some()
+        );
         self.worker_heard_at
             .insert(heartbeat.machine.clone(), self.io.now);
         // Checked here as well as in `run_due_work`: a process that was suspended handles heartbeats first.
