Hand over only to a peer that reaches more of the machines

Cause: a leader that cannot reach most machines handed over 1.5 s later if a peer had heard any worker within 7 s. New machines begin with any controller, and after a hand-over the former leader has heard all machines that live. So each hand-over made the evidence for the next. Until a term lasts longer nobody may release the machines, and the end of their leases is counted anew in each.

At six hand-overs none of the 18 machines that the leader could not reach was among those that a peer had heard.

Change: leader and peers probe the same sample of machines, in rounds (two new frames; the peers' part is PeerProbes, the comparison ReachabilityComparison). The leader hands over if a peer reaches more of them by an eighth of the sample, or any while it reaches none itself. If no peer does, unreachable machines are released as before, unless the controllers hear most of them: such machines run, and hear no answer.

Why it works: an answer names the round that it belongs to, so it shows what the peer reaches now; nothing heard earlier and no late message counts. A hand-over does not change who reaches which machine, and goes towards a node that reaches more, so a sequence of them ends. A leader that is really cut off does not wait until workers have failed over: its peers find the machines within milliseconds.

--- a/crates/controller/src/allocations/machine.rs
+++ b/crates/controller/src/allocations/machine.rs
@@ -194,6 +194,11 @@
         !self.unreachable && self.last_own_report_at.is_some_and(|at| now > at + late_ms)
     }
 
+    /// Whether it has sent a report of its own at this time or later.
+    pub fn has_own_report_since(&self, time: Timestamp) -> bool {
+        self.has_own_report && self.last_own_report_at.is_some_and(|at| at >= time)
+    }
+
     /// Whether it has been up, as far as this leader knows: heard from, or recorded with work.
     pub fn has_been_up(&self) -> bool {
         self.is_up() || !self.attempts.is_empty()
--- a/crates/controller/src/constants.rs
+++ b/crates/controller/src/constants.rs
@@ -414,9 +414,21 @@
 pub const SELF_PARTITION_UNREACHABLE_SHARE: f64 = 0.5;
 
 /// How long a leader that suspects itself to be partitioned waits, in ms, before it hands over to a
-/// peer that hears workers.
+/// peer that reaches more machines.
 pub const SELF_PARTITION_HANDOVER_MS: u64 = 1_500;
 
+/// Part of the sampled machines, as a divisor, that a peer must reach beyond those that the leader
+/// reaches for the leader to be the one that is partitioned.
+pub const PARTITION_MIN_GAIN_DIVISOR: usize = 8;
+
+/// How long, in ms, a leader waits for its peers' answers beyond the time that their probes take:
+/// the way to the peers and back, and their event loops.
+pub const REACHABILITY_ANSWER_SLACK_MS: u64 = 400;
+
+/// Maximum number of probes that a node has in flight for its peers: two rounds of a leader, the
+/// last and the next. Each takes a socket.
+pub const MAX_PEER_PROBES: usize = 2 * PROBE_SAMPLE;
+
 /// How long it waits, in ms, before it hands over although no peer can be reached. Longer than
 /// peers take to reconnect after an interruption, and far shorter than the worker leases.
 pub const SELF_PARTITION_HANDOVER_ALONE_MS: u64 = 5_000;
--- a/crates/controller/src/io.rs
+++ b/crates/controller/src/io.rs
@@ -15,6 +15,7 @@
     LEADER_WRITE_SHARE, MAX_ERROR_CHARS, NEW_LEADER_WRITE_BURST, NODE_WARMUP_MS,
 };
 use crate::model::Timestamp;
+use crate::peers::Frame;
 use crate::protocol::{ErrorResponse, paths};
 use crate::settings::Settings;
 use crate::token_bucket::TokenBucket;
@@ -93,6 +94,19 @@
         }
     }
 
+    /// Sends a frame to all peers.
+    pub fn broadcast(&mut self, peers: usize, frame: &Frame) {
+        self.broadcast_bytes(peers, &frame.encode());
+    }
+
+    /// Sends encoded frames to all peers.
+    pub fn broadcast_bytes(&mut self, peers: usize, bytes: &[u8]) {
+        for peer in 0..peers {
+            let bytes = bytes.to_vec();
+            self.effects.push(Effect::Frame { peer, bytes });
+        }
+    }
+
     /// Calls a system other than the cloud; for the cloud see [`Io::cloud_call`].
     pub fn call(
         &mut self,
--- a/crates/controller/src/io/call.rs
+++ b/crates/controller/src/io/call.rs
@@ -154,6 +154,11 @@
         self.0.insert(call, purpose);
     }
 
+    /// Number of calls in flight.
+    pub fn in_flight(&self) -> usize {
+        self.0.len()
+    }
+
     /// Removes a call whose outcome arrived and returns what it was made for, if it is known here.
     pub fn complete(&mut self, call: CallId) -> Option<T> {
         self.0.remove(&call)
--- a/crates/controller/src/leader/liveness.rs
+++ b/crates/controller/src/leader/liveness.rs
@@ -138,6 +138,7 @@
         }
     }
 
+    /// Probes a machine, unless a probe of it is in flight.
     fn send_probe(&mut self, id: &MachineId, io: &mut Io) {
         let Some(machine) = self.machines.get_mut(id) else {
             return;
--- a/crates/controller/src/leader/mod.rs
+++ b/crates/controller/src/leader/mod.rs
@@ -21,6 +21,7 @@
 mod partition_detection;
 mod persistence;
 mod protection_windows;
+mod reachability_comparison;
 mod reconciliation;
 mod record_watch;
 mod recovery;
@@ -72,8 +73,8 @@
     pub total: usize,
     /// Number of peers that were heard recently.
     pub recently_heard: usize,
-    /// Largest number of workers that any single peer hears.
-    pub max_workers_heard: u32,
+    /// Position of this node's name among all controllers' names in order.
+    pub own_index: u16,
     /// How long workers take to find a peer after they lose the leader, in ms.
     pub worker_failover_ms: u64,
 }
--- a/crates/controller/src/leader/partition_detection.rs
+++ b/crates/controller/src/leader/partition_detection.rs
@@ -1,7 +1,9 @@
 //! Detection of a partition of this node: when a machine becomes unreachable, a sample of the others is
 //! probed to tell a failed machine from a leader that is cut off itself.
 
+use super::reachability_comparison::{Finding, OwnView, ReachabilityComparison};
 use super::{LeaderTerm, PeerView};
+use crate::allocations::Machine;
 use crate::constants::{
     INSPECT_TIMEOUT_MS, PROBE_SAMPLE, RECONNECT_GRACE_MS, SELF_PARTITION_HANDOVER_ALONE_MS,
     SELF_PARTITION_HANDOVER_MS, SELF_PARTITION_UNREACHABLE_SHARE, UNREACHABLE_MACHINES_LOGGED,
@@ -9,6 +11,8 @@
 use crate::election::{Election, ElectionEvent};
 use crate::io::Io;
 use crate::model::{MachineId, Timestamp};
+use crate::peers::{Frame, ReachabilityAnswer, ReachabilityQuery};
+use rand::RngExt;
 
 /// The last probed sample, and the suspicion that follows from it.
 #[derive(Debug, Default)]
@@ -22,6 +26,21 @@
     suspected_since: Option<Timestamp>,
     /// When the suspicion was last ruled out.
     ruled_out_at: Option<Timestamp>,
+    /// The comparison with the peers that is under way while the suspicion lasts.
+    comparison: Option<ReachabilityComparison>,
+    /// What the last comparison showed since the suspicion arose.
+    finding: Option<Finding>,
+}
+
+impl PartitionDetector {
+    /// Ends the suspicion, if there is one.
+    fn rule_out(&mut self, now: Timestamp) {
+        if self.suspected_since.take().is_some() {
+            self.ruled_out_at = Some(now);
+        }
+        self.comparison = None;
+        self.finding = None;
+    }
 }
 
 /// Number of unreachable machines, and of all machines that have been up.
@@ -108,7 +127,7 @@
                 || f64::from(unreachable) > SELF_PARTITION_UNREACHABLE_SHARE * f64::from(total))
     }
 
-    /// Hands leadership over if this node seems partitioned and a peer hears the workers, or may hear them.
+    /// Hands leadership over if this node seems partitioned and a peer reaches more machines, or may reach them.
     pub(super) fn check_own_partition(
         &mut self,
         election: &mut Election,
@@ -116,23 +135,25 @@
         io: &mut Io,
     ) -> Option<ElectionEvent> {
         if !self.suspects_own_partition() {
-            if self.partition_detector.suspected_since.take().is_some() {
-                self.partition_detector.ruled_out_at = Some(io.now);
-            }
+            self.partition_detector.rule_out(io.now);
             return None;
         }
         let since = *self.partition_detector.suspected_since.get_or_insert(io.now);
-        if io.now >= since + SELF_PARTITION_HANDOVER_MS && peers.max_workers_heard > 0 {
-            self.log_unreachable_machines(peers, io.now);
+        self.compare_with_peers(peers, io);
+        let finding = self.partition_detector.finding;
+        if finding == Some(Finding::PeerReachesMore) && io.now >= since + SELF_PARTITION_HANDOVER_MS {
+            self.log_unreachable_machines(io.now);
             return election.hand_over("most workers are unreachable from here, but not from a peer", io);
         }
-        // Peers that this node cannot reach may hear all workers. If none does, handing over costs
-        // nothing, as this leader hears no worker either.
-        let isolated = peers.recently_heard == 0 && peers.total > 0;
-        if isolated
+        // Peers that this node cannot consult may reach all workers. If none does, handing over costs nothing, as
+        // this leader reaches few workers either.
+        let consulted = !matches!(finding, None | Some(Finding::NoPeerConsulted));
+        if !consulted
+            && peers.total > 0
             && self.partition_detector.sample_unreachable
             && io.now >= since + SELF_PARTITION_HANDOVER_ALONE_MS
         {
+            self.log_unreachable_machines(io.now);
             return election.hand_over(
                 "most workers are unreachable from here, and no peer can be consulted",
                 io,
@@ -141,8 +162,82 @@
         None
     }
 
+    /// Concludes the comparison with the peers when it is due, and starts the next one.
+    fn compare_with_peers(&mut self, peers: PeerView, io: &mut Io) {
+        if let Some(comparison) = &self.partition_detector.comparison {
+            let own = self.own_view(comparison, peers.worker_failover_ms, io.now);
+            let Some(finding) = comparison.finding(&own, peers.recently_heard, io.now) else {
+                return;
+            };
+            log::debug!(
+                "reachability compared machines={} reached_here={} reached_by_a_peer={}: {finding:?}",
+                comparison.machines().len(),
+                own.reached.len(),
+                comparison.most_reached()
+            );
+            self.partition_detector.finding = Some(finding);
+        }
+        self.start_comparison(peers, io);
+    }
+
+    /// What this leader knows by itself of the machines of a comparison.
+    fn own_view(&self, comparison: &ReachabilityComparison, max_age_ms: u64, now: Timestamp) -> OwnView {
+        let mut own = OwnView::default();
+        for (number, id) in comparison.machines().iter().enumerate() {
+            let Some(machine) = self.machines.get(id) else {
+                continue;
+            };
+            if machine
+                .last_heard_at
+                .is_some_and(|at| at >= comparison.started_at())
+            {
+                own.reached.insert(number as u16);
+            }
+            if machine.has_own_report_since(now.saturating_sub(max_age_ms)) {
+                own.heard.insert(number as u16);
+            }
+        }
+        own
+    }
+
+    /// Probes a sample of all machines, reachable or not, and asks all peers to do the same.
+    fn start_comparison(&mut self, peers: PeerView, io: &mut Io) {
+        let can_be_asked = |machine: &&Machine| {
+            let addr = machine.addr.as_deref().unwrap_or_default();
+            ReachabilityQuery::can_carry(&machine.id.0) && ReachabilityQuery::can_carry(addr)
+        };
+        let machines: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|machine| machine.has_been_up() && !machine.unconfirmed && !machine.releasing)
+            .filter(can_be_asked)
+            .map(|machine| machine.id.clone())
+            .collect();
+        let sample = self.probe_sample(machines, PROBE_SAMPLE, io);
+        let round: u64 = io.rng.random();
+        for (number, id) in sample.iter().enumerate() {
+            let addr = self.machines.get(id).and_then(|machine| machine.addr.clone());
+            let query = Frame::ReachabilityQuery(ReachabilityQuery {
+                round,
+                number: number as u16,
+                index: peers.own_index,
+                machine: id.to_string(),
+                addr: addr.unwrap_or_default(),
+            });
+            io.broadcast(peers.total, &query);
+        }
+        self.partition_detector.comparison = Some(ReachabilityComparison::new(round, sample, io.now));
+    }
+
+    /// Handles a peer's answer whether it reaches a machine.
+    pub(crate) fn on_reachability_answer(&mut self, peer: usize, answer: ReachabilityAnswer) {
+        if let Some(comparison) = &mut self.partition_detector.comparison {
+            comparison.record_answer(peer, answer);
+        }
+    }
+
     /// Logs which machines are unreachable and when each was last heard, as evidence for a hand-over.
-    fn log_unreachable_machines(&self, peers: PeerView, now: Timestamp) {
+    fn log_unreachable_machines(&self, now: Timestamp) {
         let ReachabilityCount { unreachable, total } = self.count_unreachable();
         let silent: Vec<String> = self
             .machines
@@ -155,26 +250,23 @@
             })
             .collect();
         log::info!(
-            "own partition suspected unreachable={unreachable} machines={total} heard_by_one_peer={} silent=[{}]",
-            peers.max_workers_heard,
+            "own partition suspected unreachable={unreachable} machines={total} silent=[{}]",
             silent.join(", ")
         );
     }
 
     /// Whether unreachable machines may be released as failed.
     ///
-    /// While this node may be partitioned and no peer can be consulted, nothing is released. A peer that
-    /// hears no worker either confirms that the machines have failed.
+    /// While this node may be partitioned and no peer can be consulted, nothing is released, nor while controllers
+    /// hear the machines. Peers that reach no more machines and hear none of the others confirm that these have failed.
     pub(super) fn can_release_unreachable_machines(&self, peers: PeerView, now: Timestamp) -> bool {
-        let may_be_partitioned = self.suspects_own_partition()
-            && (peers.recently_heard == 0
-                || peers.max_workers_heard > 0
-                || self
-                    .partition_detector
-                    .suspected_since
-                    .is_none_or(|since| now < since + SELF_PARTITION_HANDOVER_MS + peers.worker_failover_ms));
-        let just_ruled_out = self
-            .partition_detector
+        let detector = &self.partition_detector;
+        let confirmed = detector.finding == Some(Finding::NoPeerReachesMore)
+            && detector
+                .suspected_since
+                .is_some_and(|since| now >= since + SELF_PARTITION_HANDOVER_MS + peers.worker_failover_ms);
+        let may_be_partitioned = self.suspects_own_partition() && !confirmed;
+        let just_ruled_out = detector
             .ruled_out_at
             .is_some_and(|at| now < at + RECONNECT_GRACE_MS);
         !may_be_partitioned && !just_ruled_out && self.sample_is_reachable()
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The state machine of one controller. It owns all state, takes commands and returns effects; sockets and
 //! timers belong to its host.
 
+mod peer_probes;
 mod routing;
 
 use crate::condor::{self, Context, SubmitFileService};
@@ -26,6 +27,7 @@
 use indigopath_connection_limits::{PerClass, ShortageCounts};
 use indigopath_counted_resources::status::{CountList, CountStatus, HolderList};
 use indigopath_fencing::Permit;
+use peer_probes::{PeerProbes, ProbeResult};
 use rand::RngExt;
 use routing::Route;
 use std::collections::HashMap;
@@ -99,6 +101,7 @@
     state_failing_since: Option<Timestamp>,
     state_probed_at: Timestamp,
     calls: PendingCalls<NodeCall>,
+    peer_probes: PeerProbes,
     metrics: Metrics,
     /// Open connections, and the effects of connection limits.
     connection_stats: (PerClass<u64>, ShortageCounts),
@@ -137,6 +140,7 @@
             state_failing_since: None,
             state_probed_at: now,
             calls: PendingCalls::default(),
+            peer_probes: PeerProbes::default(),
             metrics: Metrics::new(),
             connection_stats: Default::default(),
         }
@@ -578,6 +582,10 @@
             self.record_state_response(outcome);
             return;
         }
+        if let Some(result) = self.peer_probes.handle_response(call, outcome) {
+            self.answer_reachability_query(&result);
+            return;
+        }
         match self.calls.complete(call) {
             None => (),
             Some(NodeCall::StateProbe) => self.record_state_response(outcome),
@@ -704,26 +712,13 @@
         PeerView {
             total: self.peers.len(),
             recently_heard: self.fresh_heartbeats().count(),
-            max_workers_heard: self
-                .fresh_heartbeats()
-                .map(|heartbeat| heartbeat.workers_heard)
-                .max()
-                .unwrap_or(0),
+            own_index: self.job_api.index(),
             worker_failover_ms: self.worker_failover_ms(),
         }
     }
 
     fn broadcast(&mut self, frame: &Frame) {
-        self.broadcast_bytes(&frame.encode());
-    }
-
-    fn broadcast_bytes(&mut self, bytes: &[u8]) {
-        for peer in 0..self.peers.len() {
-            self.io.effects.push(Effect::Frame {
-                peer,
-                bytes: bytes.to_vec(),
-            });
-        }
+        self.io.broadcast(self.peers.len(), frame);
     }
 
     fn send_heartbeat(&mut self) {
@@ -748,7 +743,7 @@
         }
         if !bytes.is_empty() {
             self.sent_task_counts = term.counts().clone();
-            self.broadcast_bytes(&bytes);
+            self.io.broadcast_bytes(self.peers.len(), &bytes);
         }
     }
 
@@ -805,9 +800,32 @@
             Frame::EndAcknowledged { job, nonce, .. } => {
                 self.job_api.on_end_acknowledged(&job, nonce, &mut self.io)
             }
+            Frame::ReachabilityQuery(query) => {
+                if let Some(peer) = self.peer_index(query.index) {
+                    self.peer_probes.start(peer, query, &mut self.io);
+                }
+            }
+            Frame::ReachabilityAnswer(answer) => {
+                if let Some(peer) = self.peer_index(answer.index)
+                    && let Some(term) = &mut self.term
+                {
+                    term.on_reachability_answer(peer, answer);
+                }
+            }
         }
     }
 
+    /// Tells a leader that has asked whether this node reaches a machine, and whether it hears it.
+    fn answer_reachability_query(&mut self, result: &ProbeResult) {
+        let heard_at = self.worker_heard_at.get(&result.query.machine);
+        let heard = heard_at.is_some_and(|at| self.io.now < at + self.worker_failover_ms());
+        let answer = result.answer(self.job_api.index(), heard);
+        self.io.effects.push(Effect::Frame {
+            peer: result.peer,
+            bytes: Frame::ReachabilityAnswer(answer).encode(),
+        });
+    }
+
     /// Index in the settings of the peer at this position among all members.
     fn peer_index(&self, index: u16) -> Option<usize> {
         let name = self.members.get(usize::from(index))?;
--- a/crates/controller/src/node/tests.rs
+++ b/crates/controller/src/node/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
-use crate::constants::MAX_BODY_BYTES;
+use crate::constants::{MAX_BODY_BYTES, MAX_PEER_PROBES};
+use crate::io::Destination;
+use crate::peers::{ReachabilityAnswer, ReachabilityQuery};
 
 fn settings() -> Settings {
     Settings::parse(include_str!("../../tests/support/settings.json")).unwrap()
@@ -187,3 +189,112 @@
     node.handle(Command::Frame(Frame::EndNotice { job, nonce, index }));
     assert_eq!(node.take_effects(), []);
 }
+
+fn query(machine: &str) -> Command {
+    Command::Frame(Frame::ReachabilityQuery(ReachabilityQuery {
+        round: 7,
+        number: 3,
+        index: 1,
+        machine: machine.to_owned(),
+        addr: "10.1.0.2:9000".to_owned(),
+    }))
+}
+
+/// The probes of workers among these effects.
+fn probes(effects: &[Effect]) -> Vec<CallId> {
+    let probes = effects.iter().filter_map(|effect| match effect {
+        Effect::Call { call, to, path, .. } if *to == Destination::Worker("10.1.0.2:9000".to_owned()) => {
+            assert_eq!(path, paths::INSPECT);
+            Some(*call)
+        }
+        _ => None,
+    });
+    probes.collect()
+}
+
+/// A heartbeat of a machine at `10.1.0.2:9000`.
+fn heartbeat(machine: &str) -> Heartbeat {
+    Heartbeat {
+        machine: machine.to_owned(),
+        addr: "10.1.0.2:9000".to_owned(),
+        machine_type: "small".to_owned(),
+        zone: "east".to_owned(),
+        spot: false,
+        agent_epoch: 1,
+        seq: 1,
+        token: 0,
+        reclaim_notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+/// The answer of a node that is asked whether it reaches a machine, if the probe has this outcome.
+fn reachability_answer(machine: &str, outcome: Outcome) -> ReachabilityAnswer {
+    let mut node = Node::new(settings(), 1, 0, 0);
+    reachability_answer_of(&mut node, machine, outcome)
+}
+
+fn reachability_answer_of(node: &mut Node, machine: &str, outcome: Outcome) -> ReachabilityAnswer {
+    node.handle(query(machine));
+    let [call] = probes(&node.take_effects())[..] else {
+        panic!("not one probe");
+    };
+    node.handle(Command::Answer { call, outcome });
+    let frames = node.take_effects().into_iter().filter_map(|effect| match effect {
+        Effect::Frame { bytes, .. } => Frame::decode(&bytes).unwrap().unwrap().0,
+        _ => None,
+    });
+    let answers: Vec<ReachabilityAnswer> = frames
+        .filter_map(|frame| match frame {
+            Frame::ReachabilityAnswer(answer) => Some(answer),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(answers.len(), 1);
+    answers[0]
+}
+
+fn inspect_response(machine: &str) -> Outcome {
+    Outcome::Answer {
+        status: 200,
+        body: serde_json::to_vec(&heartbeat(machine)).unwrap(),
+    }
+}
+
+#[test]
+fn a_node_probes_the_machine_that_a_peer_asks_about() {
+    let answer = reachability_answer("m-1", inspect_response("m-1"));
+    assert_eq!((answer.round, answer.number, answer.index), (7, 3, 0));
+    assert!(answer.reached);
+    assert!(!reachability_answer("m-1", Outcome::NoAnswer).reached);
+}
+
+#[test]
+fn a_node_tells_for_a_while_that_it_hears_a_machine() {
+    let mut node = Node::new(settings(), 1, 0, 0);
+    node.handle(Command::Request {
+        request: RequestId(1),
+        method: "POST".to_owned(),
+        path: paths::REPORT.to_owned(),
+        body: serde_json::to_vec(&heartbeat("m-1")).unwrap(),
+    });
+    node.take_effects();
+    assert!(reachability_answer_of(&mut node, "m-1", Outcome::NoAnswer).heard);
+    assert!(!reachability_answer_of(&mut node, "m-2", Outcome::NoAnswer).heard);
+    node.set_time(node.worker_failover_ms(), 0);
+    assert!(!reachability_answer_of(&mut node, "m-1", Outcome::NoAnswer).heard);
+}
+
+#[test]
+fn another_machine_at_the_same_address_does_not_count_as_reached() {
+    assert!(!reachability_answer("m-1", inspect_response("m-2")).reached);
+}
+
+#[test]
+fn probes_for_peers_are_limited() {
+    let mut node = Node::new(settings(), 1, 0, 0);
+    for _ in 0..2 * MAX_PEER_PROBES {
+        node.handle(query("m-1"));
+    }
+    assert_eq!(probes(&node.take_effects()).len(), MAX_PEER_PROBES);
+}
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -1,8 +1,9 @@
 //! Frames between controllers: fixed little-endian layouts, read in place.
 //!
-//! Heartbeats carry who leads and how many workers each node hears from. Task counts are for display,
-//! and job change notices only reduce latency. Correctness depends on two kinds of frames only, and not
-//! for a job's state, which is read from the state service:
+//! Heartbeats carry who leads. Task counts are for display, and job change notices only reduce latency.
+//! With reachability queries a leader asks which of its machines its peers reach; the answers decide who leads
+//! and which machines are given up, and each names the round that it answers. Correctness depends on two kinds of
+//! frames only, and not for a job's state, which is read from the state service:
 //!
 //! - An end notice is sent by a node that knows that the end of a job is committed.
 //! - An acknowledgement is sent by a peer that from then on returns no older reading of the job.
@@ -23,6 +24,9 @@
 /// Bytes reserved for a job id in a frame; valid ids are shorter (see `admission::parse_id`).
 const ID_BYTES: usize = 24;
 
+/// Bytes reserved for a machine's name, and for its address, in a frame.
+const MACHINE_TEXT_BYTES: usize = 64;
+
 /// Largest frame accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 256;
 
@@ -61,12 +65,34 @@
     index: U16,
 }
 
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct ReachabilityQueryBody {
+    round: U64,
+    number: U16,
+    index: U16,
+    machine: [u8; MACHINE_TEXT_BYTES],
+    addr: [u8; MACHINE_TEXT_BYTES],
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct ReachabilityAnswerBody {
+    round: U64,
+    number: U16,
+    index: U16,
+    reached: u8,
+    heard: u8,
+}
+
 const HEADER_BYTES: usize = size_of::<Header>();
 const KIND_HEARTBEAT: u16 = 1;
 const KIND_TASK_COUNTS: u16 = 2;
 const KIND_JOB_CHANGED: u16 = 3;
 const KIND_END_NOTICE: u16 = 4;
 const KIND_END_ACKNOWLEDGED: u16 = 5;
+const KIND_REACHABILITY_QUERY: u16 = 6;
+const KIND_REACHABILITY_ANSWER: u16 = 7;
 
 /// A message between controllers.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -106,6 +132,47 @@
         /// Position of the sender's name among all controllers' names in order.
         index: u16,
     },
+    /// The leader asks whether the receiver reaches a machine.
+    ReachabilityQuery(ReachabilityQuery),
+    /// The answer to one query.
+    ReachabilityAnswer(ReachabilityAnswer),
+}
+
+/// A leader's question whether a peer reaches a machine. The peer probes the machine before it answers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReachabilityQuery {
+    /// Drawn for a round of queries. Answers to earlier rounds are ignored, however late they arrive.
+    pub round: u64,
+    /// Number of the machine within the round.
+    pub number: u16,
+    /// Position of the sender's name among all controllers' names in order.
+    pub index: u16,
+    /// The machine's name, at most [`MACHINE_TEXT_BYTES`] long.
+    pub machine: String,
+    /// Address of its worker, at most [`MACHINE_TEXT_BYTES`] long.
+    pub addr: String,
+}
+
+impl ReachabilityQuery {
+    /// Whether a query can carry this name or address.
+    pub fn can_carry(text: &str) -> bool {
+        !text.is_empty() && text.len() <= MACHINE_TEXT_BYTES && !text.contains('\0')
+    }
+}
+
+/// Whether the sender reached a machine with a probe that it sent after it was asked, and whether it hears it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReachabilityAnswer {
+    /// The round of the query.
+    pub round: u64,
+    /// Number of the machine within the round.
+    pub number: u16,
+    /// Position of the sender's name among all controllers' names in order.
+    pub index: u16,
+    /// Whether the machine answered the probe in time.
+    pub reached: bool,
+    /// Whether the sender has received a heartbeat of the machine within the time that a worker takes to fail over.
+    pub heard: bool,
 }
 
 /// What a controller reports to its peers at intervals.
@@ -119,21 +186,27 @@
     pub leads: bool,
     /// Whether the state service answered the sender's last call.
     pub state_ok: bool,
-    /// Number of workers that sent the sender a heartbeat recently.
+    /// Number of workers that sent the sender a heartbeat recently. For leaders of earlier versions, which hand
+    /// over by it.
     pub workers_heard: u32,
 }
 
-fn encode_id(job: &JobId) -> [u8; ID_BYTES] {
-    let mut bytes = [0; ID_BYTES];
-    for (target, source) in bytes.iter_mut().zip(job.0.bytes()) {
+/// Pads a text with zeros, or truncates it.
+fn encode_text<const BYTES: usize>(text: &str) -> [u8; BYTES] {
+    let mut bytes = [0; BYTES];
+    for (target, source) in bytes.iter_mut().zip(text.bytes()) {
         *target = source;
     }
     bytes
 }
 
+fn decode_text(bytes: &[u8]) -> Option<&str> {
+    let text = bytes.split(|byte| *byte == 0).next()?;
+    std::str::from_utf8(text).ok()
+}
+
 fn decode_id(bytes: &[u8; ID_BYTES]) -> Option<JobId> {
-    let length = bytes.iter().position(|byte| *byte == 0).unwrap_or(ID_BYTES);
-    let text = std::str::from_utf8(&bytes[..length]).ok()?;
+    let text = decode_text(bytes)?;
     crate::job_api::admission::parse_id(text).filter(|id| id == &JobId(Arc::from(text)))
 }
 
@@ -154,7 +227,7 @@
             Frame::TaskCounts { job, done, running } => encode_frame(
                 KIND_TASK_COUNTS,
                 &JobBody {
-                    id: encode_id(job),
+                    id: encode_text(&job.0),
                     done: (*done).into(),
                     running: (*running).into(),
                 },
@@ -162,11 +235,31 @@
             Frame::JobChanged { job } => encode_frame(
                 KIND_JOB_CHANGED,
                 &JobBody {
-                    id: encode_id(job),
+                    id: encode_text(&job.0),
                     done: 0.into(),
                     running: 0.into(),
                 },
             ),
+            Frame::ReachabilityQuery(query) => encode_frame(
+                KIND_REACHABILITY_QUERY,
+                &ReachabilityQueryBody {
+                    round: query.round.into(),
+                    number: query.number.into(),
+                    index: query.index.into(),
+                    machine: encode_text(&query.machine),
+                    addr: encode_text(&query.addr),
+                },
+            ),
+            Frame::ReachabilityAnswer(answer) => encode_frame(
+                KIND_REACHABILITY_ANSWER,
+                &ReachabilityAnswerBody {
+                    round: answer.round.into(),
+                    number: answer.number.into(),
+                    index: answer.index.into(),
+                    reached: answer.reached.into(),
+                    heard: answer.heard.into(),
+                },
+            ),
             Frame::EndNotice { job, nonce, index } => encode_end_notice(KIND_END_NOTICE, job, *nonce, *index),
             Frame::EndAcknowledged { job, nonce, index } => {
                 encode_end_notice(KIND_END_ACKNOWLEDGED, job, *nonce, *index)
@@ -232,6 +325,26 @@
                     Frame::EndAcknowledged { job, nonce, index }
                 })
             }
+            KIND_REACHABILITY_QUERY => {
+                let body = ReachabilityQueryBody::read_from_bytes(body).map_err(|_| MalformedFrame)?;
+                Some(Frame::ReachabilityQuery(ReachabilityQuery {
+                    round: body.round.get(),
+                    number: body.number.get(),
+                    index: body.index.get(),
+                    machine: decode_text(&body.machine).ok_or(MalformedFrame)?.to_owned(),
+                    addr: decode_text(&body.addr).ok_or(MalformedFrame)?.to_owned(),
+                }))
+            }
+            KIND_REACHABILITY_ANSWER => {
+                let body = ReachabilityAnswerBody::read_from_bytes(body).map_err(|_| MalformedFrame)?;
+                Some(Frame::ReachabilityAnswer(ReachabilityAnswer {
+                    round: body.round.get(),
+                    number: body.number.get(),
+                    index: body.index.get(),
+                    reached: body.reached != 0,
+                    heard: body.heard != 0,
+                }))
+            }
             _ => None,
         })
     }
@@ -244,7 +357,7 @@
 
 fn encode_end_notice(kind: u16, job: &JobId, nonce: u64, index: u16) -> Vec<u8> {
     let body = EndNoticeBody {
-        id: encode_id(job),
+        id: encode_text(&job.0),
         nonce: nonce.into(),
         index: index.into(),
     };
--- a/crates/controller/tests/formats.rs
+++ b/crates/controller/tests/formats.rs
@@ -163,7 +163,7 @@
         assert_eq!(frame.unwrap().encode(), bytes);
         kinds.insert(bytes[4]);
     }
-    assert_eq!(kinds, (1..=5).collect());
+    assert_eq!(kinds, (1..=7).collect());
 }
 
 #[test]
