--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -25,7 +25,7 @@
 const ID_BYTES: usize = 24;
 
 /// Bytes reserved for a machine's name, and for its address, in a frame.
-const MACHINE_TEXT_BYTES: usize = 64;
+pub const MACHINE_TEXT_BYTES: usize = 64;
 
 /// Largest frame accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 256;
