Compare only machines that the leader has not released meanwhile

Change: only machines that are not being released at the end of a round are compared.

Test, seen failing without the change: machines_that_the_leader_has_released_are_not_compared guards against hand-overs because of machines that went back during a round.

--- a/crates/controller/src/leader/partition_detection.rs
+++ b/crates/controller/src/leader/partition_detection.rs
@@ -173,7 +173,7 @@
                 "reachability compared machines={} reached_here={} reached_by_a_peer={}: {finding:?}",
                 comparison.machines().len(),
                 own.reached.len(),
-                comparison.most_reached()
+                comparison.most_reached(&own)
             );
             self.partition_detector.finding = Some(finding);
         }
@@ -184,9 +184,10 @@
     fn own_view(&self, comparison: &ReachabilityComparison, max_age_ms: u64, now: Timestamp) -> OwnView {
         let mut own = OwnView::default();
         for (number, id) in comparison.machines().iter().enumerate() {
-            let Some(machine) = self.machines.get(id) else {
+            let Some(machine) = self.machines.get(id).filter(|machine| !machine.releasing) else {
                 continue;
             };
+            own.compared.insert(number as u16);
             if machine
                 .last_heard_at
                 .is_some_and(|at| at >= comparison.started_at())
--- a/crates/controller/src/leader/reachability_comparison.rs
+++ b/crates/controller/src/leader/reachability_comparison.rs
@@ -38,6 +38,8 @@
 /// What this leader knows of the machines of a round by itself, by the machine's number.
 #[derive(Debug, Default)]
 pub(super) struct OwnView {
+    /// Machines that are compared: those that have not been released since the round started.
+    pub(super) compared: BTreeSet<u16>,
     /// Machines that have answered since the round started.
     pub(super) reached: BTreeSet<u16>,
     /// Machines of which it has received a heartbeat within the time that a worker takes to fail over.
@@ -89,9 +91,12 @@
         }
     }
 
-    /// The largest number of machines that one peer has reached.
-    pub(super) fn most_reached(&self) -> usize {
-        let reached = self.peers.values().map(|answers| answers.reached.len());
+    /// The largest number of the compared machines that one peer has reached.
+    pub(super) fn most_reached(&self, own: &OwnView) -> usize {
+        let reached = self
+            .peers
+            .values()
+            .map(|answers| answers.reached.intersection(&own.compared).count());
         reached.max().unwrap_or(0)
     }
 
@@ -109,7 +114,7 @@
         let is_heard = |number: &u16| {
             own.heard.contains(number) || self.peers.values().any(|answers| answers.heard.contains(number))
         };
-        let unreached = (0..self.machines.len() as u16).filter(|number| !own.reached.contains(number));
+        let unreached = own.compared.difference(&own.reached).copied();
         let (heard, unheard): (Vec<u16>, Vec<u16>) = unreached.partition(is_heard);
         heard.len() > unheard.len()
     }
@@ -121,7 +126,7 @@
             return None;
         }
         let reached_here = own.reached.len();
-        if self.most_reached() >= reached_here + self.min_gain(reached_here) {
+        if self.most_reached(own) >= reached_here + self.min_gain(reached_here) {
             return Some(Finding::PeerReachesMore);
         }
         let peers_complete = self.peers_complete();
--- a/crates/controller/src/leader/reachability_comparison/tests.rs
+++ b/crates/controller/src/leader/reachability_comparison/tests.rs
@@ -10,9 +10,13 @@
     ReachabilityComparison::new(ROUND, machines.collect(), 0)
 }
 
+/// Largest number of machines in these tests.
+const MACHINES: u16 = 24;
+
 /// The view of a leader that reaches the first machines and hears no other.
 fn reaches(count: u16) -> OwnView {
     OwnView {
+        compared: (0..MACHINES).collect(),
         reached: (0..count).collect(),
         heard: (0..count).collect(),
     }
@@ -117,7 +121,7 @@
         };
         comparison.record_answer(PEER, answer);
     }
-    assert_eq!(comparison.most_reached(), 0);
+    assert_eq!(comparison.most_reached(&reaches(0)), 0);
 }
 
 #[test]
@@ -139,6 +143,7 @@
         Some(Finding::NoPeerReachesMore)
     );
     let own = OwnView {
+        compared: (0..8).collect(),
         heard: [5].into(),
         ..reaches(2)
     };
@@ -147,3 +152,17 @@
         Some(Finding::MachinesAreHeard)
     );
 }
+
+#[test]
+fn machines_that_the_leader_has_released_are_not_compared() {
+    let mut comparison = comparison(8);
+    answer_all(&mut comparison, PEER, 8);
+    let own = OwnView {
+        compared: (0..4).collect(),
+        ..reaches(4)
+    };
+    assert_eq!(
+        comparison.finding(&own, 1, INSPECT_TIMEOUT_MS),
+        Some(Finding::NoPeerReachesMore)
+    );
+}
