Hand over without evidence once, not for as long as no peer can be consulted

Cause: a leader that can reach neither most machines nor any peer hands over after 5 s, as a peer may hear the workers. The same holds for its successor. Clocks that start anew with a term, such as the 49 s until the leases that former leaders renewed have expired, never run out.

Change: Election::hand_over_unproven. A node that handed over so does not do it again before twice the time after which a leader knows that these leases have expired; the time is computed in one place (former_leases_end_ms), which the check of leases uses.

Why it works: the other nodes have handed over by half of that time, and then the first node leads at least until the leases have expired. A hand-over to a peer that is known to reach more machines, and the first one of each node, are as before.

--- a/crates/controller/src/constants.rs
+++ b/crates/controller/src/constants.rs
@@ -57,6 +57,11 @@
 /// nobody.
 pub const ELECTION_BACKOFF_VACANT_MS: u64 = 3_000;
 
+/// Shortest time between two hand-overs of a node without evidence that another node is better
+/// placed, in times that a leader takes to know that all worker leases of former leaders have
+/// expired. One such time is for the terms of the other nodes, one for the node's own next term.
+pub const UNPROVEN_HANDOVER_TERMS: u64 = 2;
+
 /// Maximum duration of a long poll on a watch of the state service, in ms. Bounds how long a watch
 /// that was silently disconnected can hide changes.
 pub const WATCH_LONG_POLL_MS: u64 = 4_000;
--- a/crates/controller/src/election/cancellation_watermark.rs
+++ b/crates/controller/src/election/cancellation_watermark.rs
@@ -9,7 +9,9 @@
 //! the jobs' records, or a watch on them, once its response has been processed, to the time at
 //! which the request was *sent*: the response may have been in flight for long.
 
-use crate::constants::{CANCEL_MARGIN_MS, LEADER_LEASE_MS, LEASE_MARGIN_MS, SECOND_MS};
+use crate::constants::{
+    CANCEL_MARGIN_MS, CLOCK_DRIFT_PPM, LEADER_LEASE_MS, LEASE_MARGIN_MS, PARTS_PER_MILLION, SECOND_MS,
+};
 use crate::model::Timestamp;
 use crate::settings::WorkerSettings;
 
@@ -74,6 +76,18 @@
         .max(LEADER_LEASE_MS)
 }
 
+/// How long after the start of a term, in ms, every worker lease that former leaders renewed has expired, by the
+/// clock of the leader: the grace period of the last of them, and a lease.
+pub fn former_leases_end_ms(workers: &WorkerSettings) -> u64 {
+    grace_ms(workers) + lease_end_ms(workers)
+}
+
+/// How long after it was last renewed a worker lease has certainly expired, in ms by the clock of the leader.
+pub fn lease_end_ms(workers: &WorkerSettings) -> u64 {
+    let lease_ms = (workers.lease_s * SECOND_MS as f64) as u64;
+    lease_ms + lease_ms * CLOCK_DRIFT_PPM / PARTS_PER_MILLION + LEASE_MARGIN_MS
+}
+
 /// Whether these settings leave a leader enough time to prove that tasks it keeps running have stopped
 /// `cancel_s` after their cancellation.
 pub fn proves_cancellations(workers: &WorkerSettings) -> bool {
--- a/crates/controller/src/election/mod.rs
+++ b/crates/controller/src/election/mod.rs
@@ -12,7 +12,7 @@
 mod follower;
 mod leadership;
 
-use crate::constants::{ELECTION_BACKOFF_MS, STATE_TIMEOUT_MS};
+use crate::constants::{ELECTION_BACKOFF_MS, STATE_TIMEOUT_MS, UNPROVEN_HANDOVER_TERMS};
 use crate::io::{CallId, Io, Method, Outcome, PendingCalls};
 use crate::model::Timestamp;
 use crate::protocol::paths;
@@ -82,6 +82,10 @@
     next_call: NextCall,
     next_call_at: Timestamp,
     back_off_until: Timestamp,
+    /// Until then this node does not hand over again without evidence that another node is better placed.
+    unproven_hand_over_at: Timestamp,
+    /// Shortest time between two such hand-overs, in ms.
+    unproven_hand_over_interval_ms: u64,
     /// How long after its last lease renewal it may answer workers, in ms: see
     /// [`cancellation_watermark::grace_ms`].
     grace_ms: u64,
@@ -108,6 +112,9 @@
             next_call: NextCall::ReadKey,
             next_call_at: 0,
             back_off_until: 0,
+            unproven_hand_over_at: 0,
+            unproven_hand_over_interval_ms: UNPROVEN_HANDOVER_TERMS
+                * cancellation_watermark::former_leases_end_ms(&deployment.workers),
             grace_ms: cancellation_watermark::grace_ms(&deployment.workers),
             vacant_since: None,
             claim_timed_out: false,
@@ -206,6 +213,18 @@
         Some(self.step_down(reason))
     }
 
+    /// Hands over as [`Election::hand_over`] does, without evidence that another node is better placed. Nodes that all
+    /// have the same reason would hand over to each other for good, and clocks that start anew with each term would
+    /// never run out. So a node that did it recently keeps leading.
+    pub fn hand_over_unproven(&mut self, reason: &str, io: &mut Io) -> Option<ElectionEvent> {
+        if io.now < self.unproven_hand_over_at {
+            return None;
+        }
+        let event = self.hand_over(reason, io)?;
+        self.unproven_hand_over_at = io.now + self.unproven_hand_over_interval_ms;
+        Some(event)
+    }
+
     fn step_down(&mut self, reason: &str) -> ElectionEvent {
         let token = self.token().unwrap_or(0);
         log::info!("leader deposed token={token}: {reason}");
--- a/crates/controller/src/election/tests.rs
+++ b/crates/controller/src/election/tests.rs
@@ -79,3 +79,34 @@
     election.hand_over("leaving", &mut io);
     assert!(!election.is_own_key(Some(&key("n0", INCARNATION, Some(12)))));
 }
+
+#[test]
+fn a_node_that_handed_over_without_evidence_keeps_its_next_term() {
+    let settings = Settings::parse(include_str!("../../tests/support/settings.json")).unwrap();
+    let mut io = Io::new(&settings, 1, 0, 0);
+    let mut election = elected_node(&mut io);
+    io.now = 5_000;
+    assert!(
+        election
+            .hand_over_unproven("no peer can be consulted", &mut io)
+            .is_some()
+    );
+    io.effects.clear();
+    let mut election = Election {
+        leadership: elected_node(&mut io).leadership,
+        ..election
+    };
+    // Two peers have led in the meantime, for some seconds each.
+    let next_term = io.now + 30_000;
+    let leases_end = next_term + cancellation_watermark::former_leases_end_ms(&settings.deployment.workers);
+    io.now = leases_end;
+    assert_eq!(
+        election.hand_over_unproven("no peer can be consulted", &mut io),
+        None
+    );
+    assert!(
+        election
+            .hand_over("a peer reaches more machines", &mut io)
+            .is_some()
+    );
+}
--- a/crates/controller/src/leader/liveness.rs
+++ b/crates/controller/src/leader/liveness.rs
@@ -4,8 +4,8 @@
 use super::{LeaderTerm, PeerView};
 use crate::allocations::Machine;
 use crate::constants::{
-    CLOCK_DRIFT_PPM, INSPECT_TIMEOUT_MS, LEASE_MARGIN_MS, LIVENESS_CHECK_MS, PROBE_AFTER_MS, PROBES_PER_S,
-    PROBES_PER_S_PER_CORE, REPORT_LATE_FACTOR, REPORT_SLACK_MS, SECOND_MS, URGENT_PROBE_RESERVE,
+    INSPECT_TIMEOUT_MS, LIVENESS_CHECK_MS, PROBE_AFTER_MS, PROBES_PER_S, PROBES_PER_S_PER_CORE,
+    REPORT_LATE_FACTOR, REPORT_SLACK_MS, SECOND_MS, URGENT_PROBE_RESERVE,
 };
 use crate::election::cancellation_watermark;
 use crate::election::{Election, ElectionEvent};
@@ -55,8 +55,8 @@
     /// Checks every machine: probes silent machines and expires leases that can no longer be valid.
     pub(super) fn check_machines(&mut self, settings: &Settings, peers: PeerView, io: &mut Io) {
         let workers = &settings.deployment.workers;
-        let lease_ms = (workers.lease_s * SECOND_MS as f64) as u64;
-        let lease_ms = lease_ms + lease_ms * CLOCK_DRIFT_PPM / 1_000_000 + LEASE_MARGIN_MS;
+        let lease_ms = cancellation_watermark::lease_end_ms(workers);
+        let former_leases_end = self.started + cancellation_watermark::former_leases_end_ms(workers);
         // A heartbeat that is later than this counts as missing rather than slow.
         let overdue_ms = (workers.report_s * REPORT_LATE_FACTOR * SECOND_MS as f64) as u64 + REPORT_SLACK_MS;
         self.sample_reachability(io);
@@ -95,17 +95,15 @@
                 };
                 to_probe.push((rank, Reverse(silent_ms), machine.id.clone()));
             }
-            // The latest time at which any leader can have renewed the machine's lease: this leader when
-            // it last heard from the machine or answered it, a former leader when it had to step down.
+            // The latest time at which the machine's lease can end: this leader can have renewed it when it
+            // last heard from the machine or answered it, a former leader until it had to step down.
             let answered_at = machine.last_answered_at.unwrap_or(0);
-            let renewed_until = if machine.synced {
-                last_heard_at.max(answered_at)
+            let lease_end = if machine.synced {
+                last_heard_at.max(answered_at) + lease_ms
             } else {
-                answered_at.max(self.started + cancellation_watermark::grace_ms(&settings.deployment.workers))
+                former_leases_end.max(answered_at + lease_ms)
             };
-            if io.now > renewed_until + lease_ms
-                && machine.attempts.iter().any(|attempt| !attempt.never_sent())
-            {
+            if io.now > lease_end && machine.attempts.iter().any(|attempt| !attempt.never_sent()) {
                 expired.push(machine.id.clone());
             }
         }
--- a/crates/controller/src/leader/partition_detection.rs
+++ b/crates/controller/src/leader/partition_detection.rs
@@ -153,8 +153,7 @@
             && self.partition_detector.sample_unreachable
             && io.now >= since + SELF_PARTITION_HANDOVER_ALONE_MS
         {
-            self.log_unreachable_machines(io.now);
-            return election.hand_over(
+            return election.hand_over_unproven(
                 "most workers are unreachable from here, and no peer can be consulted",
                 io,
             );
