Count each page of the records as progress of a leader that reads them

Callers saw (simulated; found by going through the hand-overs that a leader makes of its own accord): while the state service is slow and there are many records, nothing is started, as each leader hands over before it has read them.

Cause: a leader that has learned nothing of ended jobs for cancel_s - lease_s - 2 s may renew no worker lease and hands over. The time was counted from the beginning of the term until the records are read, and then from the sending of their first page.

Change: whether leases may be renewed is decided as before. Whether to hand over depends on when the last answered page or watch was sent (has_stalled).

Why it works: a leader renews no lease while it reads, nor after it until a watch has shown what ended since the first page, so its cancellation bound is the same. Its successor would have to begin anew.

--- a/crates/controller/src/election/cancellation_watermark.rs
+++ b/crates/controller/src/election/cancellation_watermark.rs
@@ -20,6 +20,8 @@
 pub struct CancellationWatermark {
     /// Every end before this time is known and processed. In ms of this node's clock.
     observed_until: Timestamp,
+    /// When the last read or watch that has been answered was sent, also a read of a part of the records.
+    last_progress_at: Timestamp,
     /// The records are still being read, so nothing is known yet.
     is_unread: bool,
     grace_ms: u64,
@@ -30,6 +32,7 @@
     pub fn unread(workers: &WorkerSettings, now: Timestamp) -> CancellationWatermark {
         CancellationWatermark {
             observed_until: now,
+            last_progress_at: now,
             is_unread: true,
             grace_ms: grace_ms(workers),
         }
@@ -39,6 +42,19 @@
     pub fn advance(&mut self, sent: Timestamp) {
         self.is_unread = false;
         self.observed_until = self.observed_until.max(sent);
+        self.note_progress(sent);
+    }
+
+    /// A read of a part of the records that was sent at that time has been answered. It shows no end of a job, but that
+    /// the state service answers this leader.
+    pub fn note_progress(&mut self, sent: Timestamp) {
+        self.last_progress_at = self.last_progress_at.max(sent);
+    }
+
+    /// Whether the state service has answered nothing for so long that a peer may be better placed. A leader that is
+    /// still reading the records leads on, however long that takes: its successor would begin anew.
+    pub fn has_stalled(&self, now: Timestamp) -> bool {
+        now >= self.last_progress_at + self.grace_ms
     }
 
     /// Whether a response that renews a worker's lease cannot keep a task running for too long
--- a/crates/controller/src/election/cancellation_watermark/tests.rs
+++ b/crates/controller/src/election/cancellation_watermark/tests.rs
@@ -54,3 +54,25 @@
         assert_eq!(grace_ms(&workers), LEADER_LEASE_MS);
     }
 }
+
+// Reading the records may take longer than the grace period. No lease may be renewed meanwhile, nor after it until
+// a watch shows the ends since the first page.
+#[test]
+fn a_leader_that_reads_for_long_leads_on_but_renews_no_lease() {
+    let workers = workers(30.0, 50.0);
+    let grace = grace_ms(&workers);
+    let mut watermark = CancellationWatermark::unread(&workers, 0);
+    for page in 1..=4 {
+        let sent = page * grace / 2;
+        watermark.note_progress(sent);
+        assert!(!watermark.has_stalled(sent + grace - 1));
+        assert!(!watermark.permits_lease_renewal(sent));
+    }
+    let end = 2 * grace;
+    watermark.advance(0);
+    assert!(!watermark.has_stalled(end + grace - 1));
+    assert!(!watermark.permits_lease_renewal(end));
+    watermark.advance(end);
+    assert!(watermark.permits_lease_renewal(end));
+    assert!(watermark.has_stalled(end + grace));
+}
--- a/crates/controller/src/leader/mod.rs
+++ b/crates/controller/src/leader/mod.rs
@@ -184,7 +184,7 @@
         peers: PeerView,
         io: &mut Io,
     ) -> Option<ElectionEvent> {
-        if self.watermark.is_expired(io.now) {
+        if self.watermark.has_stalled(io.now) {
             return step_down_expired(election, io);
         }
         if !self.recovery.is_complete() {
--- a/crates/controller/src/leader/recovery.rs
+++ b/crates/controller/src/leader/recovery.rs
@@ -142,6 +142,9 @@
     ) -> Option<ElectionEvent> {
         let prefix_count = LOAD_ORDER.len() - usize::from(!self.protection_windows.is_enabled());
         let page = outcome.read::<StoredPage>(&[200]);
+        if page.is_some() {
+            self.watermark.note_progress(sent);
+        }
         let loaded = self.recovery.add_page(page, sent, prefix_count, io.now)?;
         if let Err(error) = self.adopt_records(loaded, settings, io) {
             // The records may contain starts that this version cannot read.
--- a/crates/simulator/src/scenario/actions/store.rs
+++ b/crates/simulator/src/scenario/actions/store.rs
@@ -26,6 +26,8 @@
             let value = serde_json::from_str(text).map_err(|error| error.to_string())?;
             simulation.state.put_externally(action.arg(1)?, value);
         }
+        // Pages hold no more than this many items, as with large values.
+        "page-items" => simulation.state.page_items = Some(number(action.arg(1)?)? as usize),
         // External users hold this many units.
         "others" => {
             let seats = number(action.arg(2)?)? as u32;
--- a/crates/simulator/src/state.rs
+++ b/crates/simulator/src/state.rs
@@ -23,6 +23,8 @@
     pub fenced_transactions: u32,
     /// Puts and deletes executed so far.
     pub applied_changes: u64,
+    /// Largest number of items in a page, where a scenario makes it smaller than requested.
+    pub page_items: Option<usize>,
     /// Limits on requests and changes per second, where a scenario sets them.
     pub rate_limits: Option<(f64, f64)>,
     /// Remaining requests and changes, and the time of the last update.
@@ -276,6 +278,7 @@
         let prefix = query["Under"];
         let after = query.get("From").copied().unwrap_or("");
         let limit: usize = query.get("Limit").map_or(1000, |limit| limit.parse().unwrap());
+        let limit = limit.min(self.page_items.unwrap_or(limit));
         let mut items: Vec<StoredItem> = self
             .keys
             .iter()
