Release machines that the cloud lists as failed, whatever is suspected

Cause: a listed failure counted as a machine that does not answer. It supported the suspicion that the leader, or a zone, is cut off, and such machines are then kept. But a failed machine has stopped on its own, which no partition explains.

Change: listed_failed is kept; such machines are left out of the counts and samples by which partitions are judged, and are released at once. A late copy of a report does not make them reachable again.

Why it works: "failed" is final and the cloud's own reading. Its clock does not start anew with a term.

--- a/crates/controller/src/allocations/machine.rs
+++ b/crates/controller/src/allocations/machine.rs
@@ -62,7 +62,9 @@
     pub probe_in_flight: bool,
     /// The last probe failed, and no report has arrived since.
     pub unreachable: bool,
-    /// When a probe of it last failed.
+    /// The cloud lists it as failed: it has stopped on its own, whatever this leader reaches.
+    pub listed_failed: bool,
+    /// When a probe of it last failed, or it was first listed as failed.
     pub last_unreachable_at: Timestamp,
     /// It is to be released, or the release request was sent and may be executed.
     pub releasing: bool,
@@ -119,6 +121,7 @@
             fencing_probe_at: None,
             probe_in_flight: false,
             unreachable: false,
+            listed_failed: false,
             last_unreachable_at: 0,
             releasing: false,
             release_in_flight: false,
@@ -199,6 +202,21 @@
         self.has_own_report && self.last_own_report_at.is_some_and(|at| at >= time)
     }
 
+    /// Marks it as unreachable. Returns whether it was reachable until now.
+    pub fn mark_unreachable(&mut self, now: Timestamp) -> bool {
+        let was_reachable = !std::mem::replace(&mut self.unreachable, true);
+        if was_reachable {
+            self.last_unreachable_at = now;
+        }
+        was_reachable
+    }
+
+    /// Whether its reachability tells something about this leader's network: it has been up, and nothing else explains
+    /// its silence. A machine that is known only from a heartbeat may be long gone: the heartbeat may be a late copy.
+    pub fn shows_reachability(&self) -> bool {
+        self.has_been_up() && !self.unconfirmed && !self.listed_failed
+    }
+
     /// Whether it has been up, as far as this leader knows: heard from, or recorded with work.
     pub fn has_been_up(&self) -> bool {
         self.is_up() || !self.attempts.is_empty()
--- a/crates/controller/src/allocations/reconciliation.rs
+++ b/crates/controller/src/allocations/reconciliation.rs
@@ -157,7 +157,8 @@
             self.one_way_partition = false;
         }
         self.last_own_report_at.get_or_insert(now);
-        self.unreachable = false;
+        // The report of a machine that has failed is a late copy.
+        self.unreachable = self.listed_failed;
         self.synced |= is_fenced;
         self.unconfirmed &= source == ReportSource::Worker && !is_fenced;
         // Its own report contains all that a fencing probe would bring.
--- a/crates/controller/src/leader/autoscaling/listing.rs
+++ b/crates/controller/src/leader/autoscaling/listing.rs
@@ -113,8 +113,10 @@
         if machine.addr.is_none() {
             machine.addr = listed.addr;
         }
-        if listed.status == ListedStatus::Failed {
-            machine.unreachable = true;
+        if listed.status == ListedStatus::Failed && !machine.listed_failed {
+            log::info!("machine listed as failed machine={id}");
+            machine.listed_failed = true;
+            machine.mark_unreachable(now);
         }
     }
 
--- a/crates/controller/src/leader/autoscaling/scale_in.rs
+++ b/crates/controller/src/leader/autoscaling/scale_in.rs
@@ -131,8 +131,9 @@
                 continue;
             }
             let boot_failed = self.autoscaler.boot_failed(machine, types, now);
-            let unreachable =
+            let may_have_failed =
                 machine.unreachable && can_release_unreachable && !retained.contains(&machine.id);
+            let unreachable = machine.listed_failed || may_have_failed;
             // Evaluated for every machine, because `select` counts the selected ones of each kind.
             let surplus_idle = machine.is_up()
                 && machine.synced
--- a/crates/controller/src/leader/liveness.rs
+++ b/crates/controller/src/leader/liveness.rs
@@ -182,11 +182,9 @@
     /// Marks a machine as unreachable because it did not answer a probe in time.
     pub(super) fn mark_unreachable(&mut self, id: &MachineId, now: Timestamp) {
         if let Some(machine) = self.machines.get_mut(id) {
-            if !machine.unreachable {
+            if machine.mark_unreachable(now) {
                 log::info!("machine unreachable machine={id}: no heartbeat and no answer");
-                machine.last_unreachable_at = now;
             }
-            machine.unreachable = true;
             self.scheduler.request_pass();
         }
     }
--- a/crates/controller/src/leader/machine_table.rs
+++ b/crates/controller/src/leader/machine_table.rs
@@ -54,11 +54,6 @@
         self.machines.entry(id.clone()).or_insert_with(adopt)
     }
 
-    /// Whether this machine is known.
-    pub(super) fn contains(&self, id: &MachineId) -> bool {
-        self.machines.contains_key(id)
-    }
-
     /// Number of known machines.
     pub(super) fn len(&self) -> usize {
         self.machines.len()
--- a/crates/controller/src/leader/partition_detection.rs
+++ b/crates/controller/src/leader/partition_detection.rs
@@ -59,7 +59,7 @@
         let last_unreachable_at = self
             .machines
             .values()
-            .filter(|machine| machine.unreachable && !machine.releasing)
+            .filter(|machine| machine.unreachable && !machine.listed_failed && !machine.releasing)
             .map(|machine| machine.last_unreachable_at)
             .max();
         if self
@@ -94,22 +94,20 @@
         let Some(sampled_at) = self.partition_detector.sampled_at else {
             return false;
         };
-        let still_known = self
-            .partition_detector
-            .sample
-            .iter()
-            .filter(|id| self.machines.contains(id));
+        let still_known = self.partition_detector.sample.iter().filter(|id| {
+            self.machines
+                .get(id)
+                .is_some_and(|machine| !machine.listed_failed)
+        });
         2 * self.count_heard_since(&self.partition_detector.sample, sampled_at) >= still_known.count()
     }
 
     /// Counts the unreachable machines among all that have been up.
     fn count_unreachable(&self) -> ReachabilityCount {
-        // Machines known only from a heartbeat are left out: delayed duplicates from released machines would
-        // otherwise suggest that this node is cut off.
         let up = self
             .machines
             .values()
-            .filter(|machine| machine.has_been_up() && !machine.unconfirmed);
+            .filter(|machine| machine.shows_reachability());
         let (mut unreachable, mut total) = (0, 0);
         for machine in up {
             total += 1;
@@ -183,9 +181,9 @@
     fn own_view(&self, comparison: &ReachabilityComparison, max_age_ms: u64, now: Timestamp) -> OwnView {
         let mut own = OwnView::default();
         for (number, id) in comparison.machines().iter().enumerate() {
-            let Some(machine) = self.machines.get(id).filter(|machine| !machine.releasing) else {
-                continue;
-            };
+            let machine = self.machines.get(id);
+            let compared = machine.filter(|machine| machine.shows_reachability() && !machine.releasing);
+            let Some(machine) = compared else { continue };
             own.compared.insert(number as u16);
             if machine
                 .last_heard_at
@@ -209,7 +207,7 @@
         let machines: Vec<MachineId> = self
             .machines
             .values()
-            .filter(|machine| machine.has_been_up() && !machine.unconfirmed && !machine.releasing)
+            .filter(|machine| machine.shows_reachability() && !machine.releasing)
             .filter(can_be_asked)
             .map(|machine| machine.id.clone())
             .collect();
--- a/crates/controller/src/leader/zone_health.rs
+++ b/crates/controller/src/leader/zone_health.rs
@@ -53,7 +53,7 @@
         let up = self
             .machines
             .values()
-            .filter(|machine| machine.has_been_up() && !machine.unconfirmed);
+            .filter(|machine| machine.shows_reachability());
         for machine in up {
             let tally = match tallies.get_mut(machine.zone.as_str()) {
                 Some(tally) => tally,
