Wait after a suspicion only if machines answer again

Cause: when the suspicion that the leader is cut off ends, nothing is released for 8 s, as workers are about to report again. The suspicion also ends when the first of the machines have been released: the others are then less than half.

Change: the detector keeps which machines were unreachable during the suspicion, and the 8 s are waited only if one of them answers again.

Why it works: after a partition that ends, machines answer again, the first of them before the suspicion can end; released and new machines say nothing about the others.

Test, seen failing without the change: machine_stops_after_many_others, guards against releases that wait because of the release of others ("expect wk-5 running = 1: it is 0").

--- a/crates/controller/src/leader/partition_detection.rs
+++ b/crates/controller/src/leader/partition_detection.rs
@@ -13,6 +13,7 @@
 use crate::model::{MachineId, Timestamp};
 use crate::peers::{Frame, ReachabilityAnswer, ReachabilityQuery};
 use rand::RngExt;
+use std::collections::BTreeSet;
 
 /// The last probed sample, and the suspicion that follows from it.
 #[derive(Debug, Default)]
@@ -24,7 +25,9 @@
     sample_unreachable: bool,
     /// Since when this node is suspected of being partitioned.
     suspected_since: Option<Timestamp>,
-    /// When the suspicion was last ruled out.
+    /// Machines that have been unreachable while this node is suspected.
+    suspects: BTreeSet<MachineId>,
+    /// When machines that had been unreachable answered again and ended the suspicion.
     ruled_out_at: Option<Timestamp>,
     /// The comparison with the peers that is under way while the suspicion lasts.
     comparison: Option<ReachabilityComparison>,
@@ -33,9 +36,17 @@
 }
 
 impl PartitionDetector {
-    /// Ends the suspicion, if there is one.
-    fn rule_out(&mut self, now: Timestamp) {
-        if self.suspected_since.take().is_some() {
+    /// Begins the suspicion, unless there is one already, and returns since when there is.
+    fn suspect(&mut self, unreachable: impl Iterator<Item = MachineId>, now: Timestamp) -> Timestamp {
+        self.suspects.extend(unreachable);
+        *self.suspected_since.get_or_insert(now)
+    }
+
+    /// Ends the suspicion, if there is one. `are_back` tells whether some of these machines answer again, so that others
+    /// are about to. Otherwise the suspicion ends because unreachable machines were released, or new ones are up.
+    fn rule_out(&mut self, are_back: impl FnOnce(&BTreeSet<MachineId>) -> bool, now: Timestamp) {
+        let suspects = std::mem::take(&mut self.suspects);
+        if self.suspected_since.take().is_some() && are_back(&suspects) {
             self.ruled_out_at = Some(now);
         }
         self.comparison = None;
@@ -133,10 +144,14 @@
         io: &mut Io,
     ) -> Option<ElectionEvent> {
         if !self.suspects_own_partition() {
-            self.partition_detector.rule_out(io.now);
+            let answers = |id: &MachineId| self.machines.get(id).is_some_and(|machine| !machine.unreachable);
+            self.partition_detector
+                .rule_out(|suspects| suspects.iter().any(answers), io.now);
             return None;
         }
-        let since = *self.partition_detector.suspected_since.get_or_insert(io.now);
+        let unreachable = self.machines.values().filter(|machine| machine.unreachable);
+        let unreachable = unreachable.map(|machine| machine.id.clone());
+        let since = self.partition_detector.suspect(unreachable, io.now);
         self.compare_with_peers(peers, io);
         let finding = self.partition_detector.finding;
         if finding == Some(Finding::PeerReachesMore) && io.now >= since + SELF_PARTITION_HANDOVER_MS {
