--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -1,24 +1,22 @@
 //! The state machine of one controller. It owns all state, takes commands and returns effects; sockets and
 //! timers belong to its host.
 
+mod machine_types;
+mod peer_exchange;
 mod peer_probes;
 mod routing;
 
 use crate::condor::{self, Context, SubmitFileService};
-use crate::constants::{
-    CLOUD_RETRY_MS, ENDED_JOB_CACHE_SIZE, HEARTBEAT_MAX_AGE_MS, HEARTBEAT_MS, MACHINE_TYPES_INTERVAL_MS,
-    RETRY_AFTER_S, SECOND_MS, STATE_PROBE_MS, STATE_TIMEOUT_MS, STATE_UNHEALTHY_AFTER_MS,
-    WORKER_CONTACT_MAX_AGE_MS,
-};
+use crate::constants::{HEARTBEAT_MS, RETRY_AFTER_S, SECOND_MS, STATE_PROBE_MS, STATE_UNHEALTHY_AFTER_MS};
 use crate::election::{Election, ElectionEvent};
 use crate::io::{CallId, ContentType, Effect, Io, Method, Outcome, PendingCalls, RequestId};
 use crate::job_api::admission::{self, KnownMachineTypes, Refusal};
 use crate::job_api::authorization;
 use crate::job_api::{self, AcceptedJob, JobApi, JobRequest, TaskCounts, TerminalState};
-use crate::leader::{LeaderTerm, PeerView};
+use crate::leader::LeaderTerm;
 use crate::metrics::{Metrics, NodeGauges};
-use crate::model::{JobId, Timestamp};
-use crate::peers::{Frame, PeerHeartbeat};
+use crate::model::Timestamp;
+use crate::peers::Frame;
 use crate::protocol::{self, Heartbeat, MachineType, Redirect, StoredItem, paths};
 use crate::scheduling::placement::MachineTypes;
 use crate::settings::Settings;
@@ -27,7 +25,8 @@
 use indigopath_connection_limits::{PerClass, ShortageCounts};
 use indigopath_counted_resources::status::{CountList, CountStatus, HolderList};
 use indigopath_fencing::Permit;
-use peer_probes::{PeerProbes, ProbeResult};
+use peer_exchange::PeerState;
+use peer_probes::PeerProbes;
 use rand::RngExt;
 use routing::Route;
 use std::collections::HashMap;
@@ -62,13 +61,6 @@
     StateProbe,
 }
 
-/// The latest heartbeat of a peer.
-#[derive(Debug, Default, Clone, Copy)]
-struct PeerState {
-    heartbeat: Option<PeerHeartbeat>,
-    received_at: Timestamp,
-}
-
 /// A controller node.
 #[derive(Debug)]
 pub struct Node {
@@ -529,21 +521,6 @@
         }
     }
 
-    /// The current leader, if known.
-    fn known_leader(&self) -> Option<&str> {
-        // A recent heartbeat is more current than the watch on the leader's key.
-        let heartbeats = self.peers.iter().enumerate().filter_map(|(index, peer)| {
-            let heartbeat = peer.heartbeat.filter(|heartbeat| {
-                heartbeat.leads && self.io.now < peer.received_at + HEARTBEAT_MAX_AGE_MS
-            })?;
-            Some((heartbeat.token, self.settings.peers[index].node.as_str()))
-        });
-        heartbeats
-            .max()
-            .map(|(_, node)| node)
-            .or_else(|| self.election.other_leader())
-    }
-
     // ---- responses -----------------------------------------------------------
 
     fn handle_response(&mut self, call: CallId, outcome: &Outcome) {
@@ -608,17 +585,6 @@
         }
     }
 
-    fn on_machine_types_response(&mut self, outcome: &Outcome) {
-        self.machine_types_requested = false;
-        if let Some(list) = outcome.read::<protocol::MachineTypeList>(&[200]) {
-            self.machine_types_due_at = self.io.now + MACHINE_TYPES_INTERVAL_MS;
-            self.machine_types_confirmed = true;
-            self.set_machine_types(list);
-            return;
-        }
-        self.machine_types_due_at = self.io.now + CLOUD_RETRY_MS;
-    }
-
     /// Records whether the state service serves this node.
     fn record_state_response(&mut self, outcome: &Outcome) {
         match outcome {
@@ -660,201 +626,6 @@
             self.calls.insert(call, NodeCall::StateProbe);
         }
     }
-
-    fn request_machine_types(&mut self) {
-        if self.machine_types_requested || self.io.now < self.machine_types_due_at {
-            return;
-        }
-        self.machine_types_requested = true;
-        self.io.cloud_budget.force_take(1.0, self.io.now);
-        let call = self.io.machine_types_call();
-        self.calls.insert(call, NodeCall::MachineTypes);
-        // Earlier leaders store the types, and the state service responds much faster than the cloud. A node
-        // that restarts quickly gets users immediately, because its absence was not noticed.
-        if self.machine_type_list.is_empty() {
-            let path = paths::key(records::MACHINE_TYPES_KEY);
-            let call = self
-                .io
-                .state_call(Method::Get, path, Vec::new(), STATE_TIMEOUT_MS);
-            self.calls.insert(call, NodeCall::StoredMachineTypes);
-        }
-    }
-
-    fn set_machine_types(&mut self, list: protocol::MachineTypeList) {
-        let machine_types: Vec<MachineType> = list.types.into_iter().filter(has_valid_amounts).collect();
-        if machine_types.is_empty() {
-            log::error!("machine types rejected: the cloud offers no usable type");
-            return;
-        }
-        self.machine_types = machine_types
-            .iter()
-            .map(|machine_type| (machine_type.name.clone(), machine_type.clone()))
-            .collect();
-        self.machine_type_list = machine_types;
-    }
-
-    // ---- peers ------------------------------------------------------------
-
-    fn fresh_heartbeats(&self) -> impl Iterator<Item = PeerHeartbeat> + '_ {
-        self.peers
-            .iter()
-            .filter(|peer| self.io.now < peer.received_at + HEARTBEAT_MAX_AGE_MS)
-            .filter_map(|peer| peer.heartbeat)
-    }
-
-    /// Maximum time, in ms, in which a worker that loses its node reaches another: it tries all nodes in turn,
-    /// about one second each.
-    fn worker_failover_ms(&self) -> u64 {
-        WORKER_CONTACT_MAX_AGE_MS + self.members.len() as u64 * SECOND_MS
-    }
-
-    fn peer_view(&self) -> PeerView {
-        PeerView {
-            total: self.peers.len(),
-            recently_heard: self.fresh_heartbeats().count(),
-            own_index: self.job_api.index(),
-            worker_failover_ms: self.worker_failover_ms(),
-        }
-    }
-
-    fn broadcast(&mut self, frame: &Frame) {
-        self.io.broadcast(self.peers.len(), frame);
-    }
-
-    fn send_heartbeat(&mut self) {
-        let now = self.io.now;
-        let max_age_ms = self.worker_failover_ms();
-        self.worker_heard_at
-            .retain(|_, heard_at| now < *heard_at + max_age_ms);
-        let heartbeat = PeerHeartbeat {
-            index: self.job_api.index(),
-            token: self.election.token().unwrap_or(0),
-            leads: self.term.is_some(),
-            state_ok: self.state_failing_since.is_none() && now < self.state_ok_at + 2 * STATE_PROBE_MS,
-            workers_heard: self.worker_heard_at.len() as u32,
-        };
-        self.broadcast(&Frame::PeerHeartbeat(heartbeat));
-        let Some(term) = &self.term else { return };
-        let mut bytes = Vec::new();
-        for (job, counts) in term.counts() {
-            if self.sent_task_counts.get(job) != Some(counts) {
-                bytes.extend(task_counts_frame(job, *counts));
-            }
-        }
-        if !bytes.is_empty() {
-            self.sent_task_counts = term.counts().clone();
-            self.io.broadcast_bytes(self.peers.len(), &bytes);
-        }
-    }
-
-    /// Sends all task counts to a peer that has just connected and knows none yet.
-    fn send_task_counts(&mut self, peer: usize) {
-        let Some(term) = &self.term else { return };
-        let bytes: Vec<u8> = term
-            .counts()
-            .iter()
-            .flat_map(|(job, counts)| task_counts_frame(job, *counts))
-            .collect();
-        if !bytes.is_empty() {
-            self.io.effects.push(Effect::Frame { peer, bytes });
-        }
-    }
-
-    fn handle_frame(&mut self, frame: Frame) {
-        match frame {
-            Frame::PeerHeartbeat(heartbeat) => {
-                let peer = self.peer_index(heartbeat.index);
-                if let Some(peer) = peer.and_then(|peer| self.peers.get_mut(peer)) {
-                    *peer = PeerState {
-                        heartbeat: Some(heartbeat),
-                        received_at: self.io.now,
-                    };
-                }
-                if heartbeat.leads
-                    && self.election.token().is_some_and(|own| heartbeat.token > own)
-                    && let Some(event) = self.election.depose("a peer leads with a higher token")
-                {
-                    self.on_election_event(event);
-                }
-            }
-            Frame::TaskCounts { job, done, running } => {
-                if self.leader_task_counts.len() >= ENDED_JOB_CACHE_SIZE {
-                    self.leader_task_counts.clear();
-                }
-                self.leader_task_counts.insert(job, (done, running));
-            }
-            // The leader learns of the change itself from its watch.
-            Frame::JobChanged { job } => {
-                self.job_api.on_peer_notice(job, false, self.io.now);
-            }
-            Frame::EndNotice { job, nonce, index } => {
-                log::debug!("end notice received job={job}");
-                // Before the acknowledgement, after which the user sees the end: no task of the job may start
-                // from then on.
-                if let Some(term) = &mut self.term {
-                    term.on_job_ended_elsewhere(&job);
-                }
-                let peer = self.peer_index(index);
-                self.job_api.on_end_notice(job, nonce, peer, &mut self.io);
-            }
-            Frame::EndAcknowledged { job, nonce, .. } => {
-                self.job_api.on_end_acknowledged(&job, nonce, &mut self.io)
-            }
-            Frame::ReachabilityQuery(query) => {
-                if let Some(peer) = self.peer_index(query.index) {
-                    self.peer_probes.start(peer, query, &mut self.io);
-                }
-            }
-            Frame::ReachabilityAnswer(answer) => {
-                if let Some(peer) = self.peer_index(answer.index)
-                    && let Some(term) = &mut self.term
-                {
-                    term.on_reachability_answer(peer, answer);
-                }
-            }
-        }
-    }
-
-    /// Tells a leader that has asked whether this node reaches a machine, and whether it hears it.
-    fn answer_reachability_query(&mut self, result: &ProbeResult) {
-        let heard_at = self.worker_heard_at.get(&result.query.machine);
-        let heard = heard_at.is_some_and(|at| self.io.now < at + self.worker_failover_ms());
-        let answer = result.answer(self.job_api.index(), heard);
-        self.io.effects.push(Effect::Frame {
-            peer: result.peer,
-            bytes: Frame::ReachabilityAnswer(answer).encode(),
-        });
-    }
-
-    /// Index in the settings of the peer at this position among all members.
-    fn peer_index(&self, index: u16) -> Option<usize> {
-        let name = self.members.get(usize::from(index))?;
-        self.settings.peers.iter().position(|peer| peer.node == *name)
-    }
-}
-
-fn task_counts_frame(job: &JobId, (done, running): (u32, u32)) -> Vec<u8> {
-    Frame::TaskCounts {
-        job: job.clone(),
-        done,
-        running,
-    }
-    .encode()
-}
-
-/// Whether all amounts of a machine type are finite and not negative, as placement requires.
-fn has_valid_amounts(machine_type: &MachineType) -> bool {
-    let amounts = [
-        machine_type.cpus,
-        machine_type.gpus,
-        machine_type.memory_gb,
-        machine_type.cache_gb,
-        machine_type.fetch_gb_per_s,
-        machine_type.price,
-        machine_type.spot_price,
-        machine_type.boot_s,
-    ];
-    amounts.iter().all(|amount| amount.is_finite() && *amount >= 0.0)
 }
 
 #[cfg(test)]
--- a/crates/controller/src/node/tests.rs
+++ b/crates/controller/src/node/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
-use crate::constants::{MAX_BODY_BYTES, MAX_PEER_PROBES};
+use crate::constants::{HEARTBEAT_MAX_AGE_MS, MAX_BODY_BYTES, MAX_PEER_PROBES};
 use crate::io::Destination;
-use crate::peers::{ReachabilityAnswer, ReachabilityQuery};
+use crate::peers::{PeerHeartbeat, ReachabilityAnswer, ReachabilityQuery};
 
 fn settings() -> Settings {
     Settings::parse(include_str!("../../tests/support/settings.json")).unwrap()
