Leave machines that are being released out of the suspicion of a partition

Cause, in the comparison with the peers: machines that are being released are not compared, but they supported the suspicion. With nothing left to compare no peer had answered, which counted as "no peer can be consulted".

Change: such machines are not counted. Whether they have failed is decided already.

--- a/crates/controller/src/leader/partition_detection.rs
+++ b/crates/controller/src/leader/partition_detection.rs
@@ -113,12 +113,13 @@
         2 * self.count_heard_since(&self.partition_detector.sample, sampled_at) >= still_known.count()
     }
 
-    /// Counts the unreachable machines among all that have been up.
+    /// Counts the unreachable machines among all that have been up, without those that are being released: of these it
+    /// is decided already whether they have failed.
     fn count_unreachable(&self) -> ReachabilityCount {
         let up = self
             .machines
             .values()
-            .filter(|machine| machine.shows_reachability());
+            .filter(|machine| machine.shows_reachability() && !machine.releasing);
         let (mut unreachable, mut total) = (0, 0);
         for machine in up {
             total += 1;
