Send a start again that was lost directly and in an answer

Cause: a start whose direct command is unanswered goes out again in the answers to the worker's reports. Whether such an answer was lost was checked only where no direct command was unanswered.

Change: a later report of the worker without the task makes the start due, also while a direct command is unanswered.

Why it works: a worker is done with an answer once it sends another report, and takes repeated starts as one. The direct command is kept until it is refused for certain, so what may be on the machine is counted as before.

--- a/crates/controller/src/allocations/reconciliation.rs
+++ b/crates/controller/src/allocations/reconciliation.rs
@@ -429,6 +429,10 @@
         is_fenced: bool,
         changes: &mut Vec<Change>,
     ) -> bool {
+        // Also while a direct start is unanswered: that one is not repeated, so the next answer must carry the start.
+        self.sent_in_reply_to = self
+            .sent_in_reply_to
+            .filter(|sent| !never_arrived(*sent, report, source));
         let unproven = (self.from_previous_leader || self.is_idempotent_restart) && !is_fenced;
         if self.start_in_flight || self.unacknowledged.is_some() || unproven {
             return true;
@@ -436,16 +440,11 @@
         if self.exited() {
             return false;
         }
-        if self.reported_state.is_none() && !self.from_previous_leader {
-            if self
-                .sent_in_reply_to
-                .is_some_and(|sent| never_arrived(sent, report, source))
-            {
-                self.sent_in_reply_to = None;
-            }
-            if self.stop.is_none() || self.sent_in_reply_to.is_some() {
-                return true;
-            }
+        if self.reported_state.is_none()
+            && !self.from_previous_leader
+            && (self.stop.is_none() || self.sent_in_reply_to.is_some())
+        {
+            return true;
         }
         // It was started and is gone without an end, which no worker does. Even so, it is removed
         // only once no duplicate of its start can run it.
--- a/crates/controller/src/allocations/tests.rs
+++ b/crates/controller/src/allocations/tests.rs
@@ -227,6 +227,25 @@
     assert_eq!(command_kinds(&mut machine, Some((1, 2))), [CommandKind::Start]);
 }
 
+// A start that was lost directly as well as in an answer was never sent again, and its task never ran.
+#[test]
+fn start_that_never_arrived_is_sent_again_beside_an_unanswered_direct_one() {
+    let mut machine = machine(|_| ());
+    machine.apply_heartbeat(&report(1, 1, TOKEN, None), TOKEN, 0);
+    assert_eq!(command_kinds(&mut machine, None), [CommandKind::Start]);
+    machine.on_direct_command_unanswered(TOKEN, 1);
+    assert_eq!(command_kinds(&mut machine, Some((1, 1))), [CommandKind::Start]);
+    machine.apply_response(&report(1, 2, TOKEN, None), TOKEN, 0);
+    assert_eq!(
+        command_kinds(&mut machine, Some((1, 2))),
+        [],
+        "the answer may still arrive"
+    );
+    machine.apply_heartbeat(&report(1, 3, TOKEN, None), TOKEN, 0);
+    assert_eq!(command_kinds(&mut machine, Some((1, 3))), [CommandKind::Start]);
+    assert!(machine.attempts[0].unacknowledged.is_some());
+}
+
 #[test]
 fn record_lists_all_attempts_that_may_be_running() {
     let mut machine = machine(|attempt| attempt.durable = false);
