--- a/crates/controller/tests/machine_failures_seeds.rs
+++ b/crates/controller/tests/machine_failures_seeds.rs
@@ -1,6 +1,7 @@
 //! Random scenarios in which machines stop, in any share of the fleet, beside an end or a standstill of the leader. Their
 //! tasks are started again, and leaders do not hand over to each other for good. To run more seeds, use
-//! `MACHINE_FAILURES_SEEDS=2000 cargo test --release -p indigopath-controller --test machine_failures_seeds -- --nocapture`.
+//! `MACHINE_FAILURES_SEEDS=2000 cargo test --release -p indigopath-controller --test machine_failures_seeds -- --nocapture`;
+//! for several faults at a time, `MACHINE_FAULT_COMBINATIONS_SEEDS`.
 
 #[path = "generators/machine_failures.rs"]
 mod generator;
